Lay out the workspace, the micro-kernel and the links between processes

Cause: there was nothing yet; parts built side by side need fixed seams. Change: five modules in a workspace; registrar, framer, linker, parser, logger, hasher, timer and the typed messages; seams for the control state machine and for the owner side of a router; formatter, linter and tests in one script. Found on the way: a stranger's connection was closed before the greeting went out, so the stranger could not say why; TestStrangersAreRefused holds it now. Conclusion: the seams are in place for the thin path.

--- /dev/null
+++ b/GNUmakefile
@@ -0,0 +1,54 @@
+# The targets are the interface of this repository; see README.md.
+
+MODULES := kernel control router operator bench
+PROGRAMS := marigold-control marigold-router marigold marigold-bench
+BIN := bin
+FUZZTIME ?= 30s
+
+.PHONY: all build test race vet lint format-check format run bench fuzz ci clean
+
+all: build
+
+build:
+	go build -o $(BIN)/marigold-control ./control
+	go build -o $(BIN)/marigold-router ./router
+	go build -o $(BIN)/marigold ./operator
+	go build -o $(BIN)/marigold-bench ./bench
+
+test:
+	go test $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+race:
+	go test -race $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+vet:
+	go vet $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+format-check:
+	@files=$$(gofmt -s -l $(MODULES)); \
+	if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
+
+format:
+	gofmt -s -w $(MODULES)
+
+# The linter is pinned in tools/go.mod, apart from the programs' own modules.
+$(BIN)/staticcheck: tools/go.mod tools/go.sum
+	cd tools && GOWORK=off go build -o ../$(BIN)/staticcheck honnef.co/go/tools/cmd/staticcheck
+
+lint: format-check vet $(BIN)/staticcheck
+	$(BIN)/staticcheck $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+run: build
+	$(BIN)/marigold-bench playground
+
+bench: build
+	go test -run '^$$' -bench . -benchmem $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+fuzz:
+	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) ./kernel/framer
+	go test -run '^$$' -fuzz FuzzBytes -fuzztime $(FUZZTIME) ./kernel/parser
+
+ci: lint test race
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/kernel/framer/framer.go
@@ -0,0 +1,135 @@
+// Package framer reads and writes the frames that processes exchange over a
+// connection.
+//
+// A frame is a fixed header and a payload:
+//
+//	bytes 0..3   length of the payload, big-endian, at most MaxPayload
+//	byte  4      type of the frame
+//	bytes 5..12  number of the stream, big-endian; 0 is the connection itself
+//	bytes 13..   payload
+//
+// # Usage
+//
+//	buffer = framer.Append(buffer, framer.Frame{Type: framer.TypeData, Stream: 7, Payload: data})
+//	reader := framer.NewReader(conn)
+//	frame, err := reader.Read()
+package framer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("framer")
+
+// ErrOversize is wrapped by the error for a frame longer than MaxPayload.
+var ErrOversize = errs.New("frame is longer than allowed")
+
+// ErrType is wrapped by the error for a frame of an unknown type.
+var ErrType = errs.New("frame has an unknown type")
+
+const (
+	// HeaderSize is the size of a frame's header in bytes.
+	HeaderSize = 13
+	// MaxPayload is the largest payload of a frame in bytes.
+	MaxPayload = 32 << 10
+
+	readBuffer = 64 << 10
+)
+
+// Type is the type of a frame.
+type Type uint8
+
+// The types of frames.
+const (
+	// TypeHello is the first frame in each direction.
+	TypeHello Type = iota + 1
+	// TypeOpen opens a stream; its payload is one byte, the kind.
+	TypeOpen
+	// TypeData carries bytes of a stream.
+	TypeData
+	// TypeEnd ends one direction of a stream: length and checksum of all data.
+	TypeEnd
+	// TypeReset aborts a stream in both directions; its payload is a reason.
+	TypeReset
+	// TypeWindow lets the peer send more bytes on a stream.
+	TypeWindow
+	// TypePing asks for a TypePong.
+	TypePing
+	// TypePong answers a TypePing.
+	TypePong
+
+	typeEnd
+)
+
+// Frame is one frame. Payload of a frame that was read is valid until the next
+// Read.
+type Frame struct {
+	Type    Type
+	Stream  uint64
+	Payload []byte
+}
+
+// Append appends the encoding of frame to buffer. The payload must not be
+// longer than MaxPayload.
+func Append(buffer []byte, frame Frame) []byte {
+	buffer = binary.BigEndian.AppendUint32(buffer, uint32(len(frame.Payload)))
+	buffer = append(buffer, byte(frame.Type))
+	buffer = binary.BigEndian.AppendUint64(buffer, frame.Stream)
+	return append(buffer, frame.Payload...)
+}
+
+// Reader reads frames from one connection.
+type Reader struct {
+	source  *bufio.Reader
+	header  [HeaderSize]byte
+	payload []byte
+}
+
+// NewReader returns a Reader of source.
+func NewReader(source io.Reader) *Reader {
+	return &Reader{source: bufio.NewReaderSize(source, readBuffer)}
+}
+
+// Read reads the next frame. It returns io.EOF, unwrapped, at the end between
+// two frames.
+func (r *Reader) Read() (Frame, error) {
+	if _, err := io.ReadFull(r.source, r.header[:]); err != nil {
+		if err == io.EOF {
+			return Frame{}, io.EOF
+		}
+		return Frame{}, Error.New("reading the header: %w", err)
+	}
+	length := binary.BigEndian.Uint32(r.header[:4])
+	if length > MaxPayload {
+		return Frame{}, Error.New("payload of %d bytes: %w", length, ErrOversize)
+	}
+	frame := Frame{
+		Type:   Type(r.header[4]),
+		Stream: binary.BigEndian.Uint64(r.header[5:]),
+	}
+	if frame.Type == 0 || frame.Type >= typeEnd {
+		return Frame{}, Error.New("type %d: %w", frame.Type, ErrType)
+	}
+	payload, err := r.readPayload(int(length))
+	if err != nil {
+		return Frame{}, err
+	}
+	frame.Payload = payload
+	return frame, nil
+}
+
+func (r *Reader) readPayload(length int) ([]byte, error) {
+	if cap(r.payload) < length {
+		r.payload = make([]byte, length)
+	}
+	r.payload = r.payload[:length]
+	if _, err := io.ReadFull(r.source, r.payload); err != nil {
+		return nil, Error.New("reading the payload: %w", err)
+	}
+	return r.payload, nil
+}
--- /dev/null
+++ b/kernel/linker/link.go
@@ -0,0 +1,345 @@
+package linker
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"marigoldhill/kernel/framer"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/networker"
+	"marigoldhill/kernel/timer"
+)
+
+// Link is one connection with its streams. Its methods are safe for concurrent
+// use.
+type Link struct {
+	conn    net.Conn
+	reader  *framer.Reader
+	options Options
+	peer    messenger.Hello
+	dialled bool
+
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
+	mu      sync.Mutex
+	streams map[uint64]*Stream
+	last    uint64 // newest stream number, of either side
+
+	pendingMu sync.Mutex
+	space     sync.Cond
+	pending   []byte
+	wake      chan struct{}
+
+	heard atomic.Pointer[timer.Instant]
+	tasks sync.WaitGroup
+}
+
+// Dial opens a link to address and greets the peer.
+func Dial(ctx context.Context, network networker.Network, address string, options Options) (*Link, error) {
+	conn, err := network.Dial(ctx, address)
+	if err != nil {
+		options.count("dial_failures", "network")
+		return nil, Error.New("%w: %w", ErrDial, err)
+	}
+	link := newLink(conn, options, true)
+	if err := link.greet(); err != nil {
+		_ = conn.Close()
+		return nil, Error.New("%w: %w", ErrDial, err)
+	}
+	link.run()
+	return link, nil
+}
+
+func newLink(conn net.Conn, options Options, dialled bool) *Link {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	link := &Link{
+		conn:    conn,
+		reader:  framer.NewReader(conn),
+		options: options,
+		dialled: dialled,
+		ctx:     ctx,
+		cancel:  cancel,
+		streams: make(map[uint64]*Stream),
+		wake:    make(chan struct{}, 1),
+	}
+	link.space.L = &link.pendingMu
+	now := timer.Now()
+	link.heard.Store(&now)
+	return link
+}
+
+// Peer returns the greeting of the peer.
+func (l *Link) Peer() messenger.Hello {
+	return l.peer
+}
+
+// Done is closed when the link has ended.
+func (l *Link) Done() <-chan struct{} {
+	return l.ctx.Done()
+}
+
+// Close ends the link and all its streams.
+func (l *Link) Close() {
+	l.fail(Error.New("link: %w", ErrClosed))
+}
+
+// Open opens a stream. When ctx ends, the stream is reset.
+func (l *Link) Open(ctx context.Context, kind messenger.Kind) (*Stream, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx.Err() != nil {
+		return nil, Error.New("opening a stream: %w", context.Cause(l.ctx))
+	}
+	l.last++
+	stream := newStream(ctx, l, l.last, kind)
+	l.streams[stream.number] = stream
+	// Sent under the lock, so that numbers reach the peer in order.
+	l.send(framer.Frame{Type: framer.TypeOpen, Stream: stream.number, Payload: []byte{byte(kind)}})
+	return stream, nil
+}
+
+func (l *Link) run() {
+	l.tasks.Go(l.readLoop)
+	l.tasks.Go(l.writeLoop)
+	l.tasks.Go(l.pingLoop)
+}
+
+// greet exchanges greetings, both ends at once.
+func (l *Link) greet() error {
+	if err := l.conn.SetDeadline(time.Now().Add(HelloTime)); err != nil {
+		return Error.New("setting the greeting's deadline: %w", err)
+	}
+	hello, err := msgpack.Marshal(&l.options.Hello)
+	if err != nil {
+		return Error.New("encoding the greeting: %w", err)
+	}
+	sent := make(chan error, 1)
+	go func() {
+		_, err := l.conn.Write(framer.Append(nil, framer.Frame{Type: framer.TypeHello, Payload: hello}))
+		sent <- err
+	}()
+	err = l.readHello()
+	// Even a stranger gets the whole greeting, so that it can say why it was
+	// refused; the deadline bounds the wait.
+	if err := errors.Join(err, <-sent); err != nil {
+		return Error.New("greeting: %w", err)
+	}
+	if err := l.conn.SetDeadline(time.Time{}); err != nil {
+		return Error.New("clearing the greeting's deadline: %w", err)
+	}
+	return nil
+}
+
+func (l *Link) readHello() error {
+	frame, err := l.reader.Read()
+	if err != nil {
+		l.options.count("refusals", "garbage")
+		return err
+	}
+	if frame.Type != framer.TypeHello {
+		l.options.count("refusals", "garbage")
+		return Error.New("first frame has type %d: %w", frame.Type, ErrProtocol)
+	}
+	if err := msgpack.Unmarshal(frame.Payload, &l.peer); err != nil {
+		l.options.count("refusals", "garbage")
+		return Error.New("decoding the greeting: %w", err)
+	}
+	own := l.options.Hello
+	if l.peer.Cluster != own.Cluster {
+		l.options.count("refusals", "cluster")
+		return Error.New("cluster %q, not %q: %w", l.peer.Cluster, own.Cluster, ErrStranger)
+	}
+	if l.peer.Version != own.Version {
+		l.options.count("refusals", "version")
+		return Error.New("protocol version %d, not %d: %w", l.peer.Version, own.Version, ErrStranger)
+	}
+	return nil
+}
+
+func (l *Link) readLoop() {
+	for {
+		frame, err := l.reader.Read()
+		if err != nil {
+			l.countReadFailure(err)
+			l.fail(Error.New("reading from %s: %w", l.peer.Name, err))
+			return
+		}
+		now := timer.Now()
+		l.heard.Store(&now)
+		if err := l.receive(frame); err != nil {
+			l.options.count("refusals", "protocol")
+			l.fail(err)
+			return
+		}
+	}
+}
+
+func (l *Link) countReadFailure(err error) {
+	switch {
+	case errors.Is(err, framer.ErrOversize):
+		l.options.count("refusals", "oversize")
+	case errors.Is(err, framer.ErrType):
+		l.options.count("refusals", "garbage")
+	}
+}
+
+// receive handles one frame. An error breaks the connection.
+func (l *Link) receive(frame framer.Frame) error {
+	switch frame.Type {
+	case framer.TypePing:
+		l.send(framer.Frame{Type: framer.TypePong})
+		return nil
+	case framer.TypePong:
+		return nil
+	case framer.TypeOpen:
+		return l.accept(frame)
+	case framer.TypeHello:
+		return Error.New("second greeting: %w", ErrProtocol)
+	}
+	l.mu.Lock()
+	stream, ok := l.streams[frame.Stream]
+	known := frame.Stream <= l.last
+	l.mu.Unlock()
+	if !ok {
+		if !known {
+			return Error.New("frame for stream %d, which was never opened: %w", frame.Stream, ErrProtocol)
+		}
+		l.options.count("late_frames", "closed")
+		return nil
+	}
+	return stream.receive(frame)
+}
+
+func (l *Link) accept(frame framer.Frame) error {
+	if l.dialled || l.options.Handler == nil {
+		return Error.New("peer may not open streams: %w", ErrProtocol)
+	}
+	if len(frame.Payload) != 1 {
+		return Error.New("open frame of %d bytes: %w", len(frame.Payload), ErrProtocol)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if frame.Stream <= l.last {
+		l.options.count("late_frames", "reopened")
+		return Error.New("stream %d was used before: %w", frame.Stream, ErrProtocol)
+	}
+	l.last = frame.Stream
+	if len(l.streams) >= MaxStreams {
+		l.options.count("refusals", "streams")
+		l.send(framer.Frame{Type: framer.TypeReset, Stream: frame.Stream, Payload: []byte("too many streams")})
+		return nil
+	}
+	stream := newStream(l.ctx, l, frame.Stream, messenger.Kind(frame.Payload[0]))
+	l.streams[stream.number] = stream
+	l.tasks.Go(func() { l.serve(stream) })
+	return nil
+}
+
+func (l *Link) serve(stream *Stream) {
+	defer stream.Close()
+	l.options.Handler(stream.ctx, l, stream)
+}
+
+// send queues a frame for the connection. It never blocks.
+func (l *Link) send(frame framer.Frame) {
+	l.pendingMu.Lock()
+	l.pending = framer.Append(l.pending, frame)
+	l.pendingMu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// waitForSpace holds writers of data back while too much waits for the
+// connection.
+func (l *Link) waitForSpace() {
+	l.pendingMu.Lock()
+	defer l.pendingMu.Unlock()
+	for len(l.pending) > maxPending && l.ctx.Err() == nil {
+		l.space.Wait()
+	}
+}
+
+func (l *Link) writeLoop() {
+	var batch []byte
+	for {
+		select {
+		case <-l.wake:
+		case <-l.ctx.Done():
+			return
+		}
+		l.pendingMu.Lock()
+		batch, l.pending = l.pending, batch[:0]
+		l.space.Broadcast()
+		l.pendingMu.Unlock()
+		if len(batch) == 0 {
+			continue
+		}
+		if _, err := l.conn.Write(batch); err != nil {
+			l.fail(Error.New("writing to %s: %w", l.peer.Name, err))
+			return
+		}
+	}
+}
+
+func (l *Link) pingLoop() {
+	ticker := time.NewTicker(PingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-l.ctx.Done():
+			return
+		}
+		if timer.Now().Since(*l.heard.Load()) >= SilenceTime {
+			l.options.count("closures", "silent")
+			l.fail(Error.New("to %s: %w", l.peer.Name, ErrSilent))
+			return
+		}
+		l.send(framer.Frame{Type: framer.TypePing})
+	}
+}
+
+// fail ends the link with a cause. Only the first call counts.
+func (l *Link) fail(cause error) {
+	l.mu.Lock()
+	if l.ctx.Err() != nil {
+		l.mu.Unlock()
+		return
+	}
+	l.cancel(cause)
+	streams := l.streams
+	l.streams = make(map[uint64]*Stream)
+	l.mu.Unlock()
+	for _, stream := range streams {
+		stream.abort(cause)
+	}
+	l.pendingMu.Lock()
+	l.space.Broadcast()
+	l.pendingMu.Unlock()
+	_ = l.conn.Close()
+}
+
+func (l *Link) forget(stream *Stream) {
+	l.mu.Lock()
+	delete(l.streams, stream.number)
+	l.mu.Unlock()
+}
+
+// endPayload encodes the length and checksum of a direction.
+func endPayload(length, checksum uint64) []byte {
+	payload := binary.BigEndian.AppendUint64(nil, length)
+	return binary.BigEndian.AppendUint64(payload, checksum)
+}
+
+var _ io.ReadWriter = (*Stream)(nil)
--- /dev/null
+++ b/kernel/linker/linker_test.go
@@ -0,0 +1,130 @@
+package linker_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/networker"
+)
+
+var hello = messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleRouter, Name: "a"}
+
+func echo(_ context.Context, _ *linker.Link, stream *linker.Stream) {
+	switch stream.Kind() {
+	case messenger.KindOutcome:
+		_ = linker.Answer(stream, func(query *messenger.OutcomeQuery) (*messenger.OutcomeAnswer, error) {
+			return &messenger.OutcomeAnswer{Body: []byte(query.Key)}, nil
+		})
+	case messenger.KindForward:
+		if _, err := io.Copy(stream, stream); err == nil {
+			_ = stream.CloseWrite()
+		}
+	case messenger.KindRecord:
+		// Part of an answer, then the handler gives up.
+		_, _ = stream.Write([]byte("part"))
+	}
+}
+
+func listen(t *testing.T) (*linker.Server, *linker.Pool) {
+	server, err := linker.Listen(networker.TCP{}, "127.0.0.1:0", linker.Options{Hello: hello, Handler: echo})
+	qt.Assert(t, err, qt.IsNil)
+	pool := linker.NewPool(networker.TCP{}, linker.Options{Hello: hello})
+	t.Cleanup(func() {
+		pool.Close()
+		qt.Check(t, server.Close(), qt.IsNil)
+	})
+	return server, pool
+}
+
+func TestCall(t *testing.T) {
+	server, pool := listen(t)
+	for _, key := range []string{"door-1", "door-2"} {
+		answer, err := linker.Call[messenger.OutcomeQuery, messenger.OutcomeAnswer](
+			t.Context(), pool, server.Address(), messenger.KindOutcome, &messenger.OutcomeQuery{Key: key})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(answer.Body), qt.Equals, key)
+	}
+}
+
+func TestLargeBodyWithFlowControl(t *testing.T) {
+	server, pool := listen(t)
+	stream, err := pool.Open(t.Context(), server.Address(), messenger.KindForward)
+	qt.Assert(t, err, qt.IsNil)
+	body := bytes.Repeat([]byte("0123456789abcdef"), 1<<18)
+	go func() {
+		_, _ = stream.Write(body)
+		_ = stream.CloseWrite()
+	}()
+	got, err := io.ReadAll(stream)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, bytes.Equal(got, body), qt.IsTrue)
+}
+
+func TestPartialAnswerIsAnError(t *testing.T) {
+	server, pool := listen(t)
+	stream, err := pool.Open(t.Context(), server.Address(), messenger.KindRecord)
+	qt.Assert(t, err, qt.IsNil)
+	got, err := io.ReadAll(stream)
+	qt.Assert(t, string(got), qt.Equals, "part")
+	qt.Assert(t, errors.Is(err, linker.ErrReset), qt.IsTrue, qt.Commentf("got %v", err))
+}
+
+func TestCancelledContextResetsStream(t *testing.T) {
+	server, pool := listen(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	stream, err := pool.Open(ctx, server.Address(), messenger.KindForward)
+	qt.Assert(t, err, qt.IsNil)
+	cancel()
+	_, err = io.ReadAll(stream)
+	qt.Assert(t, errors.Is(err, context.Canceled), qt.IsTrue, qt.Commentf("got %v", err))
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	set := metrics.NewSet()
+	server, err := linker.Listen(networker.TCP{}, "127.0.0.1:0", linker.Options{Hello: hello, Handler: echo, Metrics: set})
+	qt.Assert(t, err, qt.IsNil)
+	tests := []struct {
+		name   string
+		reason string
+		visit  func(t *testing.T)
+	}{
+		{name: "cluster", reason: "cluster", visit: func(t *testing.T) {
+			other := hello
+			other.Cluster = "other"
+			_, err := linker.Dial(t.Context(), networker.TCP{}, server.Address(), linker.Options{Hello: other})
+			qt.Assert(t, errors.Is(err, linker.ErrStranger), qt.IsTrue, qt.Commentf("got %v", err))
+		}},
+		{name: "version", reason: "version", visit: func(t *testing.T) {
+			other := hello
+			other.Version++
+			_, err := linker.Dial(t.Context(), networker.TCP{}, server.Address(), linker.Options{Hello: other})
+			qt.Assert(t, errors.Is(err, linker.ErrStranger), qt.IsTrue, qt.Commentf("got %v", err))
+		}},
+		{name: "garbage", reason: "garbage", visit: func(t *testing.T) {
+			conn, err := net.Dial("tcp", server.Address())
+			qt.Assert(t, err, qt.IsNil)
+			defer conn.Close()
+			_, err = conn.Write([]byte("\x00\x00\x00\x02GET / HTTP/1.1\r\n\r\n"))
+			qt.Assert(t, err, qt.IsNil)
+			// The server sends its own greeting, then closes.
+			_, _ = io.Copy(io.Discard, conn)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { test.visit(t) })
+	}
+	qt.Assert(t, server.Close(), qt.IsNil)
+	for _, test := range tests {
+		counter := set.GetOrCreateCounter(`marigold_link_refusals_total{reason="` + test.reason + `"}`)
+		qt.Check(t, counter.Get(), qt.Equals, uint64(1), qt.Commentf("%s", test.reason))
+	}
+}
--- /dev/null
+++ b/kernel/linker/server.go
@@ -0,0 +1,85 @@
+package linker
+
+import (
+	"errors"
+	"net"
+	"sync"
+
+	"marigoldhill/kernel/networker"
+)
+
+// Server accepts links at one address.
+type Server struct {
+	listener net.Listener
+	options  Options
+
+	mu     sync.Mutex
+	links  map[*Link]struct{}
+	closed bool
+	tasks  sync.WaitGroup
+}
+
+// Listen opens a listener at address and serves the links that peers dial.
+func Listen(network networker.Network, address string, options Options) (*Server, error) {
+	listener, err := network.Listen(address)
+	if err != nil {
+		return nil, Error.New("opening the listener: %w", err)
+	}
+	server := &Server{listener: listener, options: options, links: make(map[*Link]struct{})}
+	server.tasks.Go(server.acceptLoop)
+	return server, nil
+}
+
+// Address is the address that the listener got.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Close ends the listener and all links and waits for their handlers.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	links := s.links
+	s.links = make(map[*Link]struct{})
+	s.mu.Unlock()
+	err := s.listener.Close()
+	for link := range links {
+		link.Close()
+	}
+	s.tasks.Wait()
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		return Error.New("closing the listener: %w", err)
+	}
+	return nil
+}
+
+func (s *Server) acceptLoop() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.tasks.Go(func() { s.serve(conn) })
+	}
+}
+
+func (s *Server) serve(conn net.Conn) {
+	link := newLink(conn, s.options, false)
+	if err := link.greet(); err != nil {
+		_ = conn.Close()
+		return
+	}
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		_ = conn.Close()
+		return
+	}
+	s.links[link] = struct{}{}
+	s.mu.Unlock()
+	link.run()
+	link.tasks.Wait()
+	s.mu.Lock()
+	delete(s.links, link)
+	s.mu.Unlock()
+}
--- /dev/null
+++ b/kernel/logger/process.go
@@ -0,0 +1,15 @@
+package logger
+
+import "github.com/hashicorp/go-hclog"
+
+// Events of every process, 100 to 199.
+var (
+	ProcessStarted  = Event{100, hclog.Info, "process is ready"}
+	ProcessStopping = Event{101, hclog.Info, "process is stopping"}
+	ProcessStopped  = Event{102, hclog.Info, "process has stopped"}
+	ProcessFailed   = Event{103, hclog.Error, "process cannot go on"}
+)
+
+func processEvents() []Event {
+	return []Event{ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed}
+}
--- /dev/null
+++ b/kernel/messenger/session.go
@@ -0,0 +1,147 @@
+package messenger
+
+import "time"
+
+// Times of the lease protocol.
+const (
+	// HeartbeatInterval is the time between two heartbeats of a router.
+	HeartbeatInterval = 300 * time.Millisecond
+	// LeaseTime is how long a lease lasts after the heartbeat was sent.
+	LeaseTime = 1500 * time.Millisecond
+	// LeaseMargin covers clock drift: control counts a lease longer by it.
+	LeaseMargin = 150 * time.Millisecond
+	// ElectionTimeMin is the shortest election time-out, and how long a
+	// follower withholds its vote after it heard a leader.
+	ElectionTimeMin = 450 * time.Millisecond
+	// ElectionTimeMax is the longest election time-out.
+	ElectionTimeMax = 700 * time.Millisecond
+	// ReplicaInterval is the time between two heartbeats of a control leader.
+	ReplicaInterval = 75 * time.Millisecond
+)
+
+// ServerState is the state of a backend server as its router judges it.
+type ServerState string
+
+// The states of a backend server.
+const (
+	ServerReady   ServerState = "ready"
+	ServerFrozen  ServerState = "frozen"
+	ServerDown    ServerState = "down"
+	ServerLeaving ServerState = "leaving"
+	ServerAbsent  ServerState = "absent"
+)
+
+// ShardRef names a shard under one grant.
+type ShardRef struct {
+	Service string
+	Shard   uint32
+	Fence   uint64
+}
+
+// ShardLoad is the work of one shard since the last heartbeat.
+type ShardLoad struct {
+	Service string
+	Shard   uint32
+	// Requests is how many requests were finished.
+	Requests uint64
+	// Busy is the slot time that they took.
+	Busy time.Duration
+}
+
+// KeyLoad is the estimated work of one key in the last window.
+type KeyLoad struct {
+	Service string
+	Key     string
+	// Part is its part of the server's load, 0 to 1.
+	Part float64
+}
+
+// Heartbeat opens or renews the session of a router.
+type Heartbeat struct {
+	Router string
+	// Instance is a random number of this start of the process. A session
+	// belongs to one instance.
+	Instance uint64
+	// Session is the session to renew; 0 opens one.
+	Session uint64
+	// Sequence grows with each heartbeat of the instance.
+	Sequence uint64
+	Address  string
+	Domain   string
+	Region   string
+	Server   *ServerRow
+	State    ServerState
+	// Revision is the revision of the routing table that the router has
+	// applied.
+	Revision uint64
+	// Released are shards that the router serves no more: nothing of them is
+	// in flight and nothing will be admitted under that fence.
+	Released []ShardRef
+	// Copied are joining recorders that hold all records now.
+	Copied []uint64
+	// Loads are the busiest shards, at most 64.
+	Loads []ShardLoad
+	// Keys are the hottest keys, at most 16.
+	Keys []KeyLoad
+	// Queue is the number of requests waiting at this owner.
+	Queue int
+	// Stalled is the number of background requests waiting longer than half
+	// their deadline.
+	Stalled int
+	// Leaving says that the process is shutting down and wants to give its
+	// shards away.
+	Leaving bool
+	// Close says that the router has released everything and ends its session.
+	Close bool
+}
+
+// HeartbeatStatus says how a heartbeat was taken.
+type HeartbeatStatus string
+
+// The ways a heartbeat is taken.
+const (
+	// HeartbeatAlive renews the lease, counted from when the heartbeat was sent.
+	HeartbeatAlive HeartbeatStatus = "alive"
+	// HeartbeatRedirect means that another replica leads; see Leader.
+	HeartbeatRedirect HeartbeatStatus = "redirect"
+	// HeartbeatUnconfirmed means that the leader cannot confirm that it leads.
+	HeartbeatUnconfirmed HeartbeatStatus = "unconfirmed"
+	// HeartbeatExpired means that the session is closed; open a new one.
+	HeartbeatExpired HeartbeatStatus = "expired"
+	// HeartbeatWait means that the session of an earlier instance must lapse
+	// first, or that the opening is not committed yet.
+	HeartbeatWait HeartbeatStatus = "wait"
+)
+
+// HeartbeatAnswer answers a Heartbeat. The router extends its lease only after
+// it applied Delta, and only when Status is alive.
+type HeartbeatAnswer struct {
+	Status   HeartbeatStatus
+	Session  uint64
+	Sequence uint64
+	// Leader is the address of the leader, when known and redirecting.
+	Leader string
+	// Delta brings the routing table of the router up to the newest revision;
+	// nil when it has that already.
+	Delta *TableDelta
+	// More says that Delta was bounded and another heartbeat should follow at
+	// once; the lease is not extended yet.
+	More bool
+}
+
+// Report tells the control group of something outside the heartbeat's rhythm.
+type Report struct {
+	Session uint64
+	// Death lists the fingerprints in flight when a backend server died.
+	Death []QuarantineRow
+	// Stalled is a background request that stalls or starves, for the events.
+	Stalled string
+}
+
+// ReportAnswer answers a Report.
+type ReportAnswer struct {
+	// Accepted says that the report was committed.
+	Accepted bool
+	// Leader is the address of the leader when it was not.
+	Leader string
+}
--- /dev/null
+++ b/kernel/networker/networker.go
@@ -0,0 +1,48 @@
+// Package networker is the seam between the processes of the system and the
+// network.
+//
+// Production code uses [TCP]. Tests put an in-memory network in its place,
+// whose connections can be cut, delayed or silenced.
+//
+// # Usage
+//
+//	var network networker.Network = networker.TCP{}
+//	listener, err := network.Listen("127.0.0.1:0")
+//	conn, err := network.Dial(ctx, "127.0.0.1:7000")
+package networker
+
+import (
+	"context"
+	"fmt"
+	"net"
+)
+
+// Network opens listeners and connections. Addresses are host:port.
+type Network interface {
+	// Listen opens a listener at address; port 0 picks a free port.
+	Listen(address string) (net.Listener, error)
+	// Dial connects to address until ctx ends.
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
+// TCP is the network of the operating system.
+type TCP struct{}
+
+// Listen implements [Network].
+func (TCP) Listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listening at %s: %w", address, err)
+	}
+	return listener, nil
+}
+
+// Dial implements [Network].
+func (TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("dialling %s: %w", address, err)
+	}
+	return conn, nil
+}
