Fix the backend interface before both ends are built

Cause: the router's owner side and the stand-in backend server are built side by side and need one text. Conclusion: both ends can start.

--- a/kernel/messenger/request.go
+++ b/kernel/messenger/request.go
@@ -29,6 +29,9 @@
 	HeaderShard       = "Marigold-Shard"
 	HeaderDeadline    = "Marigold-Deadline"
 	HeaderIdempotency = "Idempotency-Key"
+	// HeaderRefused is set by a backend server on an answer to a request that
+	// it did not run; its value is a Refusal.
+	HeaderRefused = "Marigold-Refused"
 )
 
 // Header is one HTTP header field of a request or a response.
--- a/kernel/messenger/session.go
+++ b/kernel/messenger/session.go
@@ -77,6 +77,9 @@
 	// Released are shards that the router serves no more: nothing of them is
 	// in flight and nothing will be admitted under that fence.
 	Released []ShardRef
+	// Recovered are shards granted with Survivors whose records this router has
+	// read and stored at its own recorders.
+	Recovered []ShardRef
 	// Copied are joining recorders that hold all records now.
 	Copied []uint64
 	// Loads are the busiest shards, at most 64.
