Add an in-memory network whose frames and connections can fail

Cause: the fault matrix needs every fault at every step, in the test clock. Conclusion: the matrix can be built on it.

--- /dev/null
+++ b/kernel/disrupter/inspector.go
@@ -0,0 +1,121 @@
+package disrupter
+
+import (
+	"encoding/binary"
+	"time"
+
+	"marigoldhill/kernel/framer"
+	"marigoldhill/kernel/messenger"
+)
+
+// Step is one frame on its way between two processes.
+type Step struct {
+	From string
+	To   string
+	Type framer.Type
+	// Stream is the number of the stream, and Kind what it carries; 0 for
+	// frames of the connection itself.
+	Stream uint64
+	Kind   messenger.Kind
+}
+
+// Verdict is what becomes of a frame.
+type Verdict struct {
+	// Drop makes the frame vanish.
+	Drop bool
+	// Copies are sent besides the frame.
+	Copies int
+	// Hold delays the frame and all that follow it on the connection.
+	Hold time.Duration
+}
+
+// Hook decides on a frame. It is called from many goroutines and must not
+// block.
+type Hook func(step Step) Verdict
+
+func (w *World) currentHook() Hook {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.hook
+}
+
+// part is a piece of a write with its extra delay.
+type part struct {
+	data []byte
+	hold time.Duration
+}
+
+// inspector finds the frames in one direction of a connection. Connections of
+// other protocols pass as they are.
+type inspector struct {
+	way    pair
+	judged bool
+	framed bool
+	// kinds is shared by no other direction: streams are opened by the side
+	// that dialled, so answers carry kind 0.
+	kinds map[uint64]messenger.Kind
+}
+
+// split cuts a write into frames and applies the hook to each.
+func (i *inspector) split(data []byte, hook Hook) []part {
+	whole := append([]byte(nil), data...)
+	if !i.judged {
+		i.judged = true
+		i.framed = startsWithHello(whole)
+		i.kinds = make(map[uint64]messenger.Kind)
+	}
+	if !i.framed {
+		return []part{{data: whole}}
+	}
+	var parts []part
+	for len(whole) > 0 {
+		frame, rest, ok := cutFrame(whole)
+		if !ok {
+			return append(parts, part{data: whole})
+		}
+		parts = append(parts, i.judge(frame, hook)...)
+		whole = rest
+	}
+	return parts
+}
+
+func (i *inspector) judge(frame []byte, hook Hook) []part {
+	step := Step{
+		From:   i.way.from,
+		To:     i.way.to,
+		Type:   framer.Type(frame[4]),
+		Stream: binary.BigEndian.Uint64(frame[5:framer.HeaderSize]),
+	}
+	if step.Type == framer.TypeOpen && len(frame) > framer.HeaderSize {
+		i.kinds[step.Stream] = messenger.Kind(frame[framer.HeaderSize])
+	}
+	step.Kind = i.kinds[step.Stream]
+	if hook == nil {
+		return []part{{data: frame}}
+	}
+	verdict := hook(step)
+	if verdict.Drop {
+		return nil
+	}
+	parts := []part{{data: frame, hold: verdict.Hold}}
+	for range verdict.Copies {
+		parts = append(parts, part{data: frame, hold: verdict.Hold})
+	}
+	return parts
+}
+
+func startsWithHello(data []byte) bool {
+	return len(data) > framer.HeaderSize && framer.Type(data[4]) == framer.TypeHello
+}
+
+// cutFrame cuts the first whole frame off data.
+func cutFrame(data []byte) (frame, rest []byte, ok bool) {
+	if len(data) < framer.HeaderSize {
+		return nil, nil, false
+	}
+	size := framer.HeaderSize + int(binary.BigEndian.Uint32(data))
+	if size > len(data) {
+		return nil, nil, false
+	}
+	return data[:size:size], data[size:], true
+}
