--- /dev/null
+++ b/bench/matrix/check_test.go
@@ -0,0 +1,96 @@
+package matrix
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/kernel/messenger"
+)
+
+// TestCheck breaks each promise in a history of its own.
+func TestCheck(t *testing.T) {
+	second := time.Second
+	send := func(number, identity string) Send { return Send{Number: number, Identity: identity, Key: "k"} }
+	done := func(number string, echo Echo) Receive {
+		return Receive{Number: number, Outcome: messenger.OutcomeDone, Echo: echo, Whole: true}
+	}
+	run := func(server, number string, fence uint64, start, end time.Duration) Run {
+		return Run{Server: server, Key: "k", Number: number, Fence: fence, Start: start, End: end}
+	}
+	tests := []struct {
+		name    string
+		history History
+		want    []Promise
+	}{
+		{name: "good", history: History{
+			Sends: []Send{send("1", "a"), send("2", "a")},
+			Receives: []Receive{
+				{Number: "1", Outcome: messenger.OutcomeUnknown},
+				done("2", Echo{Key: "k", Identity: "a", Number: "1"}),
+			},
+			Runs: []Run{run("x", "1", 5, 0, second)},
+		}},
+		{name: "two owners at once", want: []Promise{PromiseOwner}, history: History{
+			Runs: []Run{run("x", "1", 5, 0, 2*second), run("y", "2", 6, second, 3*second)},
+		}},
+		{name: "fence falls", want: []Promise{PromiseOwner}, history: History{
+			Runs: []Run{run("x", "1", 6, 0, second), run("x", "2", 5, 2*second, 3*second)},
+		}},
+		{name: "a run that never ended", want: []Promise{PromiseOwner}, history: History{
+			Runs: []Run{run("x", "1", 5, 0, 0), run("y", "2", 6, second, 3*second)},
+		}},
+		{name: "ran twice", want: []Promise{PromiseOnce}, history: History{
+			Sends:    []Send{send("1", "a"), send("2", "a")},
+			Receives: []Receive{{Number: "1", Outcome: messenger.OutcomeUnknown}, {Number: "2", Outcome: messenger.OutcomeUnknown}},
+			Runs:     []Run{run("x", "1", 5, 0, second), run("x", "2", 5, second, 2*second)},
+		}},
+		{name: "ran twice without a key", want: []Promise{PromiseOnce}, history: History{
+			Sends:    []Send{send("1", "")},
+			Receives: []Receive{{Number: "1", Outcome: messenger.OutcomeUnknown}},
+			Runs:     []Run{run("x", "1", 5, 0, second), run("x", "1", 5, second, 2*second)},
+		}},
+		{name: "refused and ran", want: []Promise{PromiseRefused}, history: History{
+			Sends:    []Send{send("1", "")},
+			Receives: []Receive{{Number: "1", Outcome: messenger.OutcomeRefused}},
+			Runs:     []Run{run("x", "1", 5, 0, second)},
+		}},
+		{name: "answer of another", want: []Promise{PromiseAnswer}, history: History{
+			Sends:    []Send{send("1", "")},
+			Receives: []Receive{done("1", Echo{Key: "k", Number: "9"})},
+		}},
+		{name: "answer of another key", want: []Promise{PromiseAnswer}, history: History{
+			Sends:    []Send{send("1", "a")},
+			Receives: []Receive{done("1", Echo{Key: "z", Identity: "a", Number: "1"})},
+		}},
+		{name: "cut answer as done", want: []Promise{PromiseAnswer}, history: History{
+			Sends:    []Send{send("1", "")},
+			Receives: []Receive{{Number: "1", Outcome: messenger.OutcomeDone, Echo: Echo{Key: "k", Number: "1"}}},
+		}},
+		{name: "no outcome", want: []Promise{PromiseOutcome}, history: History{
+			Sends: []Send{send("1", "")},
+		}},
+		{name: "revision falls", want: []Promise{PromiseRevision}, history: History{
+			Sights: []Sight{{Router: "r", Revision: 5}, {Router: "r", Revision: 4, At: second}},
+		}},
+		{name: "old revision served", want: []Promise{PromiseForce}, history: History{
+			Changes: []Change{{Revision: 9}},
+			Sights:  []Sight{{Router: "r", Revision: 5, Serving: true, At: 7 * second}},
+		}},
+		{name: "work after leaving", want: []Promise{PromiseLeaving}, history: History{
+			Leaves: []Leave{{Server: "x"}},
+			Runs:   []Run{run("x", "1", 5, 4*second, 5*second)},
+		}},
+	}
+	for i := range tests {
+		test := &tests[i]
+		t.Run(test.name, func(t *testing.T) {
+			var got []Promise
+			for _, violation := range Check(&test.history) {
+				got = append(got, violation.Promise)
+			}
+			qt.Assert(t, got, qt.DeepEquals, test.want)
+		})
+	}
+}
--- a/kernel/disrupter/dial.go
+++ b/kernel/disrupter/dial.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"marigoldhill/kernel/messenger"
 )
 
 // address is a net.Addr of the in-memory network.
@@ -123,8 +125,9 @@
 
 // connect makes both ends of a connection.
 func (w *World) connect(from, to, at string) (near, far *conn) {
-	there := newFlow(w, pair{from, to})
-	back := newFlow(w, pair{to, from})
+	shared := &streams{kinds: make(map[uint64]messenger.Kind)}
+	there := newFlow(w, pair{from, to}, shared)
+	back := newFlow(w, pair{to, from}, shared)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.nextPort++
--- a/kernel/disrupter/flow.go
+++ b/kernel/disrupter/flow.go
@@ -35,7 +35,7 @@
 	writeLimit *limit
 }
 
-func newFlow(world *World, way pair) *flow {
+func newFlow(world *World, way pair, shared *streams) *flow {
 	return &flow{
 		world:      world,
 		way:        way,
@@ -43,7 +43,7 @@
 		drained:    make(chan struct{}, 1),
 		readLimit:  newLimit(),
 		writeLimit: newLimit(),
-		frames:     &inspector{way: way},
+		frames:     &inspector{way: way, streams: shared},
 	}
 }
 
--- a/kernel/disrupter/inspector.go
+++ b/kernel/disrupter/inspector.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"sync"
 	"time"
 
 	"marigoldhill/kernel/framer"
@@ -48,21 +49,36 @@
 // inspector finds the frames in one direction of a connection. Connections of
 // other protocols pass as they are.
 type inspector struct {
-	way    pair
-	judged bool
-	framed bool
-	// kinds is shared by no other direction: streams are opened by the side
-	// that dialled, so answers carry kind 0.
+	way     pair
+	judged  bool
+	framed  bool
+	streams *streams
+}
+
+// streams has the kinds of the streams of one connection, for both directions.
+type streams struct {
+	mu    sync.Mutex
 	kinds map[uint64]messenger.Kind
 }
 
+func (s *streams) open(number uint64, kind messenger.Kind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kinds[number] = kind
+}
+
+func (s *streams) kind(number uint64) messenger.Kind {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.kinds[number]
+}
+
 // split cuts a write into frames and applies the hook to each.
 func (i *inspector) split(data []byte, hook Hook) []part {
 	whole := append([]byte(nil), data...)
 	if !i.judged {
 		i.judged = true
 		i.framed = startsWithHello(whole)
-		i.kinds = make(map[uint64]messenger.Kind)
 	}
 	if !i.framed {
 		return []part{{data: whole}}
@@ -87,9 +103,9 @@
 		Stream: binary.BigEndian.Uint64(frame[5:framer.HeaderSize]),
 	}
 	if step.Type == framer.TypeOpen && len(frame) > framer.HeaderSize {
-		i.kinds[step.Stream] = messenger.Kind(frame[framer.HeaderSize])
+		i.streams.open(step.Stream, messenger.Kind(frame[framer.HeaderSize]))
 	}
-	step.Kind = i.kinds[step.Stream]
+	step.Kind = i.streams.kind(step.Stream)
 	if hook == nil {
 		return []part{{data: frame}}
 	}
