--- a/kernel/parser/parser.go
+++ b/kernel/parser/parser.go
@@ -73,6 +73,9 @@
 
 // Bytes decodes and checks data; file stands for it in mistakes.
 func Bytes[T any](file string, data []byte) (*T, error) {
+	if mistake := checkVersion(file, data); mistake != nil {
+		return nil, mistake
+	}
 	value := new(T)
 	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
 	if err := decoder.Decode(value); err != nil {
@@ -89,6 +92,23 @@
 	return nil, &Mistake{File: file, Line: lineOf(data, field), Field: field, Reason: reason}
 }
 
+// checkVersion refuses a file for a newer program before its unknown fields are
+// reported.
+func checkVersion(file string, data []byte) *Mistake {
+	var header struct {
+		Version int `yaml:"version"`
+	}
+	if err := yaml.Unmarshal(data, &header); err != nil || header.Version <= Version {
+		return nil
+	}
+	return &Mistake{
+		File:   file,
+		Line:   lineOf(data, "version"),
+		Field:  "version",
+		Reason: fmt.Sprintf("is %d; this program reads up to %d, so use a newer program or an older file", header.Version, Version),
+	}
+}
+
 // mistakeOf turns an error of the YAML library into a Mistake.
 func mistakeOf(file string, err error) *Mistake {
 	mistake := &Mistake{File: file, Reason: err.Error()}
