Add the stand-in backend server of the bench

Trials need a server that announces itself, runs requests in slots and can freeze, crash, shed and misreport on purpose.

marigold-bench serve runs one.

--- /dev/null
+++ b/bench/cmd_serve.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"marigoldhill/bench/responder"
+	"marigoldhill/kernel/networker"
+)
+
+// stopTimeout bounds an orderly stop.
+const stopTimeout = 15 * time.Second
+
+func cmdServe() command {
+	return command{name: "serve", help: "Run a stand-in backend server.", action: &serveAction{}}
+}
+
+// serveAction runs a stand-in backend server until it is interrupted.
+type serveAction struct {
+	Name      string           `help:"Name of the server." required:""`
+	Service   string           `help:"Service that it belongs to." required:""`
+	Listen    string           `help:"Address to serve at." default:"127.0.0.1:9001"`
+	Router    string           `help:"Base URL of the local router's backend interface."`
+	Slots     int              `help:"Requests run at once." default:"6"`
+	Work      time.Duration    `help:"Time that a request takes." default:"5ms"`
+	Warmup    time.Duration    `help:"How long the server is cold after its start."`
+	Queue     int              `help:"Requests that may wait for a slot before it sheds; 0 never sheds."`
+	Fences    bool             `help:"Refuse requests with an old fence." default:"true" negatable:""`
+	Deadlines bool             `help:"Refuse requests past their deadline." default:"true" negatable:""`
+	Revive    time.Duration    `help:"Time from a crash to the next start; 0 stays down." default:"2s"`
+	Lag       time.Duration    `help:"Age of the reported load."`
+	Load      responder.Report `help:"Load that is reported." enum:"true,idle,busy" default:"true"`
+	Health    responder.Report `help:"Health that is reported." enum:"true,idle,busy" default:"true"`
+}
+
+// Run implements the command.
+func (a *serveAction) Run(ctx context.Context) error {
+	server := responder.New(responder.Settings{
+		Name: a.Name, Service: a.Service, Listen: a.Listen, Router: a.Router, Slots: a.Slots,
+		Work: a.Work, Warmup: a.Warmup, Queue: a.Queue, Fences: a.Fences, Deadlines: a.Deadlines,
+		Revive: a.Revive, Lag: a.Lag, Load: a.Load, Health: a.Health,
+	}, networker.TCP{}, responder.NewLedger())
+	if err := server.Start(ctx); err != nil {
+		return Error.New("serving: %w", err)
+	}
+	fmt.Printf("server %s %s\n", a.Name, server.URL())
+	<-ctx.Done()
+	stopping, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := server.Stop(stopping); err != nil {
+		return Error.New("stopping: %w", err)
+	}
+	return nil
+}
