Add the operators' command line

marigold calls the operator interface, tries each base URL, sends a change again under its first Idempotency-Key when the answer was lost, and shows how a change comes into force. Golden files hold the tables, made against a fake interface.

--- /dev/null
+++ b/operator/cmd_profile.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"net/url"
+	"strconv"
+
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/operator/printer"
+)
+
+const pathProfiles = "/v1/profiles"
+
+func cmdProfile() command {
+	return command{name: "profile", help: "List and change profiles.", action: &profileGroup{}}
+}
+
+// profileGroup holds the subcommands of profile, one file each.
+type profileGroup struct {
+	List   profileList   `cmd:"" help:"List all profiles."`
+	Show   profileShow   `cmd:"" help:"Show one profile as YAML with its revision."`
+	Apply  profileApply  `cmd:"" help:"Create a profile from a YAML file, or change it."`
+	Diff   profileDiff   `cmd:"" help:"Compare a YAML file with the profile in force."`
+	Remove profileRemove `cmd:"" help:"Remove a profile that no service names."`
+}
+
+func profilePath(name string) string {
+	return pathProfiles + "/" + url.PathEscape(name)
+}
+
+func profileColumns() []printer.Column[messenger.Profile] {
+	type row = messenger.Profile
+	return []printer.Column[row]{
+		{Title: "profile", Cell: func(r row) string { return r.Name }},
+		{Title: "class", Cell: func(r row) string { return string(r.Class) }},
+		{Title: "idempotent", Cell: func(r row) string { return strconv.FormatBool(r.Idempotent) }},
+		{Title: "deadline", Cell: func(r row) string { return printer.Duration(r.Deadline) }},
+		{Title: "retries", Cell: func(r row) string { return strconv.Itoa(r.Retries) }},
+		{Title: "queue", Cell: func(r row) string { return strconv.Itoa(r.Queue) }},
+		{Title: "share", Cell: func(r row) string { return strconv.FormatFloat(r.Share, 'g', -1, 64) }},
+		{Title: "weight", Cell: func(r row) string { return strconv.Itoa(r.Weight) }},
+	}
+}
--- /dev/null
+++ b/operator/cmd_profile_apply.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"context"
+
+	"marigoldhill/kernel/messenger"
+)
+
+type profileApply struct {
+	source
+}
+
+// Run implements the command.
+func (a *profileApply) Run(ctx context.Context, e *environment) error {
+	document, err := load[messenger.Profile](a.source)
+	if err != nil {
+		return err
+	}
+	name := document.value.Name
+	return apply(ctx, e, "profile "+name, profilePath(name), document)
+}
--- /dev/null
+++ b/operator/cmd_profile_diff.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"context"
+
+	"marigoldhill/kernel/messenger"
+)
+
+type profileDiff struct {
+	source
+}
+
+// Run implements the command.
+func (a *profileDiff) Run(ctx context.Context, e *environment) error {
+	document, err := load[messenger.Profile](a.source)
+	if err != nil {
+		return err
+	}
+	return diff(ctx, e, profilePath(document.value.Name), document)
+}
--- /dev/null
+++ b/operator/cmd_service_apply.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"context"
+
+	"marigoldhill/kernel/messenger"
+)
+
+type serviceApply struct {
+	source
+}
+
+// Run implements the command.
+func (a *serviceApply) Run(ctx context.Context, e *environment) error {
+	document, err := load[messenger.Service](a.source)
+	if err != nil {
+		return err
+	}
+	name := document.value.Name
+	return apply(ctx, e, "service "+name, servicePath(name), document)
+}
--- /dev/null
+++ b/operator/cmd_service_list.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"context"
+
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/operator/printer"
+	"marigoldhill/operator/requester"
+)
+
+type serviceList struct{}
+
+// Run implements the command.
+func (*serviceList) Run(ctx context.Context, e *environment) error {
+	got, err := requester.Get[[]messenger.Service](ctx, e.requester, pathServices)
+	if err != nil {
+		return Error.New("listing services: %w", err)
+	}
+	return printer.Rows(e.printer, definitionColumns(), got.Value)
+}
--- /dev/null
+++ b/operator/fake_test.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"marigoldhill/kernel/messenger"
+)
+
+// fake is an operator interface that answers from fixed values.
+type fake struct {
+	mutex sync.Mutex
+	// numbers are the Idempotency-Keys of all changes, in order.
+	numbers []string
+	// losses is how many answers to changes are cut off after they were made.
+	losses  int
+	changes int
+	// looks counts the reads of the progress.
+	looks int
+}
+
+// start serves the fake and returns its base URL.
+func (f *fake) start(t *testing.T) string {
+	mux := http.NewServeMux()
+	answer := func(path string, value any) {
+		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("ETag", `"17"`)
+			_ = json.NewEncoder(w).Encode(value)
+		})
+	}
+	answer("/v1/status", sampleStatus())
+	answer("/v1/profiles", []messenger.Profile{sampleProfile()})
+	answer("/v1/profiles/lookup", sampleProfile())
+	answer("/v1/services", []messenger.Service{sampleService()})
+	answer("/v1/services/findings", sampleService())
+	answer("/v1/explain", sampleExplanation())
+	answer("/v1/events", sampleExplanation().History)
+	answer("/v1/members", sampleStatus().Members)
+	answer("/v1/quarantines", []messenger.QuarantineRow{{
+		Fingerprint: "00ff00ff00ff00ff", Service: "findings", Key: "door-17", Route: "crash", Since: 1000,
+	}})
+	mux.HandleFunc("GET /v1/progress", f.progress)
+	mux.HandleFunc("PUT /v1/profiles/lookup", f.change)
+	mux.HandleFunc("PUT /v1/drains/d1", f.change)
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		problem(w, messenger.Problem{Title: "not found", Status: http.StatusNotFound})
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// change takes a change made from revision 17 and makes it once.
+func (f *fake) change(w http.ResponseWriter, r *http.Request) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	number := r.Header.Get(messenger.HeaderIdempotency)
+	if match := r.Header.Get("If-Match"); match != "" && match != `"17"` {
+		problem(w, messenger.Problem{
+			Title: "changed meanwhile", Status: http.StatusPreconditionFailed, Revision: 17,
+			Current: map[string]any{"name": "lookup", "retries": 3},
+		})
+		return
+	}
+	if len(f.numbers) == 0 || f.numbers[len(f.numbers)-1] != number {
+		f.changes++
+	}
+	f.numbers = append(f.numbers, number)
+	if f.losses > 0 {
+		f.losses--
+		panic(http.ErrAbortHandler)
+	}
+	_ = json.NewEncoder(w).Encode(messenger.Accepted{Revision: 18})
+}
+
+func (f *fake) progress(w http.ResponseWriter, _ *http.Request) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.looks++
+	_ = json.NewEncoder(w).Encode(messenger.Progress{Revision: 18, Applied: min(f.looks, 2), Sessions: 2})
+}
+
+func problem(w http.ResponseWriter, problem messenger.Problem) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(problem.Status)
+	_ = json.NewEncoder(w).Encode(problem)
+}
+
+func sampleProfile() messenger.Profile {
+	return messenger.Profile{
+		Name: "lookup", Class: messenger.ClassInteractive, Idempotent: true,
+		Deadline: 2 * time.Second, Retries: 2, Queue: 100, Share: 1, Weight: 10,
+	}
+}
+
+func sampleService() messenger.Service {
+	return messenger.Service{
+		Name: "findings", Shards: 4096, Unavailable: 60, Imbalance: 30, Churn: 10, Recorders: 2,
+		Scarce: "refuse", Retention: 10 * time.Minute,
+		Routes: []messenger.Route{{Profile: "lookup"}, {Prefix: "certificates", Method: "POST", Profile: "issue"}},
+	}
+}
+
+func sampleStatus() messenger.Status {
+	return messenger.Status{
+		Cluster: "derwent", Replica: "c1", Leader: "c1", Term: 3, Revision: 17, Quarantines: 1,
+		Members: []messenger.MemberStatus{
+			{Name: "c1", Address: "10.0.0.1:7000", Operator: "http://10.0.0.1:7102", Leader: true, Match: 40},
+			{Name: "c2", Address: "10.0.0.2:7000", Operator: "http://10.0.0.2:7102", Match: 39, Silence: 12 * time.Millisecond},
+		},
+		Sessions: []messenger.SessionStatus{
+			{Router: "r2", Domain: "hobart", Server: "d2", Service: "findings", State: messenger.ServerReady, Shards: 2048, Rate: 20.25, Revision: 17},
+			{Router: "r1", Domain: "launceston", Server: "d1", Service: "findings", State: messenger.ServerReady, Leaving: true, Shards: 2048, Moving: 7, Revision: 16},
+		},
+		Services: []messenger.ServiceStatus{{
+			Name: "findings", Shards: 4096, Moving: 7, Servers: 2, Imbalance: 1.5, Churn: 0.25,
+			UnavailableWorst: 1712 * time.Millisecond, UnavailableTotal: 3 * time.Second,
+		}},
+	}
+}
+
+func sampleExplanation() messenger.Explanation {
+	return messenger.Explanation{
+		Service: "findings", Key: "door-17", Shard: 1234, Phase: "owned", Router: "r1", Server: "d1",
+		Domain: "launceston", Fence: 38, Since: 86_400_000, Why: "least loaded domain", Recorders: []string{"r2", "r3"},
+		History: []messenger.ClusterEvent{{Revision: 38, Time: 86_400_000, Number: 240, Subject: "findings/1234", Text: "granted to r1"}},
+	}
+}
