Add the entry side of a router: locator, retrier, forwarder, acceptor

Cause: callers had no interface and no way to the owner of a key.

OutcomeQuery gains Session, since a router that restarted cannot say what its last session ran; Response gains Revision for misrouted requests.

Not yet done: hardening of the links, the tests that cause failures, docs.

--- a/kernel/messenger/request.go
+++ b/kernel/messenger/request.go
@@ -92,11 +92,17 @@
 	RetryAfter time.Duration
 	// Length is the length of the body in bytes, or -1 when unknown.
 	Length int64
+	// Revision is the revision of the owner's routing table when it answers
+	// ReasonMisrouted.
+	Revision uint64
 }
 
 // OutcomeQuery asks an owner what became of a request.
 type OutcomeQuery struct {
-	Number      string
+	Number string
+	// Session is the session that the request was sent to. A router with
+	// another one cannot know what that one ran, and never answers refused.
+	Session     uint64
 	Service     string
 	Key         string
 	Idempotency string
--- /dev/null
+++ b/router/acceptor/status.go
@@ -0,0 +1,41 @@
+package acceptor
+
+import (
+	"net/http"
+
+	"marigoldhill/kernel/messenger"
+)
+
+// statusOf maps an outcome that is not done, with its reason, to an HTTP status.
+func statusOf(outcome messenger.Outcome, reason messenger.Reason) int {
+	if outcome == messenger.OutcomeUnknown {
+		return unknownStatus(reason)
+	}
+	return refusedStatus(reason)
+}
+
+func refusedStatus(reason messenger.Reason) int {
+	switch reason {
+	case messenger.ReasonMalformed:
+		return http.StatusBadRequest
+	case messenger.ReasonOversize:
+		return http.StatusRequestEntityTooLarge
+	case messenger.ReasonService:
+		return http.StatusNotFound
+	case messenger.ReasonMismatch:
+		return http.StatusConflict
+	case messenger.ReasonQuarantine:
+		return http.StatusUnprocessableEntity
+	case messenger.ReasonQueue, messenger.ReasonShare, messenger.ReasonFair:
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
+func unknownStatus(reason messenger.Reason) int {
+	switch reason {
+	case messenger.ReasonExpired, messenger.ReasonRunning:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
--- /dev/null
+++ b/router/forwarder/inquire.go
@@ -0,0 +1,76 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"time"
+
+	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/router/executor"
+	"marigoldhill/router/locator"
+)
+
+const (
+	// inquiries is how often an owner that does not answer is asked.
+	inquiries = 4
+	// inquiryTime bounds one question.
+	inquiryTime = time.Second
+	// inquiryPause is the wait before an owner is asked again; it doubles.
+	inquiryPause = 25 * time.Millisecond
+	// inquiryPauseMax bounds it.
+	inquiryPauseMax = 200 * time.Millisecond
+)
+
+// inquire asks the owner what became of a request whose answer was lost.
+func (t *trip) inquire(ctx context.Context, place locator.Place) executor.Answer {
+	failures := 0
+	for pause := inquiryPause; ; pause = min(2*pause, inquiryPauseMax) {
+		outcome, err := t.ask(ctx, place)
+		switch {
+		case ctx.Err() != nil:
+			return doubt(t.request, doubtReason(ctx))
+		case err != nil:
+			failures++
+		case outcome.Outcome != messenger.OutcomeRunning:
+			return t.settle(outcome)
+		}
+		if failures >= inquiries {
+			return doubt(t.request, messenger.ReasonLost)
+		}
+		if !sleep(ctx, pause) {
+			return doubt(t.request, doubtReason(ctx))
+		}
+	}
+}
+
+func (t *trip) ask(ctx context.Context, place locator.Place) (*messenger.OutcomeAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, inquiryTime)
+	defer cancel()
+	t.forwarder.counters.inquired.Inc()
+	query := &messenger.OutcomeQuery{
+		Number:      t.request.Number,
+		Session:     place.Owner.Session,
+		Service:     t.request.Service,
+		Key:         t.request.Key,
+		Idempotency: t.request.Idempotency,
+	}
+	return linker.Call[messenger.OutcomeQuery, messenger.OutcomeAnswer](
+		ctx, t.forwarder.options.Opener, place.Owner.Address, messenger.KindOutcome, query)
+}
+
+// settle turns what the owner knows into the answer.
+func (t *trip) settle(outcome *messenger.OutcomeAnswer) executor.Answer {
+	switch {
+	case outcome.Outcome == messenger.OutcomeRefused:
+		return refuse(t.request, outcome.Reason)
+	case outcome.Outcome == messenger.OutcomeDone && outcome.Response != nil:
+		response := *outcome.Response
+		response.Number = t.request.Number
+		return executor.Answer{Response: response, Body: io.NopCloser(bytes.NewReader(outcome.Body))}
+	case outcome.Reason != messenger.ReasonNone:
+		return doubt(t.request, outcome.Reason)
+	}
+	return doubt(t.request, messenger.ReasonLost)
+}
