Add the owner side of a router, thin: keeper, prober, dispatcher, executor, process

Cause: nothing held a lease or handed a request to a backend server yet.

Change: keeper (session and lease, a pure core in a thin shell), announcer and prober (state of the backend server), dispatcher (HTTP to it, truthful about what may have run), drainer (grants in flight and given back), executor (plain dispatch, checks of lease and grant before it), assembler and the command line.

The HTTP client of the standard library resends a request with an Idempotency-Key by itself when a reused connection breaks; a body without GetBody prevents it (TestNoResendOnReusedConnection).

--- /dev/null
+++ b/router/assembler/services.go
@@ -0,0 +1,143 @@
+package assembler
+
+import (
+	"context"
+	"time"
+
+	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/registrar"
+	"marigoldhill/router/acceptor"
+	"marigoldhill/router/keeper"
+	"marigoldhill/router/listener"
+)
+
+const (
+	// drainTime is how long a stopping process waits for its shards to move
+	// before it gives them back without a new owner.
+	drainTime = 10 * time.Second
+	// drainPoll is the time between two looks at what is left.
+	drainPoll = 20 * time.Millisecond
+	// closeTime bounds the end of the session.
+	closeTime = 2 * time.Second
+)
+
+// services lists the services of the process.
+func (p *Process) services() []registrar.Service {
+	return []registrar.Service{
+		&part{name: partLink, start: p.startLink, stop: p.stopLink},
+		loop(partProber, nil, p.prober.Run),
+		&part{name: partKeeper, needs: []string{partLink, partProber}, start: p.startKeeper, stop: p.stopKeeper},
+		&part{name: partAnnounce, needs: []string{partKeeper}, start: p.startBackend, stop: p.stopBackend},
+		&part{name: partOperator, needs: []string{partKeeper}, start: p.startOperator, stop: p.stopOperator},
+		p.acceptor,
+		&part{name: partDrainer, needs: []string{partKeeper, partAnnounce, partOperator, acceptor.ServiceName}, stop: p.drain},
+	}
+}
+
+func (p *Process) startLink(context.Context) error {
+	options := p.linkOptions()
+	options.Handler = p.handle
+	peer, err := linker.Listen(p.options.Network, p.settings.Peer, options)
+	if err != nil {
+		return Error.New("listening for routers: %w", err)
+	}
+	p.peer = peer
+	// The keeper tells other routers the address that the listener got.
+	p.keeper = keeper.New(keeper.Settings{
+		Name:    p.settings.Name,
+		Address: p.peer.Address(),
+		Domain:  p.settings.Domain,
+		Region:  p.settings.Region,
+		Control: p.settings.Control,
+	}, keeper.Options{
+		Opener:  p.pool,
+		Steward: p.steward,
+		Log:     p.options.Log,
+		Metrics: p.options.Metrics,
+	})
+	return nil
+}
+
+func (p *Process) stopLink(context.Context) error {
+	p.pool.Close()
+	p.dispatcher.Close()
+	if err := p.peer.Close(); err != nil {
+		return Error.New("closing the listener for routers: %w", err)
+	}
+	return nil
+}
+
+// handle serves a stream that another router opened.
+func (p *Process) handle(ctx context.Context, link *linker.Link, stream *linker.Stream) {
+	switch stream.Kind() {
+	case messenger.KindForward, messenger.KindOutcome:
+		p.forwarder.Handle(ctx, link, stream)
+	}
+}
+
+func (p *Process) startKeeper(context.Context) error {
+	go p.keeper.Run(context.Background())
+	return nil
+}
+
+func (p *Process) stopKeeper(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, closeTime)
+	defer cancel()
+	p.keeper.Close(ctx)
+	return nil
+}
+
+func (p *Process) startBackend(context.Context) error {
+	server, err := listener.Listen(p.options.Network, p.settings.Backend, p.announcer().Handler())
+	if err != nil {
+		return Error.New("listening for the backend server: %w", err)
+	}
+	p.backend = server
+	return nil
+}
+
+func (p *Process) stopBackend(ctx context.Context) error {
+	return p.backend.Stop(ctx)
+}
+
+func (p *Process) startOperator(context.Context) error {
+	server, err := listener.Listen(p.options.Network, p.settings.Operator, p.operate())
+	if err != nil {
+		return Error.New("listening for operators: %w", err)
+	}
+	p.operator = server
+	return nil
+}
+
+func (p *Process) stopOperator(ctx context.Context) error {
+	return p.operator.Stop(ctx)
+}
+
+// drain gives the shards away and waits until nothing is in flight.
+func (p *Process) drain(ctx context.Context) error {
+	p.steward.leaving.Store(true)
+	p.keeper.Nudge()
+	p.awaitMoves(ctx)
+	select {
+	case <-p.tracker.Idle():
+		return nil
+	case <-ctx.Done():
+		return Error.New("%d requests are in flight: %w", p.tracker.Total(), ctx.Err())
+	}
+}
+
+// awaitMoves waits until all shards have another owner, for a bounded time.
+func (p *Process) awaitMoves(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, drainTime)
+	defer cancel()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for p.steward.held.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/router/assembler/settings.go
@@ -0,0 +1,105 @@
+package assembler
+
+import (
+	"fmt"
+	"net"
+	"regexp"
+
+	"marigoldhill/kernel/logger"
+	"marigoldhill/kernel/parser"
+)
+
+// Settings are the settings of a router process.
+type Settings struct {
+	// Version is the version of the settings format, [parser.Version].
+	Version int `yaml:"version"`
+	// Cluster is the name of the cluster.
+	Cluster string `yaml:"cluster"`
+	// Name is the name of the router, unique in the cluster.
+	Name string `yaml:"name"`
+	// Domain and Region say where the VM is.
+	Domain string `yaml:"domain"`
+	Region string `yaml:"region"`
+	// Listen is the address for callers.
+	Listen string `yaml:"listen"`
+	// Peer is the address for other routers, which is told to them.
+	Peer string `yaml:"peer"`
+	// Backend is the address for the backend server beside the router.
+	Backend string `yaml:"backend"`
+	// Operator is the address for metrics, health and status.
+	Operator string `yaml:"operator"`
+	// Control are the addresses of the members of the control group.
+	Control []string `yaml:"control"`
+	// Log is text, the default, or json.
+	Log string `yaml:"log"`
+}
+
+// maxControl is the largest control group.
+const maxControl = 7
+
+// word is what names look like.
+var word = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// Check implements [parser.Checker].
+func (s *Settings) Check() (field, reason string) {
+	if s.Version != parser.Version {
+		return "version", fmt.Sprintf("must be %d", parser.Version)
+	}
+	if field, reason := s.checkNames(); reason != "" {
+		return field, reason
+	}
+	if field, reason := s.checkAddresses(); reason != "" {
+		return field, reason
+	}
+	switch logger.Format(s.Log) {
+	case "", logger.FormatText, logger.FormatJSON:
+		return "", ""
+	}
+	return "log", "must be text or json"
+}
+
+func (s *Settings) checkNames() (field, reason string) {
+	names := []struct{ field, value string }{
+		{"cluster", s.Cluster},
+		{"name", s.Name},
+		{"domain", s.Domain},
+		{"region", s.Region},
+	}
+	for _, name := range names {
+		if !word.MatchString(name.value) {
+			return name.field, "must be one word of lower-case letters, digits and hyphens"
+		}
+	}
+	return "", ""
+}
+
+func (s *Settings) checkAddresses() (field, reason string) {
+	addresses := []struct{ field, value string }{
+		{"listen", s.Listen},
+		{"peer", s.Peer},
+		{"backend", s.Backend},
+		{"operator", s.Operator},
+	}
+	for _, address := range addresses {
+		if _, _, err := net.SplitHostPort(address.value); err != nil {
+			return address.field, "must be host:port"
+		}
+	}
+	host, _, _ := net.SplitHostPort(s.Peer)
+	if ip := net.ParseIP(host); host == "" || (ip != nil && ip.IsUnspecified()) {
+		return "peer", "must name the address that other routers dial"
+	}
+	return s.checkControl()
+}
+
+func (s *Settings) checkControl() (field, reason string) {
+	if len(s.Control) == 0 || len(s.Control) > maxControl {
+		return "control", fmt.Sprintf("must list 1 to %d addresses", maxControl)
+	}
+	for i, address := range s.Control {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return fmt.Sprintf("control[%d]", i), "must be host:port"
+		}
+	}
+	return "", ""
+}
--- /dev/null
+++ b/router/dispatcher/dispatcher_test.go
@@ -0,0 +1,184 @@
+package dispatcher_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/networker"
+	"marigoldhill/router/dispatcher"
+)
+
+// serve answers each request on a connection by what script says for the
+// connection's number and the request's, and counts the requests that arrive.
+func serve(t *testing.T, script func(conn, request int) string) (url string, runs *atomic.Int64) {
+	listener, err := networker.TCP{}.Listen("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	runs = new(atomic.Int64)
+	go func() {
+		for number := 0; ; number++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go converse(conn, runs, func(request int) string { return script(number, request) })
+		}
+	}()
+	return "http://" + listener.Addr().String(), runs
+}
+
+func converse(conn net.Conn, runs *atomic.Int64, script func(request int) string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for number := 0; ; number++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		runs.Add(1)
+		answer := script(number)
+		if answer == "" {
+			return
+		}
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return
+		}
+		if !strings.Contains(answer, "Content-Length") {
+			return
+		}
+	}
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func order(url string) *dispatcher.Order {
+	return &dispatcher.Order{
+		Server: &messenger.ServerRow{URL: url},
+		Request: &messenger.Request{
+			Key: "door/17", Route: "certificates", Method: http.MethodPost, Length: 4, Idempotency: "k1",
+		},
+		Body:     strings.NewReader("body"),
+		Fence:    9,
+		Deadline: time.UnixMilli(1000),
+	}
+}
+
+func TestSend(t *testing.T) {
+	tests := []struct {
+		name    string
+		answer  string
+		outcome messenger.Outcome
+		reason  messenger.Reason
+		cause   dispatcher.Cause
+	}{
+		{"whole", whole, messenger.OutcomeDone, "", dispatcher.CauseNone},
+		{"broken", "", messenger.OutcomeUnknown, messenger.ReasonCrashed, dispatcher.CauseBroken},
+		{
+			"shed", "HTTP/1.1 503 Busy\r\nMarigold-Refused: shed\r\nContent-Length: 0\r\n\r\n",
+			messenger.OutcomeRefused, messenger.ReasonShed, dispatcher.CauseNone,
+		},
+		{
+			"fence", "HTTP/1.1 412 Fence\r\nMarigold-Refused: fence\r\nContent-Length: 0\r\n\r\n",
+			messenger.OutcomeRefused, messenger.ReasonFence, dispatcher.CauseNone,
+		},
+		{
+			"end not marked", "HTTP/1.1 200 OK\r\n\r\npart",
+			messenger.OutcomeUnknown, messenger.ReasonTruncated, dispatcher.CauseNone,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			url, runs := serve(t, func(int, int) string { return test.answer })
+			result := dispatcher.New(networker.TCP{}).Send(t.Context(), order(url))
+			qt.Assert(t, result.Outcome, qt.Equals, test.outcome)
+			qt.Assert(t, result.Reason, qt.Equals, test.reason)
+			qt.Assert(t, result.Cause, qt.Equals, test.cause)
+			qt.Assert(t, runs.Load(), qt.Equals, int64(1))
+		})
+	}
+}
+
+// TestNoResendOnReusedConnection breaks a connection that served a request
+// before, right when the second arrives. The client of the standard library
+// would send that again, since it carries an Idempotency-Key.
+func TestNoResendOnReusedConnection(t *testing.T) {
+	url, runs := serve(t, func(_, request int) string {
+		if request == 1 {
+			return ""
+		}
+		return whole
+	})
+	for _, empty := range []bool{false, true} {
+		backend := dispatcher.New(networker.TCP{})
+		var last dispatcher.Result
+		for range 2 {
+			order := order(url)
+			if empty {
+				order.Body = nil
+				order.Request.Length = 0
+			}
+			last = backend.Send(t.Context(), order)
+			if last.Outcome == messenger.OutcomeDone {
+				_, _ = io.Copy(io.Discard, last.Body)
+				_ = last.Body.Close()
+			}
+		}
+		qt.Assert(t, last.Outcome, qt.Equals, messenger.OutcomeUnknown)
+	}
+	qt.Assert(t, runs.Load(), qt.Equals, int64(4))
+}
+
+func TestRefusedConnectionWasNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	url := "http://" + listener.Addr().String()
+	_ = listener.Close()
+	result := dispatcher.New(networker.TCP{}).Send(t.Context(), order(url))
+	qt.Assert(t, result.Outcome, qt.Equals, messenger.OutcomeRefused)
+	qt.Assert(t, result.Reason, qt.Equals, messenger.ReasonDown)
+}
+
+func TestCanceledBeforeConnecting(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	result := dispatcher.New(networker.TCP{}).Send(ctx, order("http://127.0.0.1:1"))
+	qt.Assert(t, result.Outcome, qt.Equals, messenger.OutcomeRefused)
+	qt.Assert(t, result.Reason, qt.Equals, messenger.ReasonCanceled)
+}
+
+func TestRequestOnTheWire(t *testing.T) {
+	seen := make(chan *http.Request, 1)
+	server := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen <- r
+		w.WriteHeader(http.StatusNoContent)
+	})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	sent := order("http://" + listener.Addr().String())
+	sent.Request.Header = []messenger.Header{
+		{Name: "Connection", Values: []string{"X-Drop"}}, {Name: "X-Drop", Values: []string{"1"}},
+		{Name: "X-Keep", Values: []string{"1"}},
+	}
+	result := dispatcher.New(networker.TCP{}).Send(t.Context(), sent)
+	qt.Assert(t, result.Outcome, qt.Equals, messenger.OutcomeDone)
+	got := <-seen
+	qt.Assert(t, got.URL.EscapedPath(), qt.Equals, "/door%2F17/certificates")
+	qt.Assert(t, got.Header.Get(messenger.HeaderFence), qt.Equals, "9")
+	qt.Assert(t, got.Header.Get(messenger.HeaderDeadline), qt.Equals, "1000")
+	qt.Assert(t, got.Header.Get(messenger.HeaderIdempotency), qt.Equals, "k1")
+	qt.Assert(t, got.Header.Get("X-Keep"), qt.Equals, "1")
+	qt.Assert(t, got.Header.Get("X-Drop"), qt.Equals, "")
+}
--- /dev/null
+++ b/router/keeper/keeper.go
@@ -0,0 +1,249 @@
+// Package keeper holds the session of a router with the control group, and the
+// lease that each heartbeat renews.
+//
+// The lease is counted from when a heartbeat was sent, by both clocks, and is
+// extended only after the routing table in the answer was applied. Answers that
+// come out of order, or after the session lapsed, are void. One goroutine owns
+// the session; traffic reads an immutable [Lease].
+//
+// # Usage
+//
+//	session := keeper.New(keeper.Settings{Name: "r1", Control: addresses}, keeper.Options{
+//		Opener: pool, Steward: steward, Log: log, Metrics: metrics})
+//	go session.Run(ctx)
+//	if !session.Alive(timer.Now()) { ... } // refuse with messenger.ReasonLease
+//
+// The decisions are in the type core: an event and the time go in, a step comes
+// out. The Keeper around it sends heartbeats and publishes the lease.
+package keeper
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/zeebo/errs"
+
+	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/logger"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/timer"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("keeper")
+
+// TryTime bounds one heartbeat, so that a silent leader is left quickly.
+const TryTime = 250 * time.Millisecond
+
+// Steward is asked for what goes into a heartbeat and applies what comes back.
+// All its methods are called from the goroutine of [Keeper.Run].
+type Steward interface {
+	// Report fills in what the router says of itself. Session is 0 while it has
+	// none.
+	Report(now timer.Instant, session uint64, heartbeat *messenger.Heartbeat)
+	// Apply brings the routing table up to date; delta is nil when it is that
+	// already.
+	Apply(session uint64, delta *messenger.TableDelta) error
+	// Lapsed is called when a session ended, in whichever way.
+	Lapsed(session uint64)
+}
+
+// Settings tell a router from others and where the control group is.
+type Settings struct {
+	Name    string
+	Address string
+	Domain  string
+	Region  string
+	// Control are the addresses of the members of the control group.
+	Control []string
+}
+
+// Options are the parts that a Keeper works with.
+type Options struct {
+	Opener  linker.Opener
+	Steward Steward
+	Log     *logger.Log
+	Metrics *metrics.Set
+}
+
+// Keeper keeps the session of one router.
+type Keeper struct {
+	settings Settings
+	options  Options
+	instance uint64
+	core     core
+	lease    atomic.Pointer[Lease]
+	results  chan result
+	nudge    chan struct{}
+	closing  chan struct{}
+	done     chan struct{}
+}
+
+// result is what became of one heartbeat.
+type result struct {
+	sequence uint64
+	answer   *messenger.HeartbeatAnswer
+	err      error
+}
+
+// New returns a Keeper without a session.
+func New(settings Settings, options Options) *Keeper {
+	keeper := &Keeper{
+		settings: settings,
+		options:  options,
+		instance: rand.Uint64(),
+		core:     newCore(settings.Control),
+		results:  make(chan result, 1),
+		nudge:    make(chan struct{}, 1),
+		closing:  make(chan struct{}, 1),
+		done:     make(chan struct{}),
+	}
+	keeper.lease.Store(noLease())
+	return keeper
+}
+
+// Lease returns the newest lease.
+func (k *Keeper) Lease() *Lease {
+	return k.lease.Load()
+}
+
+// Alive reports whether the lease holds at now.
+func (k *Keeper) Alive(now timer.Instant) bool {
+	return k.lease.Load().Alive(now)
+}
+
+// Session is the number of the session, 0 without one.
+func (k *Keeper) Session() uint64 {
+	return k.lease.Load().Session
+}
+
+// Nudge makes the keeper send a heartbeat at once, because something in it
+// changed.
+func (k *Keeper) Nudge() {
+	select {
+	case k.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// Run keeps the session until ctx ends. It must be called once.
+func (k *Keeper) Run(ctx context.Context) {
+	defer close(k.done)
+	ticker := time.NewTicker(messenger.HeartbeatInterval)
+	defer ticker.Stop()
+	lapse := time.NewTimer(messenger.LeaseTime)
+	defer lapse.Stop()
+	k.act(ctx, k.core.tick(timer.Now()))
+	for {
+		select {
+		case <-ticker.C:
+			k.act(ctx, k.core.tick(timer.Now()))
+		case <-k.nudge:
+			k.act(ctx, k.core.tick(timer.Now()))
+		case <-lapse.C:
+			k.act(ctx, k.core.check(timer.Now()))
+		case result := <-k.results:
+			k.take(ctx, result)
+		case <-k.closing:
+			k.finish(ctx)
+			return
+		case <-ctx.Done():
+			k.publish(0, timer.Instant{})
+			return
+		}
+		lapse.Reset(k.core.left(timer.Now()))
+	}
+}
+
+// take handles the end of one heartbeat.
+func (k *Keeper) take(ctx context.Context, result result) {
+	if result.err != nil {
+		k.count("failed")
+		k.act(ctx, k.core.failed(timer.Now(), result.sequence))
+		return
+	}
+	step := k.core.answered(timer.Now(), result.sequence, result.answer)
+	k.act(ctx, step)
+	if !step.apply {
+		return
+	}
+	if err := k.options.Steward.Apply(k.core.session, result.answer.Delta); err != nil {
+		k.count("unapplied")
+		k.act(ctx, k.core.failed(timer.Now(), result.sequence))
+		return
+	}
+	k.act(ctx, k.core.applied(timer.Now(), result.answer.More))
+}
+
+// act carries out a step of the core.
+func (k *Keeper) act(ctx context.Context, step step) {
+	if step.reason != "" {
+		k.count(step.reason)
+	}
+	if step.lapsed != 0 {
+		k.options.Steward.Lapsed(step.lapsed)
+	}
+	if step.publish {
+		k.publish(k.core.session, k.core.renewed)
+	}
+	if step.send {
+		k.send(ctx)
+	}
+}
+
+// publish makes a lease known to traffic, and ends the one before unless it
+// goes on.
+func (k *Keeper) publish(session uint64, sent timer.Instant) {
+	before := k.lease.Load()
+	next := before.next(session, sent)
+	k.lease.Store(next)
+	if next.done == before.done {
+		return
+	}
+	if !before.Sent.IsZero() {
+		close(before.done)
+		k.options.Log.Emit(logger.LeaseLost, "session", before.Session)
+	}
+	if !next.Sent.IsZero() {
+		k.options.Log.Emit(logger.LeaseGained, "session", next.Session)
+	}
+}
+
+// send sends the heartbeat that the core wants.
+func (k *Keeper) send(ctx context.Context) {
+	heartbeat := &messenger.Heartbeat{
+		Router:   k.settings.Name,
+		Instance: k.instance,
+		Session:  k.core.session,
+		Address:  k.settings.Address,
+		Domain:   k.settings.Domain,
+		Region:   k.settings.Region,
+	}
+	k.options.Steward.Report(timer.Now(), k.core.session, heartbeat)
+	attempt := k.core.begin(timer.Now())
+	heartbeat.Sequence = attempt.sequence
+	k.count("sent")
+	go k.call(ctx, attempt, heartbeat)
+}
+
+// call sends one heartbeat and hands its result to the goroutine of Run.
+func (k *Keeper) call(ctx context.Context, attempt attempt, heartbeat *messenger.Heartbeat) {
+	try, cancel := context.WithTimeout(ctx, TryTime)
+	defer cancel()
+	answer, err := linker.Call[messenger.Heartbeat, messenger.HeartbeatAnswer](
+		try, k.options.Opener, attempt.address, messenger.KindHeartbeat, heartbeat)
+	select {
+	case k.results <- result{attempt.sequence, answer, err}:
+	case <-ctx.Done():
+	}
+}
+
+func (k *Keeper) count(result string) {
+	if k.options.Metrics == nil {
+		return
+	}
+	k.options.Metrics.GetOrCreateCounter(`marigold_heartbeats_total{reason="` + result + `"}`).Inc()
+}
