--- /dev/null
+++ b/control/assigner/event.go
@@ -0,0 +1,113 @@
+package assigner
+
+import (
+	"fmt"
+
+	"marigoldhill/kernel/logger"
+	"marigoldhill/kernel/messenger"
+)
+
+// OwnerPart is the part of a change of owner that concerns one session.
+type OwnerPart struct {
+	Session uint64
+	Router  string
+	Shards  ShardSet
+}
+
+// OwnerChange is one change of owners, for explanations.
+type OwnerChange struct {
+	Revision uint64
+	Time     int64
+	Service  string
+	Why      string
+	Parts    []OwnerPart
+}
+
+// event records a numbered event.
+func (s *State) event(event logger.Event, subject, text string) {
+	s.events.add(messenger.ClusterEvent{
+		Revision: s.applied,
+		Time:     s.time,
+		Number:   event.Number,
+		Subject:  subject,
+		Text:     text,
+	})
+}
+
+// Events returns the events after a revision, oldest first.
+func (s *State) Events(after uint64) []messenger.ClusterEvent {
+	var events []messenger.ClusterEvent
+	for _, event := range s.events.values {
+		if event.Revision > after {
+			events = append(events, event)
+		}
+	}
+	return events
+}
+
+// notice records an event that a leader reports.
+func (s *State) notice(command *Notice) Result {
+	s.events.add(messenger.ClusterEvent{
+		Revision: s.applied,
+		Time:     s.time,
+		Number:   command.Number,
+		Subject:  command.Subject,
+		Text:     command.Text,
+	})
+	return applied(s.applied, 0)
+}
+
+// remember keeps that a session got shards, as a part of the change of owner of
+// this command.
+func (s *State) remember(t *Table, session *Session, shards []uint32, why string) {
+	if len(shards) == 0 {
+		return
+	}
+	part := OwnerPart{Session: session.Row.Session, Router: session.Row.Router, Shards: NewShardSet(shards)}
+	s.event(logger.ShardsGranted, session.Row.Router, fmt.Sprintf("%d shards of %s: %s", len(shards), t.Service.Name, why))
+	if last := len(s.history.values) - 1; last >= 0 {
+		change := &s.history.values[last]
+		if change.Revision == s.applied && change.Service == t.Service.Name && change.Why == why {
+			change.Parts = append(change.Parts, part)
+			return
+		}
+	}
+	s.history.add(OwnerChange{
+		Revision: s.applied,
+		Time:     s.time,
+		Service:  t.Service.Name,
+		Why:      why,
+		Parts:    []OwnerPart{part},
+	})
+}
+
+// rememberMoves keeps that shards moved from one session to others as planned.
+func (s *State) rememberMoves(from *Session, moved map[shardOwner][]uint32) {
+	for _, t := range s.Tables() {
+		for _, target := range s.Sessions() {
+			pair := shardOwner{service: t.Service.Name, session: target.Row.Session}
+			if len(moved[pair]) > 0 {
+				s.remember(t, target, moved[pair], "moved from "+from.Row.Router)
+			}
+		}
+	}
+}
+
+// History returns the changes of owner of a shard, newest first.
+func (s *State) History(service string, shard uint32, limit int) []OwnerChange {
+	var changes []OwnerChange
+	for n := len(s.history.values) - 1; n >= 0 && len(changes) < limit; n-- {
+		change := s.history.values[n]
+		if change.Service != service {
+			continue
+		}
+		for _, part := range change.Parts {
+			if part.Shards.Has(shard) {
+				change.Parts = []OwnerPart{part}
+				changes = append(changes, change)
+				break
+			}
+		}
+	}
+	return changes
+}
--- /dev/null
+++ b/control/assigner/grant.go
@@ -0,0 +1,170 @@
+package assigner
+
+import (
+	"fmt"
+
+	"marigoldhill/kernel/logger"
+	"marigoldhill/kernel/messenger"
+)
+
+// grant gives free shards to sessions. Shards that have an owner, and sessions
+// that are closed, are passed over.
+func (s *State) grant(command *Grant) Result {
+	t := s.tables[command.Service]
+	if t == nil {
+		return void()
+	}
+	total := 0
+	for _, placement := range command.Placements {
+		session := s.sessions[placement.Session]
+		if session == nil || session.Service() != command.Service {
+			continue
+		}
+		total += s.grantTo(t, session, placement.Shards, command.Why)
+	}
+	if total == 0 {
+		return void()
+	}
+	return applied(s.applied, total)
+}
+
+func (s *State) grantTo(t *Table, session *Session, shards ShardSet, why string) int {
+	var granted []uint32
+	shards.Each(func(number uint32) bool {
+		if number < t.Size() && t.InUse(number) && t.shards[number].phase == messenger.PhaseFree {
+			s.own(t, number, session)
+			granted = append(granted, number)
+		}
+		return true
+	})
+	s.remember(t, session, granted, why)
+	return len(granted)
+}
+
+// own makes a session the owner of a shard under a new fence.
+func (s *State) own(t *Table, number uint32, session *Session) {
+	t.shards[number].fence = s.applied
+	s.setShard(t, number, session.Row.Session, messenger.PhaseOwned)
+	session.Granted = true
+}
+
+// move starts planned moves of owned shards.
+func (s *State) move(command *Move) Result {
+	t := s.tables[command.Service]
+	if t == nil {
+		return void()
+	}
+	total := 0
+	for _, placement := range command.Placements {
+		target := s.sessions[placement.Session]
+		if target == nil || target.Service() != command.Service || target.Row.Leaving {
+			continue
+		}
+		total += s.moveTo(t, target, placement.Shards)
+	}
+	if total == 0 {
+		return void()
+	}
+	s.event(logger.ShardsMoving, command.Service, fmt.Sprintf("%d shards: %s", total, command.Why))
+	return applied(s.applied, total)
+}
+
+func (s *State) moveTo(t *Table, target *Session, shards ShardSet) int {
+	total := 0
+	shards.Each(func(number uint32) bool {
+		if number >= t.Size() {
+			return true
+		}
+		cell := &t.shards[number]
+		if cell.phase != messenger.PhaseOwned || cell.owner == target.Row.Session {
+			return true
+		}
+		t.next[number] = target.Row.Session
+		s.setShard(t, number, cell.owner, messenger.PhaseMoving)
+		total++
+		return true
+	})
+	return total
+}
+
+// release takes shards back from an owner that serves them no more. A moving
+// shard goes to its next owner at once, if that one is open still.
+func (s *State) release(command *Release) Result {
+	session := s.sessions[command.Session]
+	if session == nil {
+		return void()
+	}
+	moved := make(map[shardOwner][]uint32)
+	total := 0
+	for _, ref := range command.Shards {
+		t := s.tables[ref.Service]
+		if t == nil || ref.Shard >= t.Size() {
+			continue
+		}
+		cell := &t.shards[ref.Shard]
+		if cell.owner != command.Session || cell.fence != ref.Fence {
+			continue
+		}
+		total++
+		if target := s.releaseShard(t, ref.Shard, session); target != nil {
+			pair := shardOwner{service: ref.Service, session: target.Row.Session}
+			moved[pair] = append(moved[pair], ref.Shard)
+		}
+	}
+	if total == 0 {
+		return void()
+	}
+	s.rememberMoves(session, moved)
+	return applied(s.applied, total)
+}
+
+// shardOwner names a session as the owner of shards of a service.
+type shardOwner struct {
+	service string
+	session uint64
+}
+
+// releaseShard frees a shard and returns the session that got it, if any.
+func (s *State) releaseShard(t *Table, number uint32, session *Session) *Session {
+	planned := t.shards[number].phase == messenger.PhaseMoving
+	target := s.sessions[t.next[number]]
+	s.keepRecords(t, number, session, planned)
+	if target == nil || target.Service() != t.Service.Name {
+		s.setShard(t, number, 0, messenger.PhaseFree)
+		return nil
+	}
+	s.own(t, number, target)
+	return target
+}
+
+// freeShards frees all shards of closed sessions, and ends the moves to them.
+func (s *State) freeShards(gone []*Session, lapsed bool) {
+	closed := make(map[uint64]*Session, len(gone))
+	for _, session := range gone {
+		closed[session.Row.Session] = session
+	}
+	for _, t := range s.Tables() {
+		for number := range t.Size() {
+			s.freeShard(t, number, closed)
+		}
+		s.dropSurvivors(t, closed)
+	}
+}
+
+func (s *State) freeShard(t *Table, number uint32, closed map[uint64]*Session) {
+	cell := &t.shards[number]
+	if cell.owner == 0 {
+		return
+	}
+	if session := closed[cell.owner]; session != nil {
+		s.inheritRecords(t, number, session)
+		s.setShard(t, number, 0, messenger.PhaseFree)
+		return
+	}
+	if cell.phase != messenger.PhaseMoving {
+		return
+	}
+	if _, lost := closed[t.next[number]]; lost {
+		s.setShard(t, number, cell.owner, messenger.PhaseOwned)
+	}
+}
--- /dev/null
+++ b/control/assigner/quarantine.go
@@ -0,0 +1,92 @@
+package assigner
+
+import (
+	"fmt"
+	"slices"
+
+	"marigoldhill/kernel/logger"
+	"marigoldhill/kernel/messenger"
+)
+
+// death counts the fingerprints that were in flight when a backend server died.
+// One that was there at an earlier death, too, is quarantined.
+func (s *State) death(command *Death) Result {
+	session := s.sessions[command.Session]
+	if session == nil {
+		return void()
+	}
+	if command.Number != 0 && command.Number <= session.Report {
+		return applied(s.applied, 0)
+	}
+	session.Report = max(session.Report, command.Number)
+	total := 0
+	seen := make(map[string]bool, len(command.Rows))
+	for _, row := range command.Rows {
+		if seen[row.Fingerprint] {
+			continue
+		}
+		seen[row.Fingerprint] = true
+		if s.suspect(row) {
+			total++
+		}
+	}
+	s.event(logger.ServerDied, session.Row.Router, fmt.Sprintf("%d requests were in flight", len(command.Rows)))
+	return applied(s.applied, total)
+}
+
+// suspect notes that a fingerprint was in flight at a death, and reports
+// whether it was quarantined for it.
+func (s *State) suspect(row messenger.QuarantineRow) bool {
+	if _, known := s.quarantines[row.Fingerprint]; known {
+		return false
+	}
+	row.Since = s.time
+	row.Gone = false
+	s.revision = s.applied
+	if _, known := s.suspects[row.Fingerprint]; !known {
+		s.suspects[row.Fingerprint] = Versioned[messenger.QuarantineRow]{Value: row, Revision: s.applied}
+		s.boundSuspects()
+		return false
+	}
+	s.dropSuspect(row.Fingerprint)
+	s.quarantines[row.Fingerprint] = Versioned[messenger.QuarantineRow]{Value: row, Revision: s.applied}
+	s.event(logger.RequestQuarantined, row.Service, fmt.Sprintf("fingerprint %s of key %q, route %q", row.Fingerprint, row.Key, row.Route))
+	return true
+}
+
+func (s *State) dropSuspect(fingerprint string) {
+	delete(s.suspects, fingerprint)
+	s.bury(tombstone{Kind: tombSuspect, Name: fingerprint})
+}
+
+// boundSuspects drops the oldest suspect when there are too many.
+func (s *State) boundSuspects() {
+	if len(s.suspects) <= MaxSuspects {
+		return
+	}
+	names := sortedKeys(s.suspects)
+	oldest := slices.MinFunc(names, func(a, b string) int {
+		return int(int64(s.suspects[a].Revision) - int64(s.suspects[b].Revision))
+	})
+	s.dropSuspect(oldest)
+}
+
+// lift lifts a quarantine. The fingerprint is no suspect any more.
+func (s *State) lift(command *Lift) Result {
+	if _, known := s.quarantines[command.Fingerprint]; !known {
+		return absent("no such quarantine")
+	}
+	delete(s.quarantines, command.Fingerprint)
+	s.bury(tombstone{Kind: tombQuarantine, Name: command.Fingerprint})
+	s.event(logger.QuarantineLifted, command.Fingerprint, "by an operator")
+	return applied(s.applied, 1)
+}
+
+// Quarantines returns the quarantined fingerprints in order.
+func (s *State) Quarantines() []messenger.QuarantineRow {
+	var rows []messenger.QuarantineRow
+	for _, entry := range sortedValues(s.quarantines) {
+		rows = append(rows, entry.Value)
+	}
+	return rows
+}
--- /dev/null
+++ b/control/assigner/recorder.go
@@ -0,0 +1,137 @@
+package assigner
+
+import (
+	"fmt"
+	"slices"
+
+	"marigoldhill/kernel/logger"
+)
+
+// scarceAccept is the value of Service.Scarce that accepts non-idempotent work
+// with too few recorders.
+const scarceAccept = "accept"
+
+// updateRecording notes whether a session may accept non-idempotent work from
+// now on. It is never taken back.
+func (s *State) updateRecording(session *Session) {
+	t := s.tables[session.Service()]
+	if t == nil {
+		return
+	}
+	enough := len(session.Row.Recorders) >= t.Service.Recorders
+	if enough || t.Service.Scarce == scarceAccept {
+		session.Recording = true
+	}
+}
+
+// join makes sessions joining recorders of a session. A session that never
+// owned a shard has no records to copy, so they are its recorders at once.
+func (s *State) join(command *Join) Result {
+	session := s.sessions[command.Session]
+	if session == nil {
+		return void()
+	}
+	var joining []uint64
+	for _, number := range command.Joining {
+		if s.canJoin(session, number) && !slices.Contains(joining, number) {
+			joining = append(joining, number)
+		}
+	}
+	if len(joining) == 0 {
+		return void()
+	}
+	if session.Granted {
+		session.Row.Joining = slices.Concat(session.Row.Joining, joining)
+	} else {
+		session.Row.Recorders = slices.Concat(session.Row.Recorders, joining)
+	}
+	s.updateRecording(session)
+	s.touchSession(session)
+	return applied(s.applied, len(joining))
+}
+
+func (s *State) canJoin(session *Session, number uint64) bool {
+	return s.sessions[number] != nil &&
+		number != session.Row.Session &&
+		!slices.Contains(session.Row.Recorders, number) &&
+		!slices.Contains(session.Row.Joining, number)
+}
+
+// copied makes joining recorders full ones, and drops leaving recorders that
+// are no longer needed.
+func (s *State) copied(command *Copied) Result {
+	session := s.sessions[command.Session]
+	if session == nil {
+		return void()
+	}
+	var joined []uint64
+	for _, number := range command.Joined {
+		if slices.Contains(session.Row.Joining, number) && !slices.Contains(joined, number) {
+			joined = append(joined, number)
+		}
+	}
+	if len(joined) == 0 {
+		return void()
+	}
+	session.Row.Joining = without(session.Row.Joining, func(n uint64) bool { return slices.Contains(joined, n) })
+	session.Row.Recorders = slices.Concat(session.Row.Recorders, joined)
+	s.dropLeaving(session)
+	s.updateRecording(session)
+	s.touchSession(session)
+	return applied(s.applied, len(joined))
+}
+
+// dropLeaving drops recorders that are leaving while there are more than the
+// service asks for.
+func (s *State) dropLeaving(session *Session) {
+	t := s.tables[session.Service()]
+	if t == nil {
+		return
+	}
+	surplus := len(session.Row.Recorders) - t.Service.Recorders
+	session.Row.Recorders = without(session.Row.Recorders, func(number uint64) bool {
+		if surplus <= 0 || !s.sessions[number].Row.Leaving {
+			return false
+		}
+		surplus--
+		return true
+	})
+}
+
+// dropRecorders takes closed sessions out of all recorder sets, also out of
+// those of the closed sessions themselves.
+func (s *State) dropRecorders(gone []*Session) {
+	isGone := func(number uint64) bool { return s.sessions[number] == nil }
+	for _, session := range gone {
+		session.Row.Recorders = without(session.Row.Recorders, isGone)
+	}
+	for _, session := range s.Sessions() {
+		recorders := without(session.Row.Recorders, isGone)
+		joining := without(session.Row.Joining, isGone)
+		lost := len(session.Row.Recorders) - len(recorders)
+		if lost == 0 && len(session.Row.Joining) == len(joining) {
+			continue
+		}
+		session.Row.Recorders = recorders
+		session.Row.Joining = joining
+		s.touchSession(session)
+		if lost > 0 {
+			s.event(logger.RecordersLost, session.Row.Router, fmt.Sprintf("%d lost, %d left", lost, len(recorders)))
+		}
+	}
+}
+
+// without returns a copy of numbers without those that drop holds for.
+func without(numbers []uint64, drop func(uint64) bool) []uint64 {
+	return slices.DeleteFunc(slices.Clone(numbers), drop)
+}
+
+// AllRecorders lists the recorders of a session, joining ones included.
+func (s *Session) AllRecorders() []uint64 {
+	return slices.Concat(s.Row.Recorders, s.Row.Joining)
+}
+
+// HasRecorder reports whether a session is a recorder, or a joining one.
+func (s *Session) HasRecorder(number uint64) bool {
+	return slices.Contains(s.Row.Recorders, number) || slices.Contains(s.Row.Joining, number)
+}
--- /dev/null
+++ b/control/assigner/shardset.go
@@ -0,0 +1,58 @@
+package assigner
+
+import (
+	"encoding/binary"
+	"slices"
+)
+
+// ShardSet is a set of shard numbers: the first number and then the distance to
+// each next one, as varints. It takes one byte for most shards.
+type ShardSet []byte
+
+// NewShardSet returns the set of shards, which it sorts.
+func NewShardSet(shards []uint32) ShardSet {
+	slices.Sort(shards)
+	var set ShardSet
+	last := uint32(0)
+	for _, shard := range shards {
+		set = binary.AppendUvarint(set, uint64(shard-last))
+		last = shard
+	}
+	return set
+}
+
+// Each calls visit for each shard in rising order until it returns false.
+func (s ShardSet) Each(visit func(shard uint32) bool) {
+	shard := uint64(0)
+	for len(s) > 0 {
+		distance, size := binary.Uvarint(s)
+		if size <= 0 {
+			return
+		}
+		s = s[size:]
+		shard += distance
+		if !visit(uint32(shard)) {
+			return
+		}
+	}
+}
+
+// Has reports whether the set has shard.
+func (s ShardSet) Has(shard uint32) bool {
+	found := false
+	s.Each(func(n uint32) bool {
+		found = n == shard
+		return n < shard
+	})
+	return found
+}
+
+// Len is the number of shards.
+func (s ShardSet) Len() int {
+	count := 0
+	s.Each(func(uint32) bool {
+		count++
+		return true
+	})
+	return count
+}
--- /dev/null
+++ b/control/assigner/snapshot.go
@@ -0,0 +1,245 @@
+package assigner
+
+import (
+	"bytes"
+	"encoding/binary"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"marigoldhill/kernel/messenger"
+)
+
+// snapshotVersion is the version of the snapshot format.
+const snapshotVersion = 1
+
+// snapshot is the encoded form of a State. All lists are sorted, so that equal
+// states have equal snapshots.
+type snapshot struct {
+	Version     int
+	Revision    uint64
+	Applied     uint64
+	Time        int64
+	Forgotten   uint64
+	Sessions    []*Session
+	Tables      []tableSnapshot
+	Profiles    []Versioned[messenger.Profile]
+	Drains      []string
+	Quarantines []Versioned[messenger.QuarantineRow]
+	Suspects    []Versioned[messenger.QuarantineRow]
+	Answers     []keptAnswer
+	Events      []messenger.ClusterEvent
+	History     []OwnerChange
+	Tombstones  []tombstone
+}
+
+// tableSnapshot is the encoded form of a Table.
+type tableSnapshot struct {
+	Service    messenger.Service
+	Revision   uint64
+	Names      []string
+	Keyed      []uint64
+	Shards     []byte
+	Recoveries []recoverySnapshot
+}
+
+// recoverySnapshot is a recovery with its shard.
+type recoverySnapshot struct {
+	Shard    uint32
+	Recovery recovery
+}
+
+// Snapshot encodes the state. Equal states give equal bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	image := snapshot{
+		Version:     snapshotVersion,
+		Revision:    s.revision,
+		Applied:     s.applied,
+		Time:        s.time,
+		Forgotten:   s.forgotten,
+		Sessions:    s.Sessions(),
+		Profiles:    sortedValues(s.profiles),
+		Drains:      sortedKeys(s.drains),
+		Quarantines: sortedValues(s.quarantines),
+		Suspects:    sortedValues(s.suspects),
+		Answers:     s.answers.values,
+		Events:      s.events.values,
+		History:     s.history.values,
+		Tombstones:  s.tombstones.values,
+	}
+	for _, t := range s.Tables() {
+		image.Tables = append(image.Tables, t.snapshot())
+	}
+	var buffer bytes.Buffer
+	encoder := msgpack.NewEncoder(&buffer)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(&image); err != nil {
+		return nil, Error.New("encoding a snapshot: %w", err)
+	}
+	return buffer.Bytes(), nil
+}
+
+func (t *Table) snapshot() tableSnapshot {
+	image := tableSnapshot{
+		Service:  t.Service,
+		Revision: t.Revision,
+		Names:    t.names,
+		Shards:   t.encodeShards(),
+	}
+	for _, name := range t.names {
+		image.Keyed = append(image.Keyed, t.keyed[name])
+	}
+	for _, number := range sortedNumbers(t.recoveries) {
+		image.Recoveries = append(image.Recoveries, recoverySnapshot{Shard: number, Recovery: *t.recoveries[number]})
+	}
+	return image
+}
+
+// encodeShards encodes the shards as runs: the fields of the first, then how
+// many more have the same.
+func (t *Table) encodeShards() []byte {
+	var data []byte
+	for number := uint32(0); number < t.Size(); {
+		next := t.next[number]
+		run := uint32(1)
+		for number+run < t.Size() && t.shards[number+run] == t.shards[number] && t.next[number+run] == next {
+			run++
+		}
+		data = appendRun(data, &t.shards[number], next, run)
+		number += run
+	}
+	return data
+}
+
+func appendRun(data []byte, cell *shard, next uint64, run uint32) []byte {
+	flags := uint64(cell.phase) << 1
+	if cell.used {
+		flags |= 1
+	}
+	for _, value := range []uint64{uint64(run), flags, cell.owner, cell.fence, cell.changed, uint64(cell.since), next} {
+		data = binary.AppendUvarint(data, value)
+	}
+	return data
+}
+
+// Restore replaces the state by a snapshot. On an error nothing is changed.
+func (s *State) Restore(data []byte) error {
+	var image snapshot
+	if err := msgpack.Unmarshal(data, &image); err != nil {
+		return Error.New("decoding a snapshot: %w", err)
+	}
+	if image.Version != snapshotVersion {
+		return Error.New("snapshot has version %d, this program reads %d", image.Version, snapshotVersion)
+	}
+	fresh := New()
+	if err := fresh.fill(&image); err != nil {
+		return err
+	}
+	*s = *fresh
+	return nil
+}
+
+func (s *State) fill(image *snapshot) error {
+	s.revision = image.Revision
+	s.applied = image.Applied
+	s.time = image.Time
+	s.forgotten = image.Forgotten
+	s.answers.values = image.Answers
+	s.events.values = image.Events
+	s.history.values = image.History
+	s.tombstones.values = image.Tombstones
+	s.recent.reset(image.Revision)
+	for _, session := range image.Sessions {
+		s.sessions[session.Row.Session] = session
+		s.routers[session.Row.Router] = session.Row.Session
+	}
+	for _, profile := range image.Profiles {
+		s.profiles[profile.Value.Name] = profile
+	}
+	for _, server := range image.Drains {
+		s.drains[server] = true
+	}
+	for _, row := range image.Quarantines {
+		s.quarantines[row.Value.Fingerprint] = row
+	}
+	for _, row := range image.Suspects {
+		s.suspects[row.Value.Fingerprint] = row
+	}
+	for n := range image.Tables {
+		if err := s.fillTable(&image.Tables[n]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *State) fillTable(image *tableSnapshot) error {
+	t := newTable(image.Service)
+	t.Revision = image.Revision
+	t.names = image.Names
+	t.shards = make([]shard, int(image.Service.Shards)+len(image.Names))
+	t.free = 0
+	for n, name := range image.Names {
+		if name != "" {
+			t.keys[name] = image.Service.Shards + uint32(n)
+			t.keyed[name] = image.Keyed[n]
+		}
+	}
+	if err := t.decodeShards(image.Shards); err != nil {
+		return Error.New("service %q: %w", image.Service.Name, err)
+	}
+	for _, entry := range image.Recoveries {
+		pending := entry.Recovery
+		t.recoveries[entry.Shard] = &pending
+	}
+	for number := range t.Size() {
+		t.changed = max(t.changed, t.shards[number].changed)
+		if t.InUse(number) {
+			s.count(t, &t.shards[number], 1)
+		}
+	}
+	s.tables[image.Service.Name] = t
+	return nil
+}
+
+var errShards = Error.New("the list of shards is damaged")
+
+// decodeShards reads what encodeShards wrote.
+func (t *Table) decodeShards(data []byte) error {
+	number := uint64(0)
+	for len(data) > 0 {
+		var fields [7]uint64
+		for n := range fields {
+			value, size := binary.Uvarint(data)
+			if size <= 0 {
+				return errShards
+			}
+			fields[n] = value
+			data = data[size:]
+		}
+		if fields[0] > uint64(t.Size())-number {
+			return errShards
+		}
+		for range fields[0] {
+			t.setDecoded(uint32(number), &fields)
+			number++
+		}
+	}
+	if number != uint64(t.Size()) {
+		return errShards
+	}
+	return nil
+}
+
+func (t *Table) setDecoded(number uint32, fields *[7]uint64) {
+	t.shards[number] = shard{
+		phase:   messenger.Phase(fields[1] >> 1),
+		used:    fields[1]&1 != 0,
+		owner:   fields[2],
+		fence:   fields[3],
+		changed: fields[4],
+		since:   int64(fields[5]),
+	}
+	if fields[6] != 0 {
+		t.next[number] = fields[6]
+	}
+}
--- /dev/null
+++ b/control/receiver/receiver.go
@@ -0,0 +1,119 @@
+// Package receiver serves the heartbeats and reports of routers at a control
+// replica.
+//
+// # Usage
+//
+//	serve := receiver.New(replica, receiver.Options{Log: log, Metrics: set})
+//	options := linker.Options{Hello: hello, Handler: serve.Handle}
+package receiver
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/zeebo/errs"
+
+	"marigoldhill/control/replicator"
+	"marigoldhill/control/supervisor"
+	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/logger"
+	"marigoldhill/kernel/messenger"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("receiver")
+
+// answerTime bounds how long a replica works on one heartbeat or report.
+const answerTime = time.Second
+
+// Replica is the part of a replica that a Receiver uses.
+type Replica interface {
+	// Propose commits and applies a command.
+	Propose(ctx context.Context, command []byte) (replicator.Proposal, error)
+	// Query asks the state machine of the replica.
+	Query(ctx context.Context, query any) (any, error)
+}
+
+// Options are the settings of a Receiver.
+type Options struct {
+	Log *logger.Log
+	// Metrics gets the counters; nil counts nothing.
+	Metrics *metrics.Set
+}
+
+// Receiver serves routers. It is safe for concurrent use.
+type Receiver struct {
+	replica Replica
+	metrics *metrics.Set
+}
+
+// New returns a Receiver that asks replica.
+func New(replica Replica, options Options) *Receiver {
+	set := options.Metrics
+	if set == nil {
+		set = metrics.NewSet()
+	}
+	return &Receiver{replica: replica, metrics: set}
+}
+
+// Handle serves one stream; it is a [linker.Handler] for the kinds heartbeat
+// and report.
+func (r *Receiver) Handle(ctx context.Context, _ *linker.Link, stream *linker.Stream) {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	err := r.serve(ctx, stream)
+	if err != nil {
+		r.metrics.GetOrCreateCounter(`marigold_control_refusals_total{reason="stream"}`).Inc()
+	}
+}
+
+func (r *Receiver) serve(ctx context.Context, stream *linker.Stream) error {
+	switch stream.Kind() {
+	case messenger.KindHeartbeat:
+		return linker.Answer(stream, func(beat *messenger.Heartbeat) (*messenger.HeartbeatAnswer, error) {
+			return r.heartbeat(ctx, beat)
+		})
+	case messenger.KindReport:
+		return linker.Answer(stream, func(report *messenger.Report) (*messenger.ReportAnswer, error) {
+			return r.report(ctx, report)
+		})
+	}
+	return Error.New("stream of kind %d", stream.Kind())
+}
+
+func (r *Receiver) heartbeat(ctx context.Context, beat *messenger.Heartbeat) (*messenger.HeartbeatAnswer, error) {
+	answer, err := r.replica.Query(ctx, beat)
+	if err != nil {
+		return nil, Error.New("asking the replica about a heartbeat: %w", err)
+	}
+	typed, ok := answer.(*messenger.HeartbeatAnswer)
+	if !ok {
+		return nil, Error.New("answer to a heartbeat is a %T", answer)
+	}
+	return typed, nil
+}
+
+// report answers only after what was reported is committed.
+func (r *Receiver) report(ctx context.Context, report *messenger.Report) (*messenger.ReportAnswer, error) {
+	answer, err := r.replica.Query(ctx, report)
+	if err != nil {
+		return nil, Error.New("asking the replica about a report: %w", err)
+	}
+	switch typed := answer.(type) {
+	case *messenger.ReportAnswer:
+		return typed, nil
+	case *supervisor.NotLeading:
+		return &messenger.ReportAnswer{Leader: typed.Leader.Address}, nil
+	case *supervisor.ReportTaken:
+		return r.commit(ctx, typed.Command)
+	}
+	return nil, Error.New("answer to a report is a %T", answer)
+}
+
+func (r *Receiver) commit(ctx context.Context, command []byte) (*messenger.ReportAnswer, error) {
+	if _, err := r.replica.Propose(ctx, command); err != nil {
+		return nil, Error.New("committing a report: %w", err)
+	}
+	return &messenger.ReportAnswer{Accepted: true}, nil
+}
--- /dev/null
+++ b/control/supervisor/explain.go
@@ -0,0 +1,73 @@
+package supervisor
+
+import (
+	"marigoldhill/kernel/logger"
+	"marigoldhill/kernel/messenger"
+)
+
+// maxHistory is how many changes of owner an explanation has.
+const maxHistory = 10
+
+// phaseNames are the phases as operators read them.
+var phaseNames = [...]string{
+	messenger.PhaseFree:   "free",
+	messenger.PhaseOwned:  "owned",
+	messenger.PhaseMoving: "moving",
+}
+
+// explain tells who owns a key and why.
+func (s *Supervisor) explain(question ExplainQuestion) *messenger.Explanation {
+	t := s.state.Table(question.Service)
+	if t == nil {
+		return nil
+	}
+	number, own := t.Locate(question.Key)
+	row := t.Row(number)
+	explanation := &messenger.Explanation{
+		Service: question.Service,
+		Key:     question.Key,
+		Shard:   number,
+		Own:     own,
+		Phase:   phaseNames[row.Phase],
+		Fence:   row.Fence,
+		Since:   t.Ownership(number).Since,
+		History: s.historyOf(question.Service, number),
+	}
+	if len(explanation.History) > 0 {
+		explanation.Why = explanation.History[0].Text
+	}
+	if owner := s.state.Session(row.Owner); owner != nil {
+		explanation.Router = owner.Row.Router
+		explanation.Domain = owner.Row.Domain
+		explanation.Recorders = s.routerNames(owner.Row.Recorders)
+		if owner.Row.Server != nil {
+			explanation.Server = owner.Row.Server.Name
+		}
+	}
+	return explanation
+}
+
+func (s *Supervisor) historyOf(service string, shard uint32) []messenger.ClusterEvent {
+	history := []messenger.ClusterEvent{}
+	for _, change := range s.state.History(service, shard, maxHistory) {
+		history = append(history, messenger.ClusterEvent{
+			Revision: change.Revision,
+			Time:     change.Time,
+			Number:   logger.ShardsGranted.Number,
+			Subject:  change.Parts[0].Router,
+			Text:     change.Why,
+		})
+	}
+	return history
+}
+
+// routerNames returns the names of the routers of open sessions.
+func (s *Supervisor) routerNames(numbers []uint64) []string {
+	names := []string{}
+	for _, number := range numbers {
+		if session := s.state.Session(number); session != nil {
+			names = append(names, session.Row.Router)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/control/supervisor/heartbeat.go
@@ -0,0 +1,139 @@
+package supervisor
+
+import (
+	"fmt"
+	"reflect"
+
+	"marigoldhill/control/assigner"
+	"marigoldhill/control/replicator"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/timer"
+)
+
+// heartbeat opens or renews a session.
+func (s *Supervisor) heartbeat(now timer.Instant, standing replicator.Standing, beat *messenger.Heartbeat) (*messenger.HeartbeatAnswer, [][]byte) {
+	answer := &messenger.HeartbeatAnswer{Session: beat.Session, Sequence: beat.Sequence}
+	batch := newBatch(s.pending, now)
+	answer.Status = s.judge(now, standing, beat, answer, batch)
+	s.counters.heartbeat(answer.Status)
+	return answer, batch.commands
+}
+
+// judge decides how a heartbeat is taken and proposes what it asks for.
+func (s *Supervisor) judge(now timer.Instant, standing replicator.Standing, beat *messenger.Heartbeat, answer *messenger.HeartbeatAnswer, batch *batch) messenger.HeartbeatStatus {
+	if !standing.Leading {
+		answer.Leader = standing.Leader.Address
+		return messenger.HeartbeatRedirect
+	}
+	session, status := s.find(beat, batch)
+	if session == nil {
+		return status
+	}
+	number := session.Row.Session
+	answer.Session = number
+	known := s.router(number)
+	if known.closing {
+		return messenger.HeartbeatExpired
+	}
+	known.heard = now
+	if known.take(beat) {
+		s.proposeOf(session, beat, batch)
+	}
+	if known.closing {
+		return messenger.HeartbeatExpired
+	}
+	if !standing.Confirmed {
+		return messenger.HeartbeatUnconfirmed
+	}
+	answer.Delta, answer.More = s.state.Delta(beat.Revision, assigner.DeltaRows)
+	return messenger.HeartbeatAlive
+}
+
+// find returns the session that a heartbeat renews, or how the heartbeat is
+// taken when there is none.
+func (s *Supervisor) find(beat *messenger.Heartbeat, batch *batch) (*assigner.Session, messenger.HeartbeatStatus) {
+	if beat.Session != 0 {
+		session := s.state.Session(beat.Session)
+		if session == nil || session.Instance != beat.Instance {
+			return nil, messenger.HeartbeatExpired
+		}
+		return session, ""
+	}
+	session := s.state.SessionOf(beat.Router)
+	if session == nil {
+		batch.add("open/"+beat.Router, assigner.Command{Open: openOf(beat)})
+		return nil, messenger.HeartbeatWait
+	}
+	if session.Instance != beat.Instance {
+		return nil, messenger.HeartbeatWait
+	}
+	return session, ""
+}
+
+func openOf(beat *messenger.Heartbeat) *assigner.Open {
+	return &assigner.Open{
+		Router:   beat.Router,
+		Instance: beat.Instance,
+		Address:  beat.Address,
+		Domain:   beat.Domain,
+		Region:   beat.Region,
+		Server:   beat.Server,
+		Leaving:  isLeaving(beat),
+	}
+}
+
+// isLeaving reports whether the router or its backend server wants to give its
+// shards away.
+func isLeaving(beat *messenger.Heartbeat) bool {
+	return beat.Leaving || beat.State == messenger.ServerLeaving
+}
+
+// take notes what a heartbeat says, unless a later one came before it.
+func (r *router) take(beat *messenger.Heartbeat) bool {
+	if beat.Sequence <= r.sequence {
+		return false
+	}
+	r.sequence = beat.Sequence
+	r.state = beat.State
+	r.revision = beat.Revision
+	r.queue = beat.Queue
+	r.stalled = beat.Stalled
+	return true
+}
+
+// proposeOf proposes what a heartbeat asks for.
+func (s *Supervisor) proposeOf(session *assigner.Session, beat *messenger.Heartbeat, batch *batch) {
+	number := session.Row.Session
+	if needsUpdate(session, beat) {
+		batch.add(fmt.Sprintf("update/%d", number), assigner.Command{Update: updateOf(number, beat)})
+	}
+	if len(beat.Copied) > 0 {
+		batch.add(fmt.Sprintf("copied/%d", number), assigner.Command{Copied: &assigner.Copied{Session: number, Joined: beat.Copied}})
+	}
+	if len(beat.Recovered) > 0 {
+		batch.add(fmt.Sprintf("recovered/%d", number), assigner.Command{Recovered: &assigner.Recovered{Session: number, Shards: beat.Recovered}})
+	}
+	if len(beat.Released) > 0 {
+		batch.add(fmt.Sprintf("release/%d", number), assigner.Command{Release: &assigner.Release{Session: number, Shards: beat.Released}})
+	}
+	if beat.Close {
+		s.router(number).closing = batch.add(fmt.Sprintf("close/%d", number), assigner.Command{Close: &assigner.Close{Sessions: []uint64{number}}})
+	}
+}
+
+func needsUpdate(session *assigner.Session, beat *messenger.Heartbeat) bool {
+	row := &session.Row
+	return row.Address != beat.Address || row.Domain != beat.Domain || row.Region != beat.Region ||
+		session.Stopping != isLeaving(beat) || !reflect.DeepEqual(row.Server, beat.Server)
+}
+
+func updateOf(number uint64, beat *messenger.Heartbeat) *assigner.Update {
+	return &assigner.Update{
+		Session: number,
+		Address: beat.Address,
+		Domain:  beat.Domain,
+		Region:  beat.Region,
+		Server:  beat.Server,
+		Leaving: isLeaving(beat),
+	}
+}
--- /dev/null
+++ b/control/supervisor/pending.go
@@ -0,0 +1,82 @@
+package supervisor
+
+import (
+	"marigoldhill/control/assigner"
+	"marigoldhill/kernel/hasher"
+	"marigoldhill/kernel/timer"
+)
+
+// pending has the commands that were proposed and not applied yet, by subject,
+// so that nothing is proposed twice.
+type pending struct {
+	subjects map[string]proposal
+	digests  map[uint64]string
+}
+
+type proposal struct {
+	digest uint64
+	at     timer.Instant
+}
+
+func newPending() *pending {
+	return &pending{subjects: make(map[string]proposal), digests: make(map[uint64]string)}
+}
+
+// has reports whether a command on the subject is on its way.
+func (p *pending) has(subject string, now timer.Instant) bool {
+	entry, ok := p.subjects[subject]
+	return ok && now.Since(entry.at) < proposalTime
+}
+
+func (p *pending) add(subject string, now timer.Instant, command []byte) {
+	digest := hasher.Sum(command)
+	p.subjects[subject] = proposal{digest: digest, at: now}
+	p.digests[digest] = subject
+}
+
+// done notes that a command was applied.
+func (p *pending) done(command []byte) {
+	if len(p.digests) == 0 {
+		return
+	}
+	digest := hasher.Sum(command)
+	subject, ok := p.digests[digest]
+	if !ok {
+		return
+	}
+	delete(p.digests, digest)
+	if p.subjects[subject].digest == digest {
+		delete(p.subjects, subject)
+	}
+}
+
+// batch collects the commands of one step.
+type batch struct {
+	pending  *pending
+	now      timer.Instant
+	commands [][]byte
+}
+
+func newBatch(pending *pending, now timer.Instant) *batch {
+	return &batch{pending: pending, now: now}
+}
+
+// has reports whether a command on the subject is on its way.
+func (b *batch) has(subject string) bool {
+	return b.pending.has(subject, b.now)
+}
+
+// add proposes a command, unless one on the same subject is on its way.
+func (b *batch) add(subject string, command assigner.Command) bool {
+	if b.has(subject) {
+		return false
+	}
+	command.Time = assigner.Milliseconds(b.now.Wall)
+	data, err := assigner.Encode(&command)
+	if err != nil {
+		return false
+	}
+	b.pending.add(subject, b.now, data)
+	b.commands = append(b.commands, data)
+	return true
+}
--- /dev/null
+++ b/control/supervisor/question.go
@@ -0,0 +1,84 @@
+package supervisor
+
+import (
+	"marigoldhill/control/assigner"
+	"marigoldhill/control/replicator"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/timer"
+)
+
+// NotLeading answers a question that only a confirmed leader can answer.
+type NotLeading struct {
+	// Leader is the leader as far as it is known.
+	Leader messenger.Member
+}
+
+// Questions of operators. The comment gives the type of the answer.
+type (
+	// StatusQuestion is answered with *messenger.Status.
+	StatusQuestion struct{}
+	// ProfilesQuestion is answered with []assigner.Versioned[messenger.Profile].
+	ProfilesQuestion struct{}
+	// ServicesQuestion is answered with []assigner.Versioned[messenger.Service].
+	ServicesQuestion struct{}
+	// ExplainQuestion is answered with *messenger.Explanation, nil when there
+	// is no such service.
+	ExplainQuestion struct {
+		Service string
+		Key     string
+	}
+	// EventsQuestion is answered with []messenger.ClusterEvent.
+	EventsQuestion struct {
+		After uint64
+	}
+	// ProgressQuestion is answered with *messenger.Progress.
+	ProgressQuestion struct {
+		Revision uint64
+	}
+	// QuarantinesQuestion is answered with []messenger.QuarantineRow.
+	QuarantinesQuestion struct{}
+)
+
+// answer answers an operator's question.
+func (s *Supervisor) answer(now timer.Instant, standing replicator.Standing, query any) any {
+	switch question := query.(type) {
+	case StatusQuestion:
+		return s.status(now, standing)
+	case ProfilesQuestion:
+		return s.state.Profiles()
+	case ServicesQuestion:
+		return s.serviceList()
+	case ExplainQuestion:
+		return s.explain(question)
+	case EventsQuestion:
+		return s.state.Events(question.After)
+	case ProgressQuestion:
+		return s.progress(question)
+	case QuarantinesQuestion:
+		return s.state.Quarantines()
+	}
+	return Error.New("question of unknown type %T", query)
+}
+
+func (s *Supervisor) serviceList() []assigner.Versioned[messenger.Service] {
+	var services []assigner.Versioned[messenger.Service]
+	for _, t := range s.state.Tables() {
+		services = append(services, assigner.Versioned[messenger.Service]{Value: t.Service, Revision: t.Revision})
+	}
+	return services
+}
+
+// progress tells which routers have a revision in force.
+func (s *Supervisor) progress(question ProgressQuestion) *messenger.Progress {
+	progress := &messenger.Progress{Revision: question.Revision, Behind: []string{}}
+	for _, session := range s.state.Sessions() {
+		progress.Sessions++
+		known := s.routers[session.Row.Session]
+		if known != nil && known.revision >= question.Revision {
+			progress.Applied++
+			continue
+		}
+		progress.Behind = append(progress.Behind, session.Row.Router)
+	}
+	return progress
+}
--- /dev/null
+++ b/control/supervisor/report.go
@@ -0,0 +1,46 @@
+package supervisor
+
+import (
+	"fmt"
+
+	"marigoldhill/control/assigner"
+	"marigoldhill/control/replicator"
+	"marigoldhill/kernel/logger"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/timer"
+)
+
+// ReportTaken answers a Report on the leader: Command must be committed before
+// the report is accepted.
+type ReportTaken struct {
+	Command []byte
+}
+
+// report turns a report into the command that its receiver has to commit.
+func (s *Supervisor) report(now timer.Instant, standing replicator.Standing, report *messenger.Report) (any, [][]byte) {
+	if !standing.Leading {
+		return &NotLeading{Leader: standing.Leader}, nil
+	}
+	session := s.state.Session(report.Session)
+	if session == nil {
+		return &messenger.ReportAnswer{}, nil
+	}
+	command := assigner.Command{Time: assigner.Milliseconds(now.Wall)}
+	switch {
+	case len(report.Death) > 0:
+		command.Death = &assigner.Death{Session: report.Session, Number: report.Number, Rows: report.Death}
+	case report.Stalled != "":
+		command.Notice = &assigner.Notice{
+			Number:  logger.BackgroundStalled.Number,
+			Subject: session.Row.Router,
+			Text:    fmt.Sprintf("request %s", report.Stalled),
+		}
+	default:
+		return &messenger.ReportAnswer{Accepted: true}, nil
+	}
+	data, err := assigner.Encode(&command)
+	if err != nil {
+		return &messenger.ReportAnswer{}, nil
+	}
+	return &ReportTaken{Command: data}, nil
+}
--- /dev/null
+++ b/control/supervisor/router.go
@@ -0,0 +1,70 @@
+package supervisor
+
+import (
+	"time"
+
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/timer"
+)
+
+const (
+	// lapseTime is the silence after which a session is closed.
+	lapseTime = messenger.LeaseTime + messenger.LeaseMargin
+	// pauseTime is the time without a tick that counts as a pause of the
+	// process.
+	pauseTime = 500 * time.Millisecond
+	// gatherTime is how long a new leader waits to hear of all routers before
+	// it grants shards.
+	gatherTime = 600 * time.Millisecond
+	// settleTime is how long a service without any owner waits for more
+	// servers, so that the first does not get everything.
+	settleTime = time.Second
+	// proposalTime is the time after which a proposal that was not applied is
+	// taken as lost.
+	proposalTime = 5 * time.Second
+	// grantBatch is the most shards in one grant.
+	grantBatch = 8192
+)
+
+// router is what the leader knows of a router from its heartbeats.
+type router struct {
+	// heard is when its last heartbeat came.
+	heard    timer.Instant
+	sequence uint64
+	state    messenger.ServerState
+	revision uint64
+	queue    int
+	stalled  int
+	// closing says that the closing of its session was proposed; it is not
+	// renewed any more.
+	closing bool
+}
+
+// service is what the leader keeps for a service.
+type service struct {
+	// first is when a server that can own shards was first seen.
+	first timer.Instant
+}
+
+// isLapsed reports whether the lease of a router has lapsed for certain. The
+// time of a router that was not heard of yet starts now.
+func (s *Supervisor) isLapsed(session uint64, now timer.Instant) bool {
+	known := s.routers[session]
+	if known == nil {
+		s.router(session).heard = now
+		return false
+	}
+	return now.Since(s.calm) >= lapseTime && now.Since(known.heard) >= lapseTime
+}
+
+// hasSpoken reports whether a heartbeat of a router came in this term.
+func (s *Supervisor) hasSpoken(session uint64) bool {
+	known := s.routers[session]
+	return known != nil && known.sequence > 0
+}
+
+// isReady reports whether a router can be given shards.
+func (s *Supervisor) isReady(session uint64) bool {
+	known := s.routers[session]
+	return known != nil && known.state == messenger.ServerReady && !known.closing
+}
--- /dev/null
+++ b/control/supervisor/status.go
@@ -0,0 +1,92 @@
+package supervisor
+
+import (
+	"marigoldhill/control/assigner"
+	"marigoldhill/control/replicator"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/timer"
+)
+
+// status sums up the cluster.
+func (s *Supervisor) status(now timer.Instant, standing replicator.Standing) *messenger.Status {
+	status := &messenger.Status{
+		Cluster:     s.options.Cluster,
+		Replica:     standing.Name,
+		Leader:      standing.Leader.Name,
+		Term:        standing.Term,
+		Revision:    s.state.Revision(),
+		Members:     memberStatuses(now, standing),
+		Sessions:    []messenger.SessionStatus{},
+		Services:    []messenger.ServiceStatus{},
+		Quarantines: len(s.state.Quarantines()),
+	}
+	for _, session := range s.state.Sessions() {
+		status.Sessions = append(status.Sessions, s.sessionStatus(now, session))
+	}
+	for _, t := range s.state.Tables() {
+		status.Services = append(status.Services, s.serviceStatus(t))
+	}
+	return status
+}
+
+func memberStatuses(now timer.Instant, standing replicator.Standing) []messenger.MemberStatus {
+	members := []messenger.MemberStatus{}
+	for _, member := range standing.Members {
+		status := messenger.MemberStatus{
+			Name:     member.Name,
+			Address:  member.Address,
+			Operator: member.Operator,
+			Leader:   member.Name == standing.Leader.Name,
+		}
+		if progress, ok := standing.Progress[member.Name]; ok {
+			status.Match = progress.Match
+			if !progress.Heard.IsZero() {
+				status.Silence = now.Since(progress.Heard)
+			}
+		}
+		members = append(members, status)
+	}
+	return members
+}
+
+func (s *Supervisor) sessionStatus(now timer.Instant, session *assigner.Session) messenger.SessionStatus {
+	status := messenger.SessionStatus{
+		Session:   session.Row.Session,
+		Router:    session.Row.Router,
+		Address:   session.Row.Address,
+		Domain:    session.Row.Domain,
+		State:     messenger.ServerAbsent,
+		Leaving:   session.Row.Leaving,
+		Shards:    session.Owned,
+		Moving:    session.Moving,
+		Recorders: s.routerNames(session.Row.Recorders),
+	}
+	if session.Row.Server != nil {
+		status.Server = session.Row.Server.Name
+		status.Service = session.Row.Server.Service
+	}
+	if known := s.routers[session.Row.Session]; known != nil {
+		status.State = known.state
+		status.Queue = known.queue
+		status.Stalled = known.stalled
+		status.Revision = known.revision
+		status.Silence = now.Since(known.heard)
+	}
+	return status
+}
+
+func (s *Supervisor) serviceStatus(t *assigner.Table) messenger.ServiceStatus {
+	status := messenger.ServiceStatus{
+		Name:   t.Service.Name,
+		Shards: int(t.Service.Shards),
+		Free:   t.Free(),
+		Moving: t.Moving(),
+		Keys:   t.Keys(),
+	}
+	for _, session := range s.state.Sessions() {
+		if session.Service() == t.Service.Name {
+			status.Servers++
+		}
+	}
+	return status
+}
--- a/kernel/logger/control.go
+++ b/kernel/logger/control.go
@@ -4,11 +4,32 @@
 
 // Events of sessions, ownership and configuration, 230 to 299.
 var (
-	SessionOpened = Event{230, hclog.Info, "session of a router opened"}
-	SessionLapsed = Event{231, hclog.Warn, "session of a router lapsed"}
-	SessionClosed = Event{232, hclog.Info, "session of a router ended in order"}
+	SessionOpened      = Event{230, hclog.Info, "session of a router opened"}
+	SessionLapsed      = Event{231, hclog.Warn, "session of a router lapsed"}
+	SessionClosed      = Event{232, hclog.Info, "session of a router ended in order"}
+	RecordersLost      = Event{233, hclog.Warn, "session lost recorders"}
+	ShardsGranted      = Event{240, hclog.Info, "shards were granted"}
+	ShardsMoving       = Event{241, hclog.Info, "planned move of shards started"}
+	RecordsForgotten   = Event{242, hclog.Error, "all holders of records were lost"}
+	KeyPromoted        = Event{250, hclog.Info, "hot key got a shard of its own"}
+	KeyDemoted         = Event{251, hclog.Info, "key went back to its hash shard"}
+	ProfileChanged     = Event{260, hclog.Info, "profile changed"}
+	ProfileRemoved     = Event{261, hclog.Info, "profile was removed"}
+	ServiceChanged     = Event{262, hclog.Info, "service changed"}
+	DrainStarted       = Event{264, hclog.Info, "drain of a backend server started"}
+	DrainEnded         = Event{265, hclog.Info, "drain of a backend server ended"}
+	ServerDied         = Event{270, hclog.Warn, "backend server ended with requests in flight"}
+	RequestQuarantined = Event{271, hclog.Warn, "request was quarantined"}
+	QuarantineLifted   = Event{272, hclog.Info, "quarantine was lifted"}
+	BackgroundStalled  = Event{273, hclog.Warn, "background request stalls"}
 )
 
 func controlEvents() []Event {
-	return []Event{SessionOpened, SessionLapsed, SessionClosed}
+	return []Event{
+		SessionOpened, SessionLapsed, SessionClosed, RecordersLost,
+		ShardsGranted, ShardsMoving, RecordsForgotten,
+		KeyPromoted, KeyDemoted,
+		ProfileChanged, ProfileRemoved, ServiceChanged, DrainStarted, DrainEnded,
+		ServerDied, RequestQuarantined, QuarantineLifted, BackgroundStalled,
+	}
 }
--- a/kernel/logger/logger.go
+++ b/kernel/logger/logger.go
@@ -74,3 +74,13 @@
 func LevelName(event Event) string {
 	return strings.ToLower(event.Level.String())
 }
+
+// Lookup returns the event with a number; an unknown one gets a plain message.
+func Lookup(number int) Event {
+	for _, event := range Catalogue() {
+		if event.Number == number {
+			return event
+		}
+	}
+	return Event{Number: number, Level: hclog.Info, Message: "unknown event"}
+}
--- a/kernel/messenger/session.go
+++ b/kernel/messenger/session.go
@@ -135,6 +135,9 @@
 // Report tells the control group of something outside the heartbeat's rhythm.
 type Report struct {
 	Session uint64
+	// Number grows with each report of a session; a resend repeats it, so that
+	// a death is counted once. Reports with number 0 are not told apart.
+	Number uint64
 	// Death lists the fingerprints in flight when a backend server died.
 	Death []QuarantineRow
 	// Stalled is a background request that stalls or starves, for the events.
--- a/kernel/messenger/table.go
+++ b/kernel/messenger/table.go
@@ -40,6 +40,9 @@
 	// Previous is the session that the shard was moved from as planned, which
 	// then holds its records; 0 otherwise.
 	Previous uint64
+	// Last is the session whose records the survivors, or the previous
+	// session, hold; 0 when nothing is to be recovered.
+	Last uint64
 }
 
 // KeyRow gives a promoted key a shard of its own.
@@ -113,6 +116,8 @@
 	Profiles    []Profile
 	Services    []Service
 	Quarantines []QuarantineRow
+	// Suspects were in flight at one death of a backend server. They run alone.
+	Suspects []QuarantineRow
 	// GoneProfiles and GoneServices are names of removed ones.
 	GoneProfiles []string
 	GoneServices []string
--- /dev/null
+++ b/kernel/profiler/profiler.go
@@ -0,0 +1,155 @@
+// Package profiler reads, completes and checks profiles and services. The
+// control group and the command line share it, so both refuse the same values
+// with the same reason.
+//
+// # Usage
+//
+//	profile, err := profiler.ParseProfile("findings.yaml", data)
+//	field, reason := profiler.CheckProfile(profile)
+//
+// Data may be YAML or JSON. Fields that are left out get their default.
+package profiler
+
+import (
+	"fmt"
+	"regexp"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"marigoldhill/kernel/messenger"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("profiler")
+
+// Defaults and limits of profiles and services.
+const (
+	DefaultDeadline  = 10 * time.Second
+	DefaultRetries   = 3
+	DefaultQueue     = 100
+	DefaultShare     = 1.0
+	DefaultWeight    = 10
+	DefaultShards    = 4096
+	DefaultRecorders = 2
+	DefaultRetention = 10 * time.Minute
+	DefaultMeasure   = 50
+
+	MinDeadline  = time.Millisecond
+	MaxDeadline  = 24 * time.Hour
+	MaxRetries   = 10
+	MaxQueue     = 10_000
+	MaxWeight    = 100
+	MaxShards    = 65_536
+	MaxMeasure   = 100
+	MaxRecorders = 4
+	MinRetention = time.Second
+	MaxRetention = 7 * 24 * time.Hour
+	MaxRoutes    = 256
+	MaxPrefix    = 1024
+)
+
+// Values of Service.Scarce.
+const (
+	ScarceRefuse = "refuse"
+	ScarceAccept = "accept"
+)
+
+// NameRule says what a name may be.
+const NameRule = "must be 1 to 63 lower-case letters, digits and hyphens, starting with a letter or a digit"
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// IsName reports whether name keeps to [NameRule].
+func IsName(name string) bool {
+	return namePattern.MatchString(name)
+}
+
+// CheckProfile returns the field at fault and the reason, or two empty strings.
+func CheckProfile(profile *messenger.Profile) (field, reason string) {
+	switch {
+	case !IsName(profile.Name):
+		return "name", NameRule
+	case profile.Class != messenger.ClassInteractive && profile.Class != messenger.ClassBackground:
+		return "class", "must be interactive or background"
+	case profile.Deadline < MinDeadline || profile.Deadline > MaxDeadline:
+		return "deadline", fmt.Sprintf("must be %s to %s", MinDeadline, MaxDeadline)
+	case profile.Retries < 0 || profile.Retries > MaxRetries:
+		return "retries", fmt.Sprintf("must be 0 to %d", MaxRetries)
+	case profile.Queue < 0 || profile.Queue > MaxQueue:
+		return "queue", fmt.Sprintf("must be 0 to %d", MaxQueue)
+	case !(profile.Share > 0 && profile.Share <= 1):
+		return "share", "must be above 0 and at most 1"
+	case profile.Class == messenger.ClassInteractive && profile.Share != 1:
+		return "share", "must be 1 for the class interactive"
+	case profile.Weight < 1 || profile.Weight > MaxWeight:
+		return "weight", fmt.Sprintf("must be 1 to %d", MaxWeight)
+	}
+	return "", ""
+}
+
+// CheckService returns the field at fault and the reason, or two empty strings.
+func CheckService(service *messenger.Service) (field, reason string) {
+	switch {
+	case !IsName(service.Name):
+		return "name", NameRule
+	case service.Shards < 1 || service.Shards > MaxShards:
+		return "shards", fmt.Sprintf("must be 1 to %d", MaxShards)
+	case isOutside(service.Unavailable):
+		return "unavailable", measureRule
+	case isOutside(service.Imbalance):
+		return "imbalance", measureRule
+	case isOutside(service.Churn):
+		return "churn", measureRule
+	case service.Recorders < 0 || service.Recorders > MaxRecorders:
+		return "recorders", fmt.Sprintf("must be 0 to %d", MaxRecorders)
+	case service.Scarce != ScarceRefuse && service.Scarce != ScarceAccept:
+		return "scarce", "must be refuse or accept"
+	case service.Retention < MinRetention || service.Retention > MaxRetention:
+		return "retention", fmt.Sprintf("must be %s to %s", MinRetention, MaxRetention)
+	}
+	return checkRoutes(service.Routes)
+}
+
+var measureRule = fmt.Sprintf("must be 0 to %d", MaxMeasure)
+
+func isOutside(weight int) bool {
+	return weight < 0 || weight > MaxMeasure
+}
+
+// DefaultProfiles returns the profiles that the default service uses.
+func DefaultProfiles() []messenger.Profile {
+	work := messenger.Profile{
+		Name:     "default",
+		Class:    messenger.ClassInteractive,
+		Deadline: DefaultDeadline,
+		Retries:  DefaultRetries,
+		Queue:    DefaultQueue,
+		Share:    DefaultShare,
+		Weight:   DefaultWeight,
+	}
+	lookup := work
+	lookup.Name = "lookup"
+	lookup.Idempotent = true
+	return []messenger.Profile{work, lookup}
+}
+
+// DefaultService returns the service that is made when the first backend server
+// of an unknown service announces itself.
+func DefaultService(name string) messenger.Service {
+	return messenger.Service{
+		Name:   name,
+		Shards: DefaultShards,
+		Routes: []messenger.Route{
+			{Profile: "default"},
+			{Method: "GET", Profile: "lookup"},
+			{Method: "HEAD", Profile: "lookup"},
+		},
+		Unavailable: DefaultMeasure,
+		Imbalance:   DefaultMeasure,
+		Churn:       DefaultMeasure,
+		Recorders:   DefaultRecorders,
+		Scarce:      ScarceRefuse,
+		Retention:   DefaultRetention,
+	}
+}
