Add the load generator of the bench

Cause: the outcomes, latencies and second runs of a cluster under load must be counted from the callers' side.

--- /dev/null
+++ b/bench/loader/mix.go
@@ -0,0 +1,63 @@
+package loader
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"marigoldhill/kernel/messenger"
+)
+
+// Mix is the mixture of requests that callers send to one service.
+type Mix struct {
+	Service string
+	// Prefix starts the name of each key.
+	Prefix string
+	Kinds  []Kind
+}
+
+// Mixes returns the mixes of the four services of the plans.
+func Mixes() []Mix {
+	return []Mix{findings(), reports(), enquiry(), records()}
+}
+
+// MixOf returns the mix of a service, or false when there is none.
+func MixOf(service string) (Mix, bool) {
+	mixes := Mixes()
+	i := slices.IndexFunc(mixes, func(m Mix) bool { return m.Service == service })
+	if i < 0 {
+		return Mix{}, false
+	}
+	return mixes[i], true
+}
+
+func findings() Mix {
+	return Mix{Service: "findings", Prefix: "door-", Kinds: []Kind{
+		{Name: "finding", Class: messenger.ClassInteractive, Method: http.MethodGet, Route: "findings", Weight: 85},
+		{Name: "certificate", Class: messenger.ClassInteractive, Method: http.MethodPost, Route: "certificates", Weight: 5, Numbered: true, Size: 2 << 10},
+		{Name: "archive", Class: messenger.ClassBackground, Method: http.MethodGet, Route: "archive", Weight: 10, Work: 30 * time.Millisecond, Answer: 64 << 10},
+	}}
+}
+
+func reports() Mix {
+	return Mix{Service: "reports", Prefix: "report-", Kinds: []Kind{
+		{Name: "report", Class: messenger.ClassInteractive, Method: http.MethodGet, Route: "reports", Weight: 60},
+		{Name: "photos", Class: messenger.ClassBackground, Method: http.MethodGet, Route: "photos", Weight: 20, Work: 20 * time.Millisecond, Answer: 256 << 10},
+		{Name: "archive", Class: messenger.ClassBackground, Method: http.MethodGet, Route: "archive", Weight: 20, Work: 30 * time.Millisecond, Answer: 64 << 10},
+	}}
+}
+
+func enquiry() Mix {
+	return Mix{Service: "enquiry", Prefix: "application-", Kinds: []Kind{
+		{Name: "status", Class: messenger.ClassInteractive, Method: http.MethodGet, Route: "status", Weight: 85},
+		{Name: "lodgement", Class: messenger.ClassInteractive, Method: http.MethodPost, Route: "applications", Weight: 15, Numbered: true, Size: 8 << 10},
+	}}
+}
+
+func records() Mix {
+	return Mix{Service: "records", Prefix: "record-", Kinds: []Kind{
+		{Name: "status", Class: messenger.ClassInteractive, Method: http.MethodGet, Route: "status", Weight: 50},
+		{Name: "tariff", Class: messenger.ClassInteractive, Method: http.MethodGet, Route: "tariffs", Weight: 35},
+		{Name: "survey", Class: messenger.ClassBackground, Method: http.MethodGet, Route: "surveys", Weight: 15, Work: 20 * time.Millisecond, Answer: 128 << 10},
+	}}
+}
--- a/operator/requester/errors.go
+++ b/operator/requester/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 
@@ -50,6 +51,12 @@
 	return r.Problem.Status == http.StatusBadRequest || r.Problem.Status == http.StatusUnprocessableEntity
 }
 
+// IsMissing reports whether err says that the thing asked for does not exist.
+func IsMissing(err error) bool {
+	var refusal *Refusal
+	return errors.As(err, &refusal) && refusal.IsMissing()
+}
+
 // refusalOf reads a problem+json body; any other body becomes its detail.
 func refusalOf(status int, body []byte) *Refusal {
 	refusal := &Refusal{}
--- a/operator/requester/requester.go
+++ b/operator/requester/requester.go
@@ -57,6 +57,12 @@
 	return &Requester{bases: trimmed, timeout: timeout, client: &http.Client{}}
 }
 
+// Over makes the Requester send with client and returns it.
+func (r *Requester) Over(client *http.Client) *Requester {
+	r.client = client
+	return r
+}
+
 // Got is a value with the tag to make a change from it.
 type Got[T any] struct {
 	Value T
