--- /dev/null
+++ b/control/assembler/link.go
@@ -0,0 +1,64 @@
+package assembler
+
+import (
+	"context"
+
+	"marigoldhill/control/replicator"
+	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/registrar"
+)
+
+// linkService serves the links that other processes dial.
+type linkService struct {
+	part
+	replica  *replicator.Replica
+	receiver streamHandler
+	server   *linker.Server
+}
+
+// streamHandler serves the streams of routers.
+type streamHandler interface {
+	Handle(ctx context.Context, link *linker.Link, stream *linker.Stream)
+}
+
+// Name implements [registrar.Service].
+func (s *linkService) Name() string { return linkName }
+
+// Needs implements [registrar.Service].
+func (s *linkService) Needs() []string { return []string{replicaName} }
+
+// Start implements [registrar.Service].
+func (s *linkService) Start(_ context.Context, kernel *registrar.Registrar) error {
+	running, err := registrar.Find[*replicaService](kernel, replicaName)
+	if err != nil {
+		return err
+	}
+	s.replica = running.replica
+	s.receiver = newReceiver(s.part, s.replica)
+	s.server, err = linker.Listen(s.options.Network, s.settings.Listen, linker.Options{
+		Hello:   s.hello(),
+		Handler: s.handle,
+		Metrics: s.options.Metrics,
+	})
+	if err != nil {
+		return Error.New("field listen: %s can't be used (another process may have it): %w", s.settings.Listen, err)
+	}
+	return nil
+}
+
+func (s *linkService) handle(ctx context.Context, link *linker.Link, stream *linker.Stream) {
+	switch stream.Kind() {
+	case messenger.KindReplica:
+		s.replica.Handle(ctx, link, stream)
+	case messenger.KindHeartbeat, messenger.KindReport:
+		s.receiver.Handle(ctx, link, stream)
+	default:
+		s.options.Metrics.GetOrCreateCounter(`marigold_control_refusals_total{reason="kind"}`).Inc()
+	}
+}
+
+// Stop implements [registrar.Service].
+func (s *linkService) Stop(context.Context) error {
+	return s.server.Close()
+}
--- /dev/null
+++ b/control/journaler/identity.go
@@ -0,0 +1,109 @@
+package journaler
+
+import (
+	"path/filepath"
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"marigoldhill/kernel/messenger"
+)
+
+const identityName = "identity"
+
+// Identity says whose data folder it is. It is written once, when the folder is
+// first used.
+type Identity struct {
+	Cluster string
+	Name    string
+	// Incarnation is a random number of this data folder. A replica that lost
+	// its folder gets another, so that it is never taken for the old one.
+	Incarnation uint64
+	// Founders are the members that founded the group; empty for a replica that
+	// joined later.
+	Founders []messenger.Member
+	// Join says that the replica joined later.
+	Join bool
+}
+
+// loadIdentity reads the identity, or writes the wanted one to an empty folder.
+func (j *Journal) loadIdentity(names []string, wanted Identity) (*Identity, error) {
+	path := filepath.Join(j.folder, identityName)
+	if !slices.Contains(names, identityName) {
+		if slices.ContainsFunc(names, isState) {
+			return nil, Error.New("%w: %s is missing, but the log is there "+
+				"(restore the whole folder, or empty it and join as a new member)", ErrCorrupt, path)
+		}
+		return &wanted, j.writeFile(identityName, &wanted)
+	}
+	data, err := j.disk.Read(path)
+	if err != nil {
+		return nil, Error.New("reading %s: %w", path, err)
+	}
+	identity := &Identity{}
+	if err := decodeFile(data, identity); err != nil {
+		return nil, Error.New("%s (empty the folder and join as a new member): %w", path, err)
+	}
+	if identity.Cluster != wanted.Cluster || identity.Name != wanted.Name {
+		return nil, Error.New("%w: %s is of replica %q in cluster %q, the settings say %q in %q",
+			ErrIdentity, j.folder, identity.Name, identity.Cluster, wanted.Name, wanted.Cluster)
+	}
+	return identity, nil
+}
+
+// decodeFile decodes a file that holds one record.
+func decodeFile(data []byte, value any) error {
+	_, payload, whole := splitRecord(data)
+	if !whole || len(payload)+headerLength != len(data) {
+		return Error.New("%w: wrong length or checksum", ErrCorrupt)
+	}
+	if err := msgpack.Unmarshal(payload, value); err != nil {
+		return Error.New("%w: %w", ErrCorrupt, err)
+	}
+	return nil
+}
+
+// writeFile writes a file with one record, so that after a crash it is there
+// whole or not at all.
+func (j *Journal) writeFile(name string, value any) error {
+	data, err := encodeRecord(1, value)
+	if err != nil {
+		return err
+	}
+	file, err := j.createWith(name, data)
+	if err != nil {
+		return err
+	}
+	if err := file.Close(); err != nil {
+		return writeError(filepath.Join(j.folder, name), err)
+	}
+	return nil
+}
+
+// createWith writes and syncs a new file under another name, gives it its name
+// and leaves it open.
+func (j *Journal) createWith(name string, data []byte) (File, error) {
+	path := filepath.Join(j.folder, name)
+	file, err := j.disk.Create(path + unfinished)
+	if err != nil {
+		return nil, writeError(path, err)
+	}
+	if err := j.finish(file, path, data); err != nil {
+		_ = file.Close()
+		return nil, writeError(path, err)
+	}
+	return file, nil
+}
+
+func (j *Journal) finish(file File, path string, data []byte) error {
+	if _, err := file.Write(data); err != nil {
+		return err
+	}
+	if err := file.Sync(); err != nil {
+		return err
+	}
+	if err := j.disk.Rename(path+unfinished, path); err != nil {
+		return err
+	}
+	return j.disk.SyncFolder(j.folder)
+}
--- a/control/main.go
+++ b/control/main.go
@@ -1,4 +1,12 @@
 // Command marigold-control is described in man/marigold-control.1.md.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"marigoldhill/control/commander"
+)
+
+func main() {
+	os.Exit(commander.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/control/replicator/input.go
@@ -0,0 +1,197 @@
+package replicator
+
+import (
+	"context"
+
+	"marigoldhill/control/elector"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/timer"
+)
+
+// input is what the control goroutine takes: one of the types of this file.
+type input interface {
+	input()
+}
+
+// messageInput is a message of another replica, which listens at address.
+type messageInput struct {
+	address string
+	message elector.Message
+}
+
+// proposeInput is a command that somebody waits for.
+type proposeInput struct {
+	command []byte
+	reply   chan outcome
+}
+
+// queryInput is a question to the machine.
+type queryInput struct {
+	query any
+	reply chan any
+}
+
+// addInput, removeInput and transferInput change the group.
+type addInput struct {
+	member messenger.Member
+	reply  chan outcome
+}
+
+type removeInput struct {
+	name  string
+	reply chan outcome
+}
+
+type transferInput struct {
+	name  string
+	reply chan outcome
+}
+
+func (messageInput) input()  {}
+func (proposeInput) input()  {}
+func (queryInput) input()    {}
+func (addInput) input()      {}
+func (removeInput) input()   {}
+func (transferInput) input() {}
+
+// outcome is what became of a proposal.
+type outcome struct {
+	proposal Proposal
+	err      error
+}
+
+// take handles one input. Commands are gathered; each other input comes after
+// the commands before it.
+func (r *Replica) take(next input) {
+	if propose, ok := next.(proposeInput); ok {
+		id := r.waiters.add(propose.reply)
+		r.commands = append(r.commands, elector.Command{ID: id, Data: propose.command})
+		return
+	}
+	r.flushCommands()
+	switch next := next.(type) {
+	case messageInput:
+		r.addresses[next.message.From] = next.address
+		r.step(elector.Received{Message: next.message})
+	case queryInput:
+		r.query(next)
+	case addInput:
+		r.addresses[next.member.Name] = next.member.Address
+		r.step(elector.AddMember{ID: r.waiters.add(next.reply), Member: next.member})
+	case removeInput:
+		r.step(elector.RemoveMember{ID: r.waiters.add(next.reply), Name: next.name})
+	case transferInput:
+		r.step(elector.Transfer{ID: r.waiters.add(next.reply), Name: next.name})
+	}
+}
+
+func (r *Replica) query(question queryInput) {
+	now := timer.Now()
+	answer, commands := r.options.Machine.Query(now, r.standingAt(now), question.query)
+	question.reply <- answer
+	r.proposeOwn(commands)
+}
+
+// submit hands an input to the control goroutine.
+func (r *Replica) submit(ctx context.Context, next input) error {
+	select {
+	case r.inputs <- next:
+		return nil
+	case <-ctx.Done():
+		return Error.New("nothing was proposed: %w", context.Cause(ctx))
+	case <-r.done:
+		return Error.New("nothing was proposed: %w", ErrStopped)
+	}
+}
+
+// await submits an input and waits for its outcome.
+func (r *Replica) await(ctx context.Context, next input, reply chan outcome) (Proposal, error) {
+	if err := r.submit(ctx, next); err != nil {
+		return Proposal{}, err
+	}
+	select {
+	case result := <-reply:
+		return result.proposal, result.err
+	case <-ctx.Done():
+		return Proposal{}, Error.New("%w: %w", ErrUnknownResult, context.Cause(ctx))
+	case <-r.done:
+	}
+	select {
+	case result := <-reply:
+		return result.proposal, result.err
+	default:
+		return Proposal{}, Error.New("%w: %w", ErrUnknownResult, ErrStopped)
+	}
+}
+
+// Propose replicates a command and waits until it is applied here. ErrNotLeader
+// and ErrStopped mean that it was not proposed; after ErrUnknownResult it may
+// still be committed.
+func (r *Replica) Propose(ctx context.Context, command []byte) (Proposal, error) {
+	reply := make(chan outcome, 1)
+	return r.await(ctx, proposeInput{command: command, reply: reply}, reply)
+}
+
+// Query asks the machine.
+func (r *Replica) Query(ctx context.Context, query any) (any, error) {
+	reply := make(chan any, 1)
+	if err := r.submit(ctx, queryInput{query: query, reply: reply}); err != nil {
+		return nil, err
+	}
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-ctx.Done():
+		return nil, Error.New("waiting for an answer: %w", context.Cause(ctx))
+	case <-r.done:
+		return nil, Error.New("waiting for an answer: %w", ErrStopped)
+	}
+}
+
+// AddMember adds a voting member once it has caught up and returns the log index
+// of the change.
+func (r *Replica) AddMember(ctx context.Context, member messenger.Member) (uint64, error) {
+	reply := make(chan outcome, 1)
+	proposal, err := r.await(ctx, addInput{member: member, reply: reply}, reply)
+	return proposal.Index, err
+}
+
+// RemoveMember removes a member and returns the log index of the change. A
+// leader that is asked to remove itself transfers leadership instead and returns
+// ErrNotLeader, so that the caller turns to the new one.
+func (r *Replica) RemoveMember(ctx context.Context, name string) (uint64, error) {
+	if name == r.options.Member.Name && r.Standing().Leading {
+		if err := r.TransferAny(ctx); err != nil {
+			return 0, err
+		}
+		return 0, Error.New("leadership was transferred first: %w", ErrNotLeader)
+	}
+	reply := make(chan outcome, 1)
+	proposal, err := r.await(ctx, removeInput{name: name, reply: reply}, reply)
+	return proposal.Index, err
+}
+
+// Transfer hands leadership to the member called name. It returns once this
+// replica does not lead any more.
+func (r *Replica) Transfer(ctx context.Context, name string) error {
+	reply := make(chan outcome, 1)
+	_, err := r.await(ctx, transferInput{name: name, reply: reply}, reply)
+	return err
+}
+
+// TransferAny hands leadership to the member that is furthest. It does nothing
+// when this replica does not lead or is the only member.
+func (r *Replica) TransferAny(ctx context.Context) error {
+	standing := r.Standing()
+	best, match := "", uint64(0)
+	for _, member := range standing.Members {
+		progress := standing.Progress[member.Name]
+		if member.Name != standing.Name && (best == "" || progress.Match > match) {
+			best, match = member.Name, progress.Match
+		}
+	}
+	if !standing.Leading || best == "" {
+		return nil
+	}
+	return r.Transfer(ctx, best)
+}
--- a/control/replicator/machine.go
+++ b/control/replicator/machine.go
@@ -2,8 +2,16 @@
 // owns the control state, with its log, its snapshots and its messages to the
 // other replicas.
 //
+// The control goroutine takes typed inputs from one channel and steps the
+// elector and the machine. A writer goroutine writes and syncs what they want
+// stored, all that has gathered in one go, and reports back; messages that rest
+// on a write wait for it. One goroutine a peer sends messages over a stream that
+// stays open; its queue is bounded and drops the oldest.
+//
 // # Usage
 //
+//	replica, err := replicator.New(replicator.Options{...})
+//	replica.Start()
 //	proposal, err := replica.Propose(ctx, command)
 //	answer, err := replica.Query(ctx, heartbeat)
 package replicator
--- /dev/null
+++ b/control/replicator/replica_test.go
@@ -0,0 +1,215 @@
+package replicator_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/control/journaler"
+	"marigoldhill/control/replicator"
+	"marigoldhill/kernel/disrupter"
+	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/logger"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/timer"
+)
+
+// ledger is a machine that keeps all commands in order.
+type ledger struct {
+	lines []string
+}
+
+func (l *ledger) Apply(_ uint64, command []byte) any {
+	l.lines = append(l.lines, string(command))
+	return len(l.lines)
+}
+
+func (l *ledger) Snapshot() ([]byte, error) {
+	return []byte(strings.Join(l.lines, "\n")), nil
+}
+
+func (l *ledger) Restore(_ uint64, snapshot []byte) error {
+	l.lines = nil
+	if len(snapshot) > 0 {
+		l.lines = strings.Split(string(snapshot), "\n")
+	}
+	return nil
+}
+
+func (l *ledger) Tick(timer.Instant, replicator.Standing) [][]byte { return nil }
+
+func (l *ledger) Query(_ timer.Instant, _ replicator.Standing, query any) (any, [][]byte) {
+	return len(l.lines), nil
+}
+
+// host is one VM with a replica.
+type host struct {
+	name    string
+	folder  string
+	replica *replicator.Replica
+	ledger  *ledger
+	journal *journaler.Journal
+	pool    *linker.Pool
+	server  *linker.Server
+}
+
+// group is a control group over an in-memory network.
+type group struct {
+	t       *testing.T
+	world   *disrupter.World
+	folder  string
+	hosts   map[string]*host
+	members []messenger.Member
+	entries int
+}
+
+func member(name string) messenger.Member {
+	return messenger.Member{Name: name, Address: name + ":7000"}
+}
+
+func newGroup(t *testing.T, names ...string) *group {
+	g := &group{
+		t:       t,
+		world:   disrupter.New(time.Millisecond),
+		folder:  t.TempDir(),
+		hosts:   make(map[string]*host),
+		entries: 50,
+	}
+	for _, name := range names {
+		g.members = append(g.members, member(name))
+	}
+	for _, name := range names {
+		g.start(name, false)
+	}
+	return g
+}
+
+// start starts a replica on its data folder, which is made if need be.
+func (g *group) start(name string, join bool) *host {
+	h := &host{name: name, folder: filepath.Join(g.folder, name), ledger: &ledger{}}
+	qt.Assert(g.t, os.MkdirAll(h.folder, 0o700), qt.IsNil)
+	identity := journaler.Identity{Cluster: "test", Name: name, Incarnation: uint64(time.Now().UnixNano()), Join: join}
+	if !join {
+		identity.Founders = g.members
+	}
+	var stored *journaler.Stored
+	var err error
+	h.journal, stored, err = journaler.Open(journaler.OS{}, h.folder, identity)
+	qt.Assert(g.t, err, qt.IsNil)
+	hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleControl, Name: name}
+	h.pool = linker.NewPool(g.world.Node(name), linker.Options{Hello: hello})
+	h.replica, err = replicator.New(replicator.Options{
+		Member:          member(name),
+		Machine:         h.ledger,
+		Journal:         h.journal,
+		Stored:          stored,
+		Opener:          h.pool,
+		Log:             logger.Discard(),
+		Seed:            uint64(len(g.hosts)) + 1,
+		SnapshotEntries: g.entries,
+		TailEntries:     10,
+	})
+	qt.Assert(g.t, err, qt.IsNil)
+	h.server, err = linker.Listen(g.world.Node(name), name+":7000", linker.Options{Hello: hello, Handler: h.replica.Handle})
+	qt.Assert(g.t, err, qt.IsNil)
+	h.replica.Start()
+	g.hosts[name] = h
+	return h
+}
+
+// stop ends a replica; what it has synced stays.
+func (g *group) stop(name string) {
+	h := g.hosts[name]
+	delete(g.hosts, name)
+	g.world.Crash(name)
+	h.replica.Stop()
+	h.pool.Close()
+	_ = h.server.Close()
+	_ = h.journal.Close()
+}
+
+func (g *group) stopAll() {
+	for name := range g.hosts {
+		g.stop(name)
+	}
+}
+
+// leader waits until a replica other than those in except leads.
+func (g *group) leader(except ...string) *host {
+	g.t.Helper()
+	for range 400 {
+		for name, h := range g.hosts {
+			if h.replica.Standing().Confirmed && !strings.Contains(strings.Join(except, " "), name) {
+				return h
+			}
+		}
+		time.Sleep(replicator.TickInterval)
+	}
+	g.t.Fatal("no leader within 10 s")
+	return nil
+}
+
+// propose proposes at h and returns the error.
+func (g *group) propose(h *host, command string) error {
+	ctx, cancel := context.WithTimeout(g.t.Context(), 5*time.Second)
+	defer cancel()
+	_, err := h.replica.Propose(ctx, []byte(command))
+	return err
+}
+
+// settle waits until all replicas have applied what the leader has.
+func (g *group) settle(want int) {
+	g.t.Helper()
+	time.Sleep(3 * time.Second)
+	for name, h := range g.hosts {
+		count, err := h.replica.Query(g.t.Context(), nil)
+		qt.Assert(g.t, err, qt.IsNil)
+		qt.Check(g.t, count, qt.Equals, want, qt.Commentf("replica %s", name))
+	}
+}
+
+func TestElectAndCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, "a", "b", "c")
+		defer g.stopAll()
+		leader := g.leader()
+		for i := range 10 {
+			qt.Assert(t, g.propose(leader, fmt.Sprint(i)), qt.IsNil)
+		}
+		for name, h := range g.hosts {
+			if name != leader.name {
+				err := g.propose(h, "no")
+				qt.Check(t, errors.Is(err, replicator.ErrNotLeader), qt.IsTrue, qt.Commentf("got %v", err))
+			}
+		}
+		g.settle(10)
+	})
+}
+
+func TestLeaderLostAndRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, "a", "b", "c")
+		defer g.stopAll()
+		first := g.leader()
+		for i := range 120 {
+			qt.Assert(t, g.propose(first, fmt.Sprint(i)), qt.IsNil)
+		}
+		lost := time.Now()
+		g.stop(first.name)
+		second := g.leader()
+		qt.Check(t, time.Since(lost) <= 900*time.Millisecond, qt.IsTrue, qt.Commentf("election took %v", time.Since(lost)))
+		for i := range 120 {
+			qt.Assert(t, g.propose(second, fmt.Sprint(i)), qt.IsNil)
+		}
+		g.start(first.name, false)
+		g.settle(240)
+	})
+}
