Run the real state machine, receiver and operator interface

Change: supervisor, receiver and administrator are wired in; /metrics shows the process as well; a stopping leader hands over only to a member that answers.

--- a/control/assembler/link.go
+++ b/control/assembler/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"marigoldhill/control/receiver"
 	"marigoldhill/control/replicator"
 	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/messenger"
@@ -13,15 +14,10 @@
 type linkService struct {
 	part
 	replica  *replicator.Replica
-	receiver streamHandler
+	receiver *receiver.Receiver
 	server   *linker.Server
 }
 
-// streamHandler serves the streams of routers.
-type streamHandler interface {
-	Handle(ctx context.Context, link *linker.Link, stream *linker.Stream)
-}
-
 // Name implements [registrar.Service].
 func (s *linkService) Name() string { return linkName }
 
@@ -35,7 +31,7 @@
 		return err
 	}
 	s.replica = running.replica
-	s.receiver = newReceiver(s.part, s.replica)
+	s.receiver = receiver.New(s.replica, receiver.Options{Log: s.options.Log, Metrics: s.options.Metrics})
 	s.server, err = linker.Listen(s.options.Network, s.settings.Listen, linker.Options{
 		Hello:   s.hello(),
 		Handler: s.handle,
--- a/control/assembler/operator.go
+++ b/control/assembler/operator.go
@@ -8,6 +8,9 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
+	"marigoldhill/control/administrator"
 	"marigoldhill/control/replicator"
 	"marigoldhill/kernel/registrar"
 )
@@ -65,12 +68,14 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", s.serveMetrics)
 	mux.HandleFunc("GET /health", s.serveHealth)
-	mux.Handle("/", newAdministrator(s.part, s.replica))
+	administrate := administrator.New(s.replica, administrator.Options{Log: s.options.Log, Metrics: s.options.Metrics})
+	mux.Handle("/", administrate.Handler())
 	return mux
 }
 
 func (s *operatorService) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	s.options.Metrics.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
 }
 
 // Health is the answer to GET /health.
--- a/control/assembler/replica.go
+++ b/control/assembler/replica.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"marigoldhill/control/replicator"
+	"marigoldhill/control/supervisor"
 	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/registrar"
@@ -31,7 +32,7 @@
 	s.pool = linker.NewPool(s.options.Network, linker.Options{Hello: s.hello(), Metrics: s.options.Metrics})
 	s.replica, err = replicator.New(replicator.Options{
 		Member:  s.settings.member(),
-		Machine: newMachine(s.part),
+		Machine: s.machine(),
 		Journal: journal.journal,
 		Stored:  journal.stored,
 		Opener:  s.pool,
@@ -46,6 +47,15 @@
 	return nil
 }
 
+// machine is the state machine of the control group.
+func (s *replicaService) machine() replicator.Machine {
+	return supervisor.New(supervisor.Options{
+		Cluster: s.settings.Cluster,
+		Log:     s.options.Log,
+		Metrics: s.options.Metrics,
+	})
+}
+
 // handOver hands leadership to another member, if this one leads.
 func (s *replicaService) handOver(ctx context.Context) {
 	if s.replica == nil {
--- a/control/replicator/input.go
+++ b/control/replicator/input.go
@@ -179,19 +179,29 @@
 	return err
 }
 
-// TransferAny hands leadership to the member that is furthest. It does nothing
-// when this replica does not lead or is the only member.
+// TransferAny hands leadership to the member that is furthest of those that
+// answered lately. It does nothing when this replica does not lead or no other
+// member answers.
 func (r *Replica) TransferAny(ctx context.Context) error {
 	standing := r.Standing()
+	target := successor(standing, timer.Now())
+	if !standing.Leading || target == "" {
+		return nil
+	}
+	return r.Transfer(ctx, target)
+}
+
+// successor is the member that is best suited to take over, or empty.
+func successor(standing Standing, now timer.Instant) string {
 	best, match := "", uint64(0)
 	for _, member := range standing.Members {
 		progress := standing.Progress[member.Name]
-		if member.Name != standing.Name && (best == "" || progress.Match > match) {
+		if member.Name == standing.Name || now.Since(progress.Heard) >= messenger.ElectionTimeMin {
+			continue
+		}
+		if best == "" || progress.Match > match {
 			best, match = member.Name, progress.Match
 		}
 	}
-	if !standing.Leading || best == "" {
-		return nil
-	}
-	return r.Transfer(ctx, best)
+	return best
 }
