--- a/operator/cmd_profile_apply.go
+++ b/operator/cmd_profile_apply.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/profiler"
 )
 
 type profileApply struct {
@@ -12,7 +12,7 @@
 
 // Run implements the command.
 func (a *profileApply) Run(ctx context.Context, e *environment) error {
-	document, err := load[messenger.Profile](a.source)
+	document, err := load(a.source, profiler.ParseProfile)
 	if err != nil {
 		return err
 	}
--- a/operator/cmd_service_apply.go
+++ b/operator/cmd_service_apply.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/profiler"
 )
 
 type serviceApply struct {
@@ -12,7 +12,7 @@
 
 // Run implements the command.
 func (a *serviceApply) Run(ctx context.Context, e *environment) error {
-	document, err := load[messenger.Service](a.source)
+	document, err := load(a.source, profiler.ParseService)
 	if err != nil {
 		return err
 	}
--- a/operator/document.go
+++ b/operator/document.go
@@ -11,7 +11,6 @@
 
 	"github.com/goccy/go-yaml"
 
-	"marigoldhill/kernel/parser"
 	"marigoldhill/operator/printer"
 	"marigoldhill/operator/requester"
 )
@@ -34,14 +33,17 @@
 	force bool
 }
 
+// parse reads a T from YAML; file stands for the data in mistakes.
+type parse[T any] func(file string, data []byte) (*T, error)
+
 // load reads and checks a document.
-func load[T any](source source) (document[T], error) {
+func load[T any](source source, parse parse[T]) (document[T], error) {
 	var none document[T]
 	data, err := readSource(source.File)
 	if err != nil {
 		return none, err
 	}
-	value, err := parser.Bytes[T](source.File, data)
+	value, err := parse(source.File, data)
 	if err != nil {
 		return none, Error.New("%w", err)
 	}
