Run a whole cluster in one process, and serve the first requests

Cause: nobody could see a request pass through the real programs. The lists of the command line show revisions.

--- /dev/null
+++ b/bench/cmd_playground.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"marigoldhill/bench/launcher"
+	"marigoldhill/kernel/logger"
+)
+
+// readyTimeout bounds the start of a playground.
+const readyTimeout = 60 * time.Second
+
+func cmdPlayground() command {
+	return command{name: "playground", help: "Run a whole cluster in one process.", action: &playgroundAction{}}
+}
+
+// playgroundAction runs a cluster until it is interrupted.
+type playgroundAction struct {
+	Port     int           `help:"First port; the parts use ports above it." default:"7100"`
+	Data     string        `help:"Folder for the control replicas' state and the logs; a temporary one unless given." type:"path"`
+	Controls int           `help:"Number of control replicas." default:"3"`
+	Routers  int           `help:"Number of routers with stand-in servers." default:"4"`
+	Domains  int           `help:"Number of failure domains." default:"3"`
+	Plan     string        `help:"Configuration: playground, derwent or kgotso." enum:"playground,derwent,kgotso" default:"playground"`
+	Work     time.Duration `help:"Time that the stand-in servers take for a request." default:"5ms"`
+}
+
+// Run implements the command.
+func (a *playgroundAction) Run(ctx context.Context) error {
+	settings, err := a.settings()
+	if err != nil {
+		return err
+	}
+	if a.Data == "" {
+		defer func() { _ = os.RemoveAll(settings.Data) }()
+	}
+	cluster, err := launcher.New(settings)
+	if err != nil {
+		return Error.New("preparing the playground: %w", err)
+	}
+	starting, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := cluster.Start(starting); err != nil {
+		return Error.New("starting the playground: %w", err)
+	}
+	for _, part := range cluster.Parts() {
+		fmt.Printf("%-8s %-4s %s\n", part.Role, part.Name, part.URL)
+	}
+	fmt.Println("ready")
+	<-ctx.Done()
+
+	stopping, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := cluster.Stop(stopping); err != nil {
+		return Error.New("stopping the playground: %w", err)
+	}
+	fmt.Println("stopped")
+	return nil
+}
+
+func (a *playgroundAction) settings() (launcher.Settings, error) {
+	var none launcher.Settings
+	plan, err := a.plan()
+	if err != nil {
+		return none, Error.New("reading the plan: %w", err)
+	}
+	data := a.Data
+	if data == "" {
+		if data, err = os.MkdirTemp("", "marigold-playground-"); err != nil {
+			return none, Error.New("making the data folder: %w", err)
+		}
+	}
+	if err := os.MkdirAll(data, 0o755); err != nil {
+		return none, Error.New("making the data folder: %w", err)
+	}
+	file, err := os.OpenFile(filepath.Join(data, "playground.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return none, Error.New("opening the log: %w", err)
+	}
+	settings := launcher.Defaults(plan, data)
+	settings.Port = a.Port
+	settings.Controls = a.Controls
+	settings.Server.Work = a.Work
+	settings.Log = func(role, name string) *logger.Log {
+		return logger.New(file, logger.FormatText, role, name)
+	}
+	return settings, nil
+}
+
+// plan is the chosen plan; the flags change the small one only.
+func (a *playgroundAction) plan() (launcher.Plan, error) {
+	switch a.Plan {
+	case "derwent":
+		return launcher.Derwent()
+	case "kgotso":
+		return launcher.Kgotso()
+	}
+	plan, err := launcher.Playground()
+	if err != nil {
+		return plan, err
+	}
+	plan.Domains = a.Domains
+	plan.Servers[0].Count = a.Routers
+	return plan, nil
+}
--- /dev/null
+++ b/bench/launcher/launcher.go
@@ -0,0 +1,188 @@
+// Package launcher runs a whole cluster in one process: the replicas of the
+// control group, routers in failure domains and a stand-in backend server beside
+// each router. Each of them can be stopped, killed and started again.
+//
+// # Usage
+//
+//	plan, err := launcher.Playground()
+//	cluster, err := launcher.New(launcher.Defaults(plan, folder))
+//	err = cluster.Start(ctx) // returns once requests are served
+//	defer cluster.Stop(ctx)
+//	for _, part := range cluster.Parts() {
+//		fmt.Println(part.Role, part.Name, part.URL)
+//	}
+//
+// Tests put an in-memory network in place of TCP by Settings.Network.
+package launcher
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+
+	"github.com/zeebo/errs"
+
+	"marigoldhill/bench/responder"
+	control "marigoldhill/control/assembler"
+	"marigoldhill/kernel/logger"
+	"marigoldhill/kernel/networker"
+	router "marigoldhill/router/assembler"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("launcher")
+
+// Settings describe a cluster.
+type Settings struct {
+	Plan Plan
+	// Controls is the number of control replicas.
+	Controls int
+	// Port is the first port; see port.go for the layout.
+	Port int
+	// Data is the folder of the control replicas' state.
+	Data string
+	// Host returns the host part of the addresses of a VM.
+	Host func(node string) string
+	// Network returns the network as a VM sees it.
+	Network func(node string) networker.Network
+	// Log returns the log of a process.
+	Log func(role, name string) *logger.Log
+	// Server is the pattern for the stand-in servers; Name, Service, Listen and
+	// Router are filled in.
+	Server responder.Settings
+}
+
+// Defaults returns settings for loopback TCP with three control replicas and no
+// logs.
+func Defaults(plan Plan, data string) Settings {
+	return Settings{
+		Plan:     plan,
+		Controls: 3,
+		Port:     DefaultPort,
+		Data:     data,
+		Host:     func(string) string { return "127.0.0.1" },
+		Network:  func(string) networker.Network { return networker.TCP{} },
+		Log:      func(string, string) *logger.Log { return logger.Discard() },
+		Server:   responder.Defaults(),
+	}
+}
+
+// Cluster is a running cluster.
+type Cluster struct {
+	Controls []*Node[*control.Process]
+	Routers  []*Node[*router.Process]
+	// Servers has the stand-in server beside each router, in the same order.
+	Servers []*responder.Server
+
+	settings Settings
+	client   *http.Client
+}
+
+// New puts a cluster together.
+func New(settings Settings) (*Cluster, error) {
+	if settings.Controls < 1 || settings.Controls > maxControls {
+		return nil, Error.New("the number of control replicas must be 1 to %d", maxControls)
+	}
+	if count := settings.serverCount(); count < 1 || count > maxRouters {
+		return nil, Error.New("the number of routers must be 1 to %d", maxRouters)
+	}
+	cluster := &Cluster{settings: settings, client: newClient(settings.Network(callerNode))}
+	for i := range settings.Controls {
+		cluster.Controls = append(cluster.Controls, settings.newControl(i))
+	}
+	for _, row := range settings.Plan.Servers {
+		for range row.Count {
+			i := len(cluster.Routers)
+			cluster.Routers = append(cluster.Routers, settings.newRouter(i))
+			cluster.Servers = append(cluster.Servers, settings.newServer(i, row.Service))
+		}
+	}
+	return cluster, nil
+}
+
+func (s Settings) serverCount() int {
+	sum := 0
+	for _, row := range s.Plan.Servers {
+		sum += row.Count
+	}
+	return sum
+}
+
+// Start starts all parts, applies the plan and returns once every shard has an
+// owner and a request was served for each service. When it fails, it stops what
+// was started.
+func (c *Cluster) Start(ctx context.Context) error {
+	if err := c.start(ctx); err != nil {
+		return errors.Join(err, c.Stop(context.WithoutCancel(ctx)))
+	}
+	return nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	for _, node := range c.Controls {
+		if err := node.Start(ctx); err != nil {
+			return err
+		}
+	}
+	for _, node := range c.Routers {
+		if err := node.Start(ctx); err != nil {
+			return err
+		}
+	}
+	// The plan is applied first: a service that is announced unknown gets a
+	// default configuration.
+	if err := c.configure(ctx); err != nil {
+		return err
+	}
+	for _, server := range c.Servers {
+		if err := server.Start(ctx); err != nil {
+			return Error.New("starting a stand-in server: %w", err)
+		}
+	}
+	if err := c.AwaitOwned(ctx); err != nil {
+		return err
+	}
+	return c.probe(ctx)
+}
+
+// Stop stops all parts: the servers at once, since the whole cluster ends, then
+// the routers, then the control replicas.
+func (c *Cluster) Stop(ctx context.Context) error {
+	var failures error
+	for _, server := range c.Servers {
+		server.Kill()
+	}
+	for _, node := range slices.Backward(c.Routers) {
+		failures = errors.Join(failures, node.Stop(ctx))
+	}
+	for _, node := range slices.Backward(c.Controls) {
+		failures = errors.Join(failures, node.Stop(ctx))
+	}
+	c.client.CloseIdleConnections()
+	return failures
+}
+
+// Part is one part of the cluster as it is shown to people.
+type Part struct {
+	Role string `json:"role"`
+	Name string `json:"name"`
+	// URL is the operator interface of a control replica, the caller interface
+	// of a router, or the base URL of a stand-in server.
+	URL string `json:"url"`
+}
+
+// Parts lists all parts.
+func (c *Cluster) Parts() []Part {
+	var parts []Part
+	for _, node := range c.Controls {
+		parts = append(parts, Part{Role: "control", Name: node.Name(), URL: node.Process().OperatorURL()})
+	}
+	for _, node := range c.Routers {
+		parts = append(parts, Part{Role: "router", Name: node.Name(), URL: node.Process().CallerURL()})
+	}
+	for _, server := range c.Servers {
+		parts = append(parts, Part{Role: "server", Name: server.Name(), URL: server.URL()})
+	}
+	return parts
+}
--- a/bench/responder/responder.go
+++ b/bench/responder/responder.go
@@ -202,6 +202,7 @@
 	}
 	close(life.done)
 	_ = life.http.Close()
+	s.client.CloseIdleConnections()
 	if revive && s.settings.Revive > 0 {
 		s.revival = time.AfterFunc(s.settings.Revive, s.revive)
 	}
--- a/operator/cmd_profile.go
+++ b/operator/cmd_profile.go
@@ -27,16 +27,17 @@
 	return pathProfiles + "/" + url.PathEscape(name)
 }
 
-func profileColumns() []printer.Column[messenger.Profile] {
-	type row = messenger.Profile
+func profileColumns() []printer.Column[messenger.Listed[messenger.Profile]] {
+	type row = messenger.Listed[messenger.Profile]
 	return []printer.Column[row]{
-		{Title: "profile", Cell: func(r row) string { return r.Name }},
-		{Title: "class", Cell: func(r row) string { return string(r.Class) }},
-		{Title: "idempotent", Cell: func(r row) string { return strconv.FormatBool(r.Idempotent) }},
-		{Title: "deadline", Cell: func(r row) string { return printer.Duration(r.Deadline) }},
-		{Title: "retries", Cell: func(r row) string { return strconv.Itoa(r.Retries) }},
-		{Title: "queue", Cell: func(r row) string { return strconv.Itoa(r.Queue) }},
-		{Title: "share", Cell: func(r row) string { return strconv.FormatFloat(r.Share, 'g', -1, 64) }},
-		{Title: "weight", Cell: func(r row) string { return strconv.Itoa(r.Weight) }},
+		{Title: "profile", Cell: func(r row) string { return r.Value.Name }},
+		{Title: "revision", Cell: func(r row) string { return strconv.FormatUint(r.Revision, 10) }},
+		{Title: "class", Cell: func(r row) string { return string(r.Value.Class) }},
+		{Title: "idempotent", Cell: func(r row) string { return strconv.FormatBool(r.Value.Idempotent) }},
+		{Title: "deadline", Cell: func(r row) string { return printer.Duration(r.Value.Deadline) }},
+		{Title: "retries", Cell: func(r row) string { return strconv.Itoa(r.Value.Retries) }},
+		{Title: "queue", Cell: func(r row) string { return strconv.Itoa(r.Value.Queue) }},
+		{Title: "share", Cell: func(r row) string { return strconv.FormatFloat(r.Value.Share, 'g', -1, 64) }},
+		{Title: "weight", Cell: func(r row) string { return strconv.Itoa(r.Value.Weight) }},
 	}
 }
--- a/operator/cmd_service.go
+++ b/operator/cmd_service.go
@@ -27,17 +27,18 @@
 	return pathServices + "/" + url.PathEscape(name)
 }
 
-func definitionColumns() []printer.Column[messenger.Service] {
-	type row = messenger.Service
+func definitionColumns() []printer.Column[messenger.Listed[messenger.Service]] {
+	type row = messenger.Listed[messenger.Service]
 	return []printer.Column[row]{
-		{Title: "service", Cell: func(r row) string { return r.Name }},
-		{Title: "shards", Cell: func(r row) string { return strconv.FormatUint(uint64(r.Shards), 10) }},
-		{Title: "unavailable", Cell: func(r row) string { return strconv.Itoa(r.Unavailable) }},
-		{Title: "imbalance", Cell: func(r row) string { return strconv.Itoa(r.Imbalance) }},
-		{Title: "churn", Cell: func(r row) string { return strconv.Itoa(r.Churn) }},
-		{Title: "recorders", Cell: func(r row) string { return strconv.Itoa(r.Recorders) }},
-		{Title: "retention", Cell: func(r row) string { return printer.Duration(r.Retention) }},
-		{Title: "routes", Cell: func(r row) string { return routesText(r.Routes) }},
+		{Title: "service", Cell: func(r row) string { return r.Value.Name }},
+		{Title: "revision", Cell: func(r row) string { return strconv.FormatUint(r.Revision, 10) }},
+		{Title: "shards", Cell: func(r row) string { return strconv.FormatUint(uint64(r.Value.Shards), 10) }},
+		{Title: "unavailable", Cell: func(r row) string { return strconv.Itoa(r.Value.Unavailable) }},
+		{Title: "imbalance", Cell: func(r row) string { return strconv.Itoa(r.Value.Imbalance) }},
+		{Title: "churn", Cell: func(r row) string { return strconv.Itoa(r.Value.Churn) }},
+		{Title: "recorders", Cell: func(r row) string { return strconv.Itoa(r.Value.Recorders) }},
+		{Title: "retention", Cell: func(r row) string { return printer.Duration(r.Value.Retention) }},
+		{Title: "routes", Cell: func(r row) string { return routesText(r.Value.Routes) }},
 	}
 }
 
--- a/operator/cmd_service_list.go
+++ b/operator/cmd_service_list.go
@@ -12,7 +12,7 @@
 
 // Run implements the command.
 func (*serviceList) Run(ctx context.Context, e *environment) error {
-	got, err := requester.Get[[]messenger.Service](ctx, e.requester, pathServices)
+	got, err := requester.Get[[]messenger.Listed[messenger.Service]](ctx, e.requester, pathServices)
 	if err != nil {
 		return Error.New("listing services: %w", err)
 	}
--- a/operator/fake_test.go
+++ b/operator/fake_test.go
@@ -33,9 +33,9 @@
 		})
 	}
 	answer("/v1/status", sampleStatus())
-	answer("/v1/profiles", []messenger.Profile{sampleProfile()})
+	answer("/v1/profiles", []messenger.Listed[messenger.Profile]{{Revision: 17, Value: sampleProfile()}})
 	answer("/v1/profiles/lookup", sampleProfile())
-	answer("/v1/services", []messenger.Service{sampleService()})
+	answer("/v1/services", []messenger.Listed[messenger.Service]{{Revision: 17, Value: sampleService()}})
 	answer("/v1/services/findings", sampleService())
 	answer("/v1/explain", sampleExplanation())
 	answer("/v1/events", sampleExplanation().History)
