Give the stand-ins a disk seam and a watch on runs

Cause: the fault matrix must crash disks without the operating system's and must know what ran where. Conclusion: the matrix can be driven.

--- a/bench/launcher/build.go
+++ b/bench/launcher/build.go
@@ -11,6 +11,7 @@
 
 	"marigoldhill/bench/responder"
 	control "marigoldhill/control/assembler"
+	"marigoldhill/control/journaler"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
 	"marigoldhill/kernel/parser"
@@ -83,11 +84,13 @@
 		Members:  s.members(),
 	}
 	build := func(network networker.Network) (*control.Process, error) {
-		if err := os.MkdirAll(settings.Data, 0o755); err != nil {
-			return nil, Error.New("making the data folder: %w", err)
+		disk, err := s.disk(name, settings.Data)
+		if err != nil {
+			return nil, err
 		}
 		return control.New(settings, control.Options{
 			Network: network,
+			Disk:    disk,
 			Log:     s.Log("control", name),
 			Metrics: metrics.NewSet(),
 		})
@@ -95,6 +98,17 @@
 	return &Node[*control.Process]{name: name, network: s.Network(name), build: build}
 }
 
+// disk returns the disk of a control VM, nil for that of the operating system.
+func (s Settings) disk(node, folder string) (journaler.Disk, error) {
+	if s.Disk != nil {
+		return s.Disk(node), nil
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, Error.New("making the data folder: %w", err)
+	}
+	return nil, nil
+}
+
 func (s Settings) newRouter(i int) *Node[*router.Process] {
 	name := routerName(i)
 	settings := router.Settings{
--- a/bench/launcher/launcher.go
+++ b/bench/launcher/launcher.go
@@ -25,6 +25,7 @@
 
 	"marigoldhill/bench/responder"
 	control "marigoldhill/control/assembler"
+	"marigoldhill/control/journaler"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/networker"
 	router "marigoldhill/router/assembler"
@@ -46,6 +47,9 @@
 	Host func(node string) string
 	// Network returns the network as a VM sees it.
 	Network func(node string) networker.Network
+	// Disk returns the disk of a control VM as a process that starts now sees
+	// it; nil is the file system of the operating system.
+	Disk func(node string) journaler.Disk
 	// Log returns the log of a process.
 	Log func(role, name string) *logger.Log
 	// Server is the pattern for the stand-in servers; Name, Service, Listen and
--- a/bench/responder/settings.go
+++ b/bench/responder/settings.go
@@ -1,6 +1,9 @@
 package responder
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // Report says how a stand-in server reports its load or health.
 type Report string
@@ -44,6 +47,9 @@
 	Revive time.Duration
 	// Lag is the age of the load and health that are reported.
 	Lag time.Duration
+	// Watch, unless nil, is called when a request starts to run; the function
+	// that it returns, when the run has ended.
+	Watch func(request *http.Request) func()
 	// Load and Health say how truthful the reports are.
 	Load   Report
 	Health Report
--- a/bench/responder/worker.go
+++ b/bench/responder/worker.go
@@ -16,6 +16,8 @@
 )
 
 const (
+	// HeaderSend tells the sends of one request apart; it is echoed in Result.
+	HeaderSend = "Bench-Send"
 	// RouteCrash is the route of requests that crash the server.
 	RouteCrash = "crash"
 	// coldFactor is how much longer work takes at the very start.
@@ -33,6 +35,8 @@
 	Route  string `json:"route"`
 	// Number is the Idempotency-Key of the request.
 	Number string `json:"number"`
+	// Send is the caller's HeaderSend.
+	Send string `json:"send,omitempty"`
 	// Runs is how often the request with this key and number ran here.
 	Runs  int    `json:"runs"`
 	Fence uint64 `json:"fence"`
@@ -80,6 +84,9 @@
 	if refusal := w.check(order); refusal != "" {
 		return refuse(c, refusal)
 	}
+	if watch := w.server.settings.Watch; watch != nil {
+		defer watch(c.Request())()
+	}
 	runs := w.server.ledger.Add(order.run)
 	if order.route == RouteCrash {
 		w.server.Crash()
@@ -101,7 +108,8 @@
 	w.server.gate.passContext(ctx)
 	result := Result{
 		Server: w.server.settings.Name, Key: order.run.Key, Route: order.route,
-		Number: order.run.Number, Runs: runs, Fence: order.fence, Received: received,
+		Number: order.run.Number, Send: c.Request().Header.Get(HeaderSend),
+		Runs: runs, Fence: order.fence, Received: received,
 		Padding: strings.Repeat("x", order.size),
 	}
 	body, err := json.Marshal(result)
