Test the forwarder and the retrier under faults

Cause: the entry side had only its straight path tested.

One fault found: after the deadline the owner was still asked for the outcome.

--- a/router/forwarder/harness_test.go
+++ b/router/forwarder/harness_test.go
@@ -3,15 +3,16 @@
 import (
 	"context"
 	"io"
-	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 
+	"marigoldhill/kernel/disrupter"
 	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
@@ -26,67 +27,11 @@
 	otherSession = 12
 )
 
-// pipes is a network of net.Pipe connections. Wrap changes each connection
-// that is dialled.
-type pipes struct {
-	mu        sync.Mutex
-	listeners map[string]*pipeListener
-	wrap      func(dial int, conn net.Conn) net.Conn
-	dials     int
-}
-
-func (p *pipes) Listen(address string) (net.Listener, error) {
-	l := &pipeListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.listeners[address] = l
-	return l, nil
-}
-
-func (p *pipes) Dial(_ context.Context, address string) (net.Conn, error) {
-	p.mu.Lock()
-	l, ok := p.listeners[address]
-	p.dials++
-	dial := p.dials
-	p.mu.Unlock()
-	if !ok {
-		return nil, net.ErrClosed
-	}
-	near, far := net.Pipe()
-	if p.wrap != nil {
-		near = p.wrap(dial, near)
-	}
-	select {
-	case l.conns <- far:
-		return near, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-type pipeListener struct {
-	address string
-	conns   chan net.Conn
-	closed  chan struct{}
-	once    sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.conns:
-		return conn, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.closed) }); return nil }
-func (l *pipeListener) Addr() net.Addr { return pipeAddress(l.address) }
+// changing is a lease whose session a test changes.
+type changing struct{ atomic.Uint64 }
 
-type pipeAddress string
-
-func (a pipeAddress) Network() string { return "pipe" }
-func (a pipeAddress) String() string  { return string(a) }
+func (c *changing) Alive(timer.Instant) bool { return c.Load() != 0 }
+func (c *changing) Session() uint64          { return c.Load() }
 
 type fakeLease uint64
 
@@ -97,6 +42,7 @@
 type fakeRunner struct {
 	mu      sync.Mutex
 	runs    map[string]int
+	last    messenger.Request
 	execute func(ctx context.Context, request *messenger.Request, body io.Reader) executor.Answer
 	outcome func(query *messenger.OutcomeQuery) messenger.OutcomeAnswer
 }
@@ -104,6 +50,7 @@
 func (r *fakeRunner) Execute(ctx context.Context, request *messenger.Request, body io.Reader) executor.Answer {
 	r.mu.Lock()
 	r.runs[request.Number]++
+	r.last = *request
 	r.mu.Unlock()
 	if r.execute == nil {
 		return done(request, body)
@@ -141,13 +88,14 @@
 
 // rig is an entry router and an owner on one network.
 type rig struct {
-	network *pipes
+	world   *disrupter.World
 	entry   *forwarder.Forwarder
 	owner   *forwarder.Forwarder
 	local   *fakeRunner
 	remote  *fakeRunner
 	table   *locator.Locator // of the entry
 	owned   *locator.Locator // of the owner
+	session changing         // of the owner
 	metrics *metrics.Set
 	links   *metrics.Set
 	pool    *linker.Pool
@@ -155,7 +103,7 @@
 
 func newRig(t *testing.T, settings forwarder.Settings) *rig {
 	r := &rig{
-		network: &pipes{listeners: make(map[string]*pipeListener)},
+		world:   disrupter.New(time.Millisecond),
 		local:   &fakeRunner{runs: make(map[string]int)},
 		remote:  &fakeRunner{runs: make(map[string]int)},
 		table:   locator.New(metrics.NewSet()),
@@ -164,12 +112,13 @@
 		links:   metrics.NewSet(),
 	}
 	hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleRouter, Name: "entry"}
-	r.pool = linker.NewPool(r.network, linker.Options{Hello: hello, Metrics: r.links})
+	r.pool = linker.NewPool(r.world.Node("entry"), linker.Options{Hello: hello, Metrics: r.links})
 	r.entry = forwarder.New(settings, forwarder.Options{
 		Locator: r.table, Runner: r.local, Opener: r.pool, Lease: fakeLease(entrySession), Metrics: r.metrics})
 	r.owner = forwarder.New(settings, forwarder.Options{
-		Locator: r.owned, Runner: r.remote, Opener: r.pool, Lease: fakeLease(ownerSession), Metrics: metrics.NewSet()})
-	server, err := linker.Listen(r.network, "owner:1", linker.Options{Hello: hello, Handler: r.owner.Handle})
+		Locator: r.owned, Runner: r.remote, Opener: r.pool, Lease: &r.session, Metrics: metrics.NewSet()})
+	r.session.Store(ownerSession)
+	server, err := linker.Listen(r.world.Node("owner"), "owner:1", linker.Options{Hello: hello, Handler: r.owner.Handle, Metrics: r.links})
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() {
 		r.pool.Close()
@@ -211,8 +160,14 @@
 	err      error
 }
 
+func (r result) text() string {
+	return strings.TrimSuffix(string(r.response.Outcome)+"/"+string(r.response.Reason), "/")
+}
+
+const patience = 4 * time.Second
+
 func (r *rig) forward(ctx context.Context, request *messenger.Request, profile messenger.Profile, body string) result {
-	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	answer := r.entry.Forward(ctx, request, &profile, strings.NewReader(body))
 	defer answer.Close()
--- a/router/forwarder/inquire.go
+++ b/router/forwarder/inquire.go
@@ -25,6 +25,9 @@
 
 // inquire asks the owner what became of a request whose answer was lost.
 func (t *trip) inquire(ctx context.Context, place locator.Place) executor.Answer {
+	if ctx.Err() != nil {
+		return doubt(t.request, doubtReason(ctx))
+	}
 	failures := 0
 	for pause := inquiryPause; ; pause = min(2*pause, inquiryPauseMax) {
 		outcome, err := t.ask(ctx, place)
--- /dev/null
+++ b/router/retrier/retrier_test.go
@@ -0,0 +1,117 @@
+package retrier_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/router/retrier"
+)
+
+func TestDecide(t *testing.T) {
+	refused := func(reason messenger.Reason) retrier.Trial {
+		return retrier.Trial{Outcome: messenger.OutcomeRefused, Reason: reason, Retries: 2, Left: time.Second}
+	}
+	unknown := func(reason messenger.Reason, idempotent bool) retrier.Trial {
+		return retrier.Trial{Outcome: messenger.OutcomeUnknown, Reason: reason, Idempotent: idempotent, Retries: 2, Left: time.Second}
+	}
+	with := func(trial retrier.Trial, change func(*retrier.Trial)) retrier.Trial {
+		change(&trial)
+		return trial
+	}
+	tests := []struct {
+		name   string
+		trial  retrier.Trial
+		tokens float64
+		want   retrier.Verdict
+		left   float64
+	}{
+		{name: "done", trial: retrier.Trial{Outcome: messenger.OutcomeDone, Retries: 2, Left: time.Second}, tokens: 5, want: retrier.VerdictFinal, left: 5},
+		{name: "shed", trial: refused(messenger.ReasonShed), tokens: 5, want: retrier.VerdictRetry, left: 4},
+		{name: "shed, budget spent", trial: refused(messenger.ReasonShed), tokens: 0.9, want: retrier.VerdictBudget, left: 0.9},
+		{name: "shed, retries used up", tokens: 5, want: retrier.VerdictLimit, left: 5,
+			trial: with(refused(messenger.ReasonShed), func(t *retrier.Trial) { t.Retried = 2 })},
+		{name: "shed, no time", tokens: 5, want: retrier.VerdictDeadline, left: 5,
+			trial: with(refused(messenger.ReasonShed), func(t *retrier.Trial) { t.Left = time.Millisecond })},
+		{name: "moving costs no budget", trial: refused(messenger.ReasonMoving), tokens: 0, want: retrier.VerdictCorrect},
+		{name: "moving needs no retries", tokens: 0, want: retrier.VerdictCorrect,
+			trial: with(refused(messenger.ReasonMoving), func(t *retrier.Trial) { t.Retries, t.Retried = 0, 5 })},
+		{name: "moving, corrected too often", tokens: 5, want: retrier.VerdictLimit, left: 5,
+			trial: with(refused(messenger.ReasonMoving), func(t *retrier.Trial) { t.Corrected = retrier.MaxCorrections })},
+		{name: "lost, idempotent", trial: unknown(messenger.ReasonLost, true), tokens: 5, want: retrier.VerdictRetry, left: 4},
+		{name: "lost, not idempotent", trial: unknown(messenger.ReasonLost, false), tokens: 5, want: retrier.VerdictFinal, left: 5},
+		{name: "crashed, idempotent", trial: unknown(messenger.ReasonCrashed, true), tokens: 5, want: retrier.VerdictFinal, left: 5},
+		{name: "expired, idempotent", trial: unknown(messenger.ReasonExpired, true), tokens: 5, want: retrier.VerdictFinal, left: 5},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			budget := &retrier.Budget{Tokens: test.tokens}
+			decision := retrier.Decide(test.trial, budget, 0.5)
+			qt.Assert(t, decision.Verdict, qt.Equals, test.want)
+			qt.Assert(t, budget.Tokens, qt.Equals, test.left)
+			qt.Assert(t, decision.Wait > 0, qt.Equals, test.want.IsAgain())
+		})
+	}
+}
+
+// TestOnlyRetryableRefusals holds for each reason that there is.
+func TestOnlyRetryableRefusals(t *testing.T) {
+	for _, reason := range messenger.RefusalReasons() {
+		trial := retrier.Trial{Outcome: messenger.OutcomeRefused, Reason: reason, Retries: 1, Left: time.Minute}
+		decision := retrier.Decide(trial, retrier.NewBudget(), 0)
+		qt.Check(t, decision.Verdict.IsAgain(), qt.Equals, reason.IsRetryable(), qt.Commentf("%s", reason))
+	}
+	for _, reason := range messenger.UnknownReasons() {
+		trial := retrier.Trial{Outcome: messenger.OutcomeUnknown, Reason: reason, Retries: 1, Left: time.Minute}
+		decision := retrier.Decide(trial, retrier.NewBudget(), 0)
+		qt.Check(t, decision.Verdict.IsAgain(), qt.IsFalse, qt.Commentf("%s", reason))
+	}
+}
+
+func TestBackoff(t *testing.T) {
+	tests := []struct {
+		retried  int
+		min, max time.Duration
+	}{
+		{retried: 0, min: 10 * time.Millisecond, max: 20 * time.Millisecond},
+		{retried: 1, min: 20 * time.Millisecond, max: 40 * time.Millisecond},
+		{retried: 9, min: 200 * time.Millisecond, max: 400 * time.Millisecond},
+	}
+	for _, test := range tests {
+		for _, jitter := range []float64{0, 0.3, 0.999} {
+			trial := retrier.Trial{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonShed, Retries: 10, Retried: test.retried, Left: time.Minute}
+			wait := retrier.Decide(trial, retrier.NewBudget(), jitter).Wait
+			qt.Check(t, wait >= test.min && wait <= test.max, qt.IsTrue, qt.Commentf("%d: %v", test.retried, wait))
+		}
+	}
+}
+
+// TestBudgetBoundsRetries sheds every send of many requests.
+func TestBudgetBoundsRetries(t *testing.T) {
+	set := metrics.NewSet()
+	r := retrier.New(1, set)
+	const requests = 10000
+	sent := 0
+	for range requests {
+		r.Started("findings")
+		for retried := 0; ; retried++ {
+			sent++
+			decision := r.Decide("findings", retrier.Trial{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonShed, Retries: 10, Retried: retried, Left: time.Minute})
+			if !decision.Verdict.IsAgain() {
+				break
+			}
+		}
+	}
+	most := requests*(1+retrier.BudgetPart) + retrier.BudgetTokens
+	qt.Assert(t, float64(sent) <= most, qt.IsTrue, qt.Commentf("%d sends", sent))
+	retries := set.GetOrCreateCounter(`marigold_retries_total{reason="shed"}`).Get()
+	qt.Assert(t, retries, qt.Equals, uint64(sent-requests))
+	denied := set.GetOrCreateCounter(`marigold_retries_denied_total{reason="budget"}`).Get()
+	qt.Assert(t, denied > 0, qt.IsTrue)
+	// Another service has a budget of its own.
+	other := r.Decide("photos", retrier.Trial{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonShed, Retries: 1, Left: time.Minute})
+	qt.Assert(t, other.Verdict, qt.Equals, retrier.VerdictRetry)
+}
