Record, admit, isolate and drain at the owner of a key

Cause: the owner handed each request straight to its backend server: a resend ran twice, load was not limited, and a crash had no consequence.

Change: recorder (at most once by records at peers, recovery, copies for joining peers, request numbers), admitter (slots cut back by what is observed, classes, turns of keys and callers, deadlines), isolator (suspects run alone, deaths are told to the control group), granter (grants and drain told to the backend server), tallier (work of shards and keys), reporter. A Record and a RecoverQuery name the session that they are for, so that a restarted peer never answers for records that it lost.

--- a/kernel/logger/router.go
+++ b/kernel/logger/router.go
@@ -4,12 +4,19 @@
 
 // Events of routers as owners, 300 to 349.
 var (
-	LeaseGained     = Event{300, hclog.Info, "router gained its lease"}
-	LeaseLost       = Event{301, hclog.Warn, "router lost its lease"}
-	ServerAnnounced = Event{310, hclog.Info, "backend server announced itself"}
-	ServerChanged   = Event{311, hclog.Warn, "backend server changed its state"}
+	LeaseGained      = Event{300, hclog.Info, "router gained its lease"}
+	LeaseLost        = Event{301, hclog.Warn, "router lost its lease"}
+	ServerAnnounced  = Event{310, hclog.Info, "backend server announced itself"}
+	ServerChanged    = Event{311, hclog.Warn, "backend server changed its state"}
+	ServerCrashed    = Event{312, hclog.Warn, "backend server ended with requests in flight"}
+	RecordsRecovered = Event{320, hclog.Info, "records of an earlier owner were read"}
+	RecordsCopied    = Event{321, hclog.Info, "records were copied to a joining recorder"}
+	RequestStalled   = Event{330, hclog.Warn, "background request waits too long"}
 )
 
 func routerEvents() []Event {
-	return []Event{LeaseGained, LeaseLost, ServerAnnounced, ServerChanged}
+	return []Event{
+		LeaseGained, LeaseLost, ServerAnnounced, ServerChanged, ServerCrashed,
+		RecordsRecovered, RecordsCopied, RequestStalled,
+	}
 }
--- a/kernel/messenger/record.go
+++ b/kernel/messenger/record.go
@@ -30,6 +30,9 @@
 	Header []Header
 	Body   []byte
 	Large  bool
+	// Run grows with each attempt of the owner to run a request. A peer ignores
+	// what belongs to an earlier attempt than it knows of.
+	Run uint64
 	// Age is how long ago the record was made, when it was sent.
 	Age time.Duration
 	// Retention is how long it is kept.
@@ -39,7 +42,10 @@
 // Record stores entries at a recorder peer. The peer rejects it when it has
 // seen a newer fence for the shard.
 type Record struct {
-	Owner   uint64
+	Owner uint64
+	// Peer is the session that the entries are for. A process that never had
+	// it rejects them: it was restarted and lost the entries before.
+	Peer    uint64
 	Shard   ShardRef
 	Entries []RecordEntry
 }
@@ -56,10 +62,14 @@
 type RecoverQuery struct {
 	// Owner is the session of the old owner.
 	Owner uint64
+	// Peer is the session that is asked; see Record.
+	Peer uint64
 	// Shards are the shards, with the fences of the new grants.
 	Shards []ShardRef
 	// Splits names the hash shards: Service to the number of shards.
 	Splits map[string]uint32
+	// Keys are the promoted keys among Shards.
+	Keys []KeyRow
 }
 
 // RecoverAnswer has the entries.
--- a/kernel/messenger/request.go
+++ b/kernel/messenger/request.go
@@ -106,6 +106,10 @@
 	Service     string
 	Key         string
 	Idempotency string
+	// Age is how long ago the request was sent last, by both clocks. An owner
+	// that may have forgotten a request of that age says that its outcome is
+	// unknown.
+	Age time.Duration
 }
 
 // OutcomeAnswer tells it. Refused means that the request was not and will not
--- a/router/assembler/assembler.go
+++ b/router/assembler/assembler.go
@@ -22,15 +22,21 @@
 	"marigoldhill/kernel/registrar"
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/acceptor"
+	"marigoldhill/router/admitter"
 	"marigoldhill/router/announcer"
 	"marigoldhill/router/dispatcher"
 	"marigoldhill/router/drainer"
 	"marigoldhill/router/executor"
 	"marigoldhill/router/forwarder"
+	"marigoldhill/router/granter"
+	"marigoldhill/router/isolator"
 	"marigoldhill/router/keeper"
 	"marigoldhill/router/listener"
 	"marigoldhill/router/locator"
 	"marigoldhill/router/prober"
+	"marigoldhill/router/recorder"
+	"marigoldhill/router/reporter"
+	"marigoldhill/router/tallier"
 )
 
 // Error is the class of all errors of this package.
@@ -56,6 +62,10 @@
 	tracker    *drainer.Tracker
 	steward    *steward
 	keeper     *keeper.Keeper
+	recorder   *recorder.Recorder
+	admitter   *admitter.Admitter
+	granter    *granter.Granter
+	reporter   *reporter.Reporter
 	executor   *executor.Executor
 	dispatcher *dispatcher.Dispatcher
 	forwarder  *forwarder.Forwarder
@@ -73,27 +83,75 @@
 		locator:  locator.New(options.Metrics),
 		tracker:  drainer.NewTracker(),
 	}
+	p.assembleOwner()
+	p.assembleEntry()
+	for _, service := range p.services() {
+		if err := p.kernel.Add(service); err != nil {
+			return nil, Error.New("adding a service: %w", err)
+		}
+	}
+	return p, nil
+}
+
+// assembleOwner makes the parts that serve the keys of this router.
+func (p *Process) assembleOwner() {
+	options := p.options
 	p.pool = linker.NewPool(options.Network, p.linkOptions())
+	p.dispatcher = dispatcher.New(options.Network)
+	p.admitter = admitter.New(options.Metrics)
+	p.granter = granter.New(options.Network, options.Metrics)
 	p.prober = prober.New(prober.Options{
 		Network: options.Network,
 		Changed: p.serverChanged,
 		Log:     options.Log,
 		Metrics: options.Metrics,
 	})
-	p.steward = &steward{
-		locator: p.locator,
-		prober:  p.prober,
-		drainer: drainer.New(p.tracker),
-	}
-	p.dispatcher = dispatcher.New(options.Network)
-	p.executor = executor.New(executor.Options{
+	p.recorder = recorder.New(recorder.Options{
 		Locator: p.locator,
 		Leaser:  leaser{p},
-		Server:  p.prober,
-		Backend: p.dispatcher,
-		Tracker: p.tracker,
+		Opener:  p.pool,
+		Changed: func() { p.keeper.Nudge() },
+		Log:     options.Log,
+		Metrics: options.Metrics,
+	})
+	p.reporter = reporter.New(reporter.Options{
+		Control: p.settings.Control,
+		Opener:  p.pool,
+		Leaser:  leaser{p},
 		Metrics: options.Metrics,
 	})
+	tally := tallier.New()
+	gate := isolator.New()
+	p.steward = &steward{
+		locator:  p.locator,
+		prober:   p.prober,
+		drainer:  drainer.New(p.tracker),
+		recorder: p.recorder,
+		admitter: p.admitter,
+		granter:  p.granter,
+		tally:    tally,
+		reporter: p.reporter,
+		log:      options.Log,
+	}
+	p.executor = executor.New(executor.Options{
+		Locator:  p.locator,
+		Leaser:   leaser{p},
+		Server:   p.prober,
+		Backend:  p.dispatcher,
+		Tracker:  p.tracker,
+		Recorder: p.recorder,
+		Numbers:  recorder.NewNumbers(),
+		Admitter: p.admitter,
+		Gate:     gate,
+		Detector: isolator.NewDetector(options.Network, gate, p.serverDied),
+		Tally:    tally,
+		Metrics:  options.Metrics,
+	})
+}
+
+// assembleEntry makes the parts that take requests for all keys.
+func (p *Process) assembleEntry() {
+	options := p.options
 	p.forwarder = forwarder.New(forwarder.Settings{Seed: rand.Uint64()}, forwarder.Options{
 		Locator: p.locator,
 		Runner:  p.executor,
@@ -101,7 +159,7 @@
 		Lease:   leaser{p},
 		Metrics: options.Metrics,
 	})
-	p.acceptor = acceptor.New(acceptor.Settings{Listen: settings.Listen, Name: settings.Name}, acceptor.Options{
+	p.acceptor = acceptor.New(acceptor.Settings{Listen: p.settings.Listen, Name: p.settings.Name}, acceptor.Options{
 		Network:   options.Network,
 		Locator:   p.locator,
 		Forwarder: p.forwarder,
@@ -109,12 +167,6 @@
 		Log:       options.Log,
 		Metrics:   options.Metrics,
 	})
-	for _, service := range p.services() {
-		if err := p.kernel.Add(service); err != nil {
-			return nil, Error.New("adding a service: %w", err)
-		}
-	}
-	return p, nil
 }
 
 // Start starts all services.
@@ -191,10 +243,24 @@
 }
 
 // serverChanged is called when the backend server changed its state.
-func (p *Process) serverChanged(*prober.View) {
+func (p *Process) serverChanged(view *prober.View) {
+	switch view.State {
+	case messenger.ServerReady:
+		p.admitter.Serve(*view.Row)
+	case messenger.ServerLeaving:
+		p.granter.Drain()
+	default:
+		p.executor.ServerLost()
+	}
 	p.keeper.Nudge()
 }
 
+// serverDied is called when the backend server ended with requests in flight.
+func (p *Process) serverDied(rows []messenger.QuarantineRow) {
+	p.options.Log.Emit(logger.ServerCrashed, "requests", len(rows))
+	p.reporter.Send(messenger.Report{Death: rows})
+}
+
 // announcer takes the announcements of the backend server.
 func (p *Process) announcer() *announcer.Announcer {
 	return announcer.New(p.settings.Name, announcer.Hooks{
--- a/router/assembler/part.go
+++ b/router/assembler/part.go
@@ -10,6 +10,9 @@
 const (
 	partLink     = "link"
 	partProber   = "prober"
+	partGranter  = "granter"
+	partRecorder = "recorder"
+	partReporter = "reporter"
 	partKeeper   = "keeper"
 	partAnnounce = "announcer"
 	partOperator = "operator"
--- a/router/assembler/services.go
+++ b/router/assembler/services.go
@@ -27,7 +27,10 @@
 	return []registrar.Service{
 		&part{name: partLink, start: p.startLink, stop: p.stopLink},
 		loop(partProber, nil, p.prober.Run),
-		&part{name: partKeeper, needs: []string{partLink, partProber}, start: p.startKeeper, stop: p.stopKeeper},
+		loop(partGranter, nil, p.granter.Run),
+		loop(partRecorder, []string{partLink}, p.recorder.Run),
+		loop(partReporter, []string{partLink}, p.reporter.Run),
+		&part{name: partKeeper, needs: []string{partLink, partProber, partGranter, partRecorder, partReporter}, start: p.startKeeper, stop: p.stopKeeper},
 		&part{name: partAnnounce, needs: []string{partKeeper}, start: p.startBackend, stop: p.stopBackend},
 		&part{name: partOperator, needs: []string{partKeeper}, start: p.startOperator, stop: p.stopOperator},
 		p.acceptor,
@@ -73,6 +76,8 @@
 	switch stream.Kind() {
 	case messenger.KindForward, messenger.KindOutcome:
 		p.forwarder.Handle(ctx, link, stream)
+	case messenger.KindRecord, messenger.KindRecover:
+		p.recorder.Handle(ctx, link, stream)
 	}
 }
 
--- a/router/drainer/tracker.go
+++ b/router/drainer/tracker.go
@@ -8,8 +8,16 @@
 
 // Ticket is one request in flight.
 type Ticket struct {
-	ref messenger.ShardRef
-	key string
+	ref    messenger.ShardRef
+	key    string
+	sealed chan struct{}
+	isOver bool
+}
+
+// Sealed is closed when the grant of the request is given back: what waits
+// under it must give up.
+func (t *Ticket) Sealed() <-chan struct{} {
+	return t.sealed
 }
 
 // Tracker knows the requests in flight under each grant, and seals grants that
@@ -43,7 +51,7 @@
 	if len(t.tickets) == 0 {
 		t.idle = make(chan struct{})
 	}
-	ticket := &Ticket{ref: ref, key: key}
+	ticket := &Ticket{ref: ref, key: key, sealed: make(chan struct{})}
 	t.tickets[ticket] = struct{}{}
 	return ticket
 }
@@ -78,6 +86,7 @@
 		service := ticket.ref.Service
 		busy[place{service, ticket.ref.Shard}] = struct{}{}
 		busy[place{service, shardOf(service, ticket.key)}] = struct{}{}
+		t.warn(ticket)
 	}
 	var free []messenger.ShardRef
 	for _, ref := range refs {
@@ -88,6 +97,14 @@
 	return free
 }
 
+// warn tells a ticket that its grant is sealed. It needs the lock.
+func (t *Tracker) warn(ticket *Ticket) {
+	if _, ok := t.sealed[ticket.ref]; ok && !ticket.isOver {
+		ticket.isOver = true
+		close(ticket.sealed)
+	}
+}
+
 // place is a shard without its fence.
 type place struct {
 	service string
--- a/router/locator/apply.go
+++ b/router/locator/apply.go
@@ -27,7 +27,7 @@
 	}
 	edit.sessions(base.sessions, delta)
 	edit.profiles(base.profiles, delta)
-	edit.quarantines(base.quarantines, delta)
+	edit.quarantines(base, delta)
 	edit.services(base.services, delta)
 	edit.keys(delta)
 	edit.shards(delta)
@@ -74,19 +74,25 @@
 	}
 }
 
-func (e *editor) quarantines(old map[string]messenger.QuarantineRow, delta *messenger.TableDelta) {
-	e.table.quarantines = old
-	if len(delta.Quarantines) == 0 {
-		return
+func (e *editor) quarantines(base *Table, delta *messenger.TableDelta) {
+	e.table.quarantines = applyFingerprints(base.quarantines, delta.Quarantines)
+	e.table.suspects = applyFingerprints(base.suspects, delta.Suspects)
+}
+
+// applyFingerprints returns rows by fingerprint after changes.
+func applyFingerprints(old map[string]messenger.QuarantineRow, changes []messenger.QuarantineRow) map[string]messenger.QuarantineRow {
+	if len(changes) == 0 {
+		return old
 	}
-	e.table.quarantines = maps.Clone(old)
-	for _, row := range delta.Quarantines {
+	rows := maps.Clone(old)
+	for _, row := range changes {
 		if row.Gone {
-			delete(e.table.quarantines, row.Fingerprint)
+			delete(rows, row.Fingerprint)
 			continue
 		}
-		e.table.quarantines[row.Fingerprint] = row
+		rows[row.Fingerprint] = row
 	}
+	return rows
 }
 
 func (e *editor) services(old map[string]*division, delta *messenger.TableDelta) {
--- /dev/null
+++ b/router/locator/keys.go
@@ -0,0 +1,18 @@
+package locator
+
+import "iter"
+
+// Keys iterates over the promoted keys of a service with their shards.
+func (t *Table) Keys(service string) iter.Seq2[string, uint32] {
+	return func(yield func(string, uint32) bool) {
+		division, ok := t.services[service]
+		if !ok {
+			return
+		}
+		for key, shard := range division.keys {
+			if !yield(key, shard) {
+				return
+			}
+		}
+	}
+}
--- a/router/locator/table.go
+++ b/router/locator/table.go
@@ -56,6 +56,7 @@
 	services    map[string]*division
 	profiles    map[string]*messenger.Profile
 	quarantines map[string]messenger.QuarantineRow
+	suspects    map[string]messenger.QuarantineRow
 }
 
 // NewTable returns the empty table of revision 0.
@@ -65,6 +66,7 @@
 		services:    make(map[string]*division),
 		profiles:    make(map[string]*messenger.Profile),
 		quarantines: make(map[string]messenger.QuarantineRow),
+		suspects:    make(map[string]messenger.QuarantineRow),
 	}
 }
 
@@ -176,6 +178,13 @@
 	return ok
 }
 
+// Suspected reports whether a fingerprint was in flight at a death of a backend
+// server, so that it must run alone.
+func (t *Table) Suspected(fingerprint string) bool {
+	_, ok := t.suspects[fingerprint]
+	return ok
+}
+
 // division is one service with its shards.
 type division struct {
 	service *messenger.Service
--- a/router/prober/check.go
+++ b/router/prober/check.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
@@ -25,10 +25,13 @@
 func check(ctx context.Context, network networker.Network, url string) Evidence {
 	ctx, cancel := context.WithTimeout(ctx, probeTime)
 	defer cancel()
+	var isDialFailure atomic.Bool
 	transport := &http.Transport{
 		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return network.Dial(ctx, address)
+			conn, err := network.Dial(ctx, address)
+			isDialFailure.Store(err != nil)
+			return conn, err
 		},
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(url, "/")+messenger.PathHealth, nil)
@@ -37,16 +40,15 @@
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		return failure(ctx, err)
+		return failure(ctx, isDialFailure.Load())
 	}
 	defer func() { _ = response.Body.Close() }()
 	return report(response)
 }
 
-// failure tells a silent server from one that cannot be reached.
-func failure(ctx context.Context, err error) Evidence {
-	var operation *net.OpError
-	if ctx.Err() == nil && errors.As(err, &operation) && operation.Op == "dial" {
+// failure tells a silent server from one that refused the connection.
+func failure(ctx context.Context, isDialFailure bool) Evidence {
+	if isDialFailure && ctx.Err() == nil {
 		return ProbeRefused
 	}
 	return ProbeSilent
