--- a/operator/change.go
+++ b/operator/change.go
@@ -14,15 +14,22 @@
 
 // change makes a change and waits until it is in force everywhere.
 func (e *environment) change(ctx context.Context, subject string, change requester.Change) error {
+	revision, err := e.commit(ctx, subject, change)
+	if err != nil || e.wait <= 0 || revision == 0 {
+		return err
+	}
+	return e.follow(ctx, revision)
+}
+
+// commit makes a change and returns its revision. It is enough for changes of
+// the control group, which routers have no part in.
+func (e *environment) commit(ctx context.Context, subject string, change requester.Change) (uint64, error) {
 	accepted, err := e.requester.Change(ctx, change)
 	if err != nil {
-		return Error.New("%s: %w", subject, err)
+		return 0, Error.New("%s: %w", subject, err)
 	}
 	e.printer.Note("%s: accepted as revision %d", subject, accepted.Revision)
-	if e.wait <= 0 || accepted.Revision == 0 {
-		return nil
-	}
-	return e.follow(ctx, accepted.Revision)
+	return accepted.Revision, nil
 }
 
 // follow shows how a revision comes into force on the routers.
--- a/operator/cmd_member.go
+++ b/operator/cmd_member.go
@@ -44,7 +44,8 @@
 func (a *memberAdd) Run(ctx context.Context, e *environment) error {
 	member := messenger.Member{Name: a.Name, Address: a.Address, Operator: a.Operator}
 	change := requester.Change{Method: http.MethodPost, Path: pathMembers, Body: member}
-	return e.change(ctx, "member "+a.Name+" added", change)
+	_, err := e.commit(ctx, "member "+a.Name+" added", change)
+	return err
 }
 
 type memberRemove struct {
@@ -54,5 +55,6 @@
 // Run implements the command.
 func (a *memberRemove) Run(ctx context.Context, e *environment) error {
 	change := requester.Change{Method: http.MethodDelete, Path: pathMembers + "/" + url.PathEscape(a.Name)}
-	return e.change(ctx, "member "+a.Name+" removed", change)
+	_, err := e.commit(ctx, "member "+a.Name+" removed", change)
+	return err
 }
