Refuse requests that could be read in two ways, test the caller interface

Cause: net/http silently drops the Content-Length of a request that has a Transfer-Encoding as well, takes folded header lines, and ignores the Transfer-Encoding of HTTP/1.0; a proxy in front may end such a request elsewhere. Paths went through echo's router, which answers CONNECT itself. A body that breaks the chunked coding was refused as canceled.

Change: an inspector follows the framing of each connection and ends it with 400 before such a header is complete; all requests go to one handler; a broken body is refused as malformed. Tables for smuggling, paths, reserved headers, outcomes, cut answers, a caller that goes away and a graceful stop.

--- a/router/acceptor/acceptor.go
+++ b/router/acceptor/acceptor.go
@@ -115,12 +115,12 @@
 	return a
 }
 
-// routes hands every path and method to one handler, which decides itself.
+// routes hands every path and method to one handler, ahead of echo's router,
+// which would clean paths first.
 func (a *Acceptor) routes() http.Handler {
 	e := echo.New()
 	e.HideBanner = true
-	e.RouteNotFound("/*", a.handle)
-	e.HTTPErrorHandler = a.handleError
+	e.Pre(func(echo.HandlerFunc) echo.HandlerFunc { return a.handle })
 	return e
 }
 
@@ -144,7 +144,7 @@
 	go func() {
 		defer close(a.served)
 		// Serve returns when Stop closes the listener.
-		_ = a.server.Serve(a.listener)
+		_ = a.server.Serve(&inspected{Listener: a.listener, counters: a.counters})
 	}()
 	a.options.Log.Emit(logger.CallerListening, "address", a.Address())
 	return nil
--- a/router/acceptor/acceptor_test.go
+++ b/router/acceptor/acceptor_test.go
@@ -1,10 +1,13 @@
 package acceptor_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -88,6 +91,193 @@
 	}
 }
 
+func TestSmuggling(t *testing.T) {
+	const tail = "Host: x\r\n"
+	const inner = "GET /v1/findings/inner HTTP/1.1\r\nHost: x\r\n\r\n"
+	tests := []struct {
+		name   string
+		raw    string
+		status int
+		body   string
+	}{
+		{name: "chunked", raw: "POST /v1/findings/a HTTP/1.1\r\n" + tail + "Transfer-Encoding: chunked\r\n\r\n5\r\nhinge\r\n0\r\n\r\n", status: 200, body: "hinge"},
+		{name: "both lengths", raw: "POST /v1/findings/a HTTP/1.1\r\n" + tail + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner, status: 400},
+		{name: "both lengths, other order", raw: "POST /v1/findings/a HTTP/1.1\r\n" + tail + "transfer-encoding: chunked\r\ncontent-length: 5\r\n\r\n0\r\n\r\n" + inner, status: 400},
+		{name: "both lengths, space before colon", raw: "POST /v1/findings/a HTTP/1.1\r\n" + tail + "Content-Length: 5\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n" + inner, status: 400},
+		{name: "both lengths, bare line feeds", raw: "POST /v1/findings/a HTTP/1.1\nHost: x\nContent-Length: 5\nTransfer-Encoding: chunked\n\n0\r\n\r\n" + inner, status: 400},
+		{name: "folded length", raw: "POST /v1/findings/a HTTP/1.1\r\n" + tail + "Content-Length:\r\n 5\r\n\r\nhinge", status: 400},
+		{name: "coding in HTTP/1.0", raw: "POST /v1/findings/a HTTP/1.0\r\n" + tail + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner, status: 400},
+		{name: "two unequal lengths", raw: "POST /v1/findings/a HTTP/1.1\r\n" + tail + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhinge!", status: 400},
+		{name: "length with a sign", raw: "POST /v1/findings/a HTTP/1.1\r\n" + tail + "Content-Length: +5\r\n\r\nhinge", status: 400},
+		{name: "unknown coding", raw: "POST /v1/findings/a HTTP/1.1\r\n" + tail + "Transfer-Encoding: gzip, chunked\r\n\r\n", status: 501},
+		{name: "two codings", raw: "POST /v1/findings/a HTTP/1.1\r\n" + tail + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n", status: 501},
+		{name: "bad chunk", raw: "POST /v1/findings/a HTTP/1.1\r\n" + tail + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", status: 503},
+		{name: "two hosts", raw: "GET /v1/findings/a HTTP/1.1\r\n" + tail + tail + "\r\n", status: 400},
+		{name: "carriage return in a value", raw: "GET /v1/findings/a HTTP/1.1\r\n" + tail + "X-A: b\rMarigold-Fence: 1\r\n\r\n", status: 400},
+		{name: "upgrade", raw: "GET /v1/findings/a HTTP/1.1\r\n" + tail + "Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n", status: 400},
+		{name: "tunnel", raw: "CONNECT x:1 HTTP/1.1\r\n" + tail + "\r\n", status: 405},
+		{name: "trace", raw: "TRACE /v1/findings/a HTTP/1.1\r\n" + tail + "\r\n", status: 405},
+		{name: "two keys", raw: "GET /v1/findings/a HTTP/1.1\r\n" + tail + "Idempotency-Key: a\r\nIdempotency-Key: b\r\n\r\n", status: 400},
+		{name: "empty key", raw: "GET /v1/findings/a HTTP/1.1\r\n" + tail + "Idempotency-Key:\r\n\r\n", status: 400},
+		{name: "key with a space", raw: "GET /v1/findings/a HTTP/1.1\r\n" + tail + "Idempotency-Key: a b\r\n\r\n", status: 400},
+		{name: "timeout without unit", raw: "GET /v1/findings/a HTTP/1.1\r\n" + tail + "Marigold-Timeout: 2\r\n\r\n", status: 400},
+		{name: "negative timeout", raw: "GET /v1/findings/a HTTP/1.1\r\n" + tail + "Marigold-Timeout: -2s\r\n\r\n", status: 400},
+		{name: "large header", raw: "GET /v1/findings/a HTTP/1.1\r\n" + tail + "X-A: " + strings.Repeat("a", 16<<10) + "\r\n\r\n", status: 431},
+		{name: "larger header", raw: "GET /v1/findings/a HTTP/1.1\r\n" + tail + "X-A: " + strings.Repeat("a", 64<<10) + "\r\n\r\n", status: 431},
+		{name: "large body", raw: "POST /v1/findings/a HTTP/1.1\r\n" + tail + "Content-Length: 1048577\r\n\r\n", status: 413},
+		{name: "large chunked body", raw: "POST /v1/findings/a HTTP/1.1\r\n" + tail + "Transfer-Encoding: chunked\r\n\r\n100001\r\n" + strings.Repeat("x", 1<<20+1), status: 413},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, true)
+			got := r.send(t, test.raw)
+			qt.Assert(t, got.status, qt.Equals, test.status)
+			qt.Assert(t, r.forwarder.body == test.body || test.status != 200, qt.IsTrue)
+			if r.forwarder.got != nil {
+				qt.Assert(t, r.forwarder.got.Key, qt.Equals, "a")
+			}
+		})
+	}
+}
+
+// TestPipelinedRequests sends several on one connection, so that an inspector
+// that loses its place would refuse or miss one.
+func TestPipelinedRequests(t *testing.T) {
+	r := newRig(t, true)
+	conn, err := net.Dial("tcp", r.acceptor.Address())
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for range 3 {
+		_, err := io.WriteString(conn, "POST /v1/findings/a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhinge"+
+			"POST /v1/findings/b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5;e=1\r\nhinge\r\n0\r\nX: y\r\n\r\n"+
+			"GET /v1/findings/c HTTP/1.1\r\nHost: x\r\n\r\n")
+		qt.Assert(t, err, qt.IsNil)
+		for range 3 {
+			answer, err := http.ReadResponse(reader, nil)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, answer.StatusCode, qt.Equals, http.StatusOK)
+			_, _ = io.Copy(io.Discard, answer.Body)
+		}
+	}
+	_, err = io.WriteString(conn, "POST /v1/findings/a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	answer, err := http.ReadResponse(reader, nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, answer.StatusCode, qt.Equals, http.StatusBadRequest)
+	qt.Assert(t, r.counted("refused", messenger.ReasonMalformed), qt.Equals, uint64(1))
+}
+
+func TestHeadersOfTheSystem(t *testing.T) {
+	r := newRig(t, true)
+	r.forwarder.answer = func(context.Context, *messenger.Request) executor.Answer {
+		return doneWith("ok", []messenger.Header{
+			{Name: "Marigold-Outcome", Values: []string{"refused"}},
+			{Name: "Marigold-Fence", Values: []string{"7"}},
+			{Name: "Connection", Values: []string{"X-Hop"}},
+			{Name: "X-Hop", Values: []string{"1"}},
+			{Name: "Set-Cookie", Values: []string{"a=1", "b=2"}},
+		})
+	}
+	got := r.get(t, "/v1/findings/a", "marigold-fence: 9", "MARIGOLD-SHARD: 1", "Marigold-Refused: shed",
+		"Connection: X-Secret, close", "X-Secret: 1", "Te: trailers", "Proxy-Authorization: x", "X-Forwarded-For: 10.0.0.1", "Cookie: a=1")
+	qt.Assert(t, got.header[messenger.HeaderOutcome], qt.DeepEquals, []string{"done"})
+	qt.Assert(t, got.header.Get("X-Hop")+got.header.Get("Marigold-Fence"), qt.Equals, "")
+	qt.Assert(t, got.header["Set-Cookie"], qt.DeepEquals, []string{"a=1", "b=2"})
+	var names []string
+	for _, field := range r.forwarder.got.Header {
+		names = append(names, field.Name)
+	}
+	slices.Sort(names)
+	qt.Assert(t, names, qt.DeepEquals, []string{"Cookie", "X-Forwarded-For"})
+	qt.Assert(t, r.forwarder.got.Caller, qt.Equals, "127.0.0.1")
+}
+
+func TestOutcomes(t *testing.T) {
+	tests := []struct {
+		outcome messenger.Outcome
+		reason  messenger.Reason
+		after   time.Duration
+		status  int
+		retry   string
+	}{
+		{outcome: "refused", reason: messenger.ReasonQueue, after: 1200 * time.Millisecond, status: 429, retry: "2"},
+		{outcome: "refused", reason: messenger.ReasonShare, after: time.Second, status: 429, retry: "1"},
+		{outcome: "refused", reason: messenger.ReasonMoving, after: time.Second, status: 503, retry: "1"},
+		{outcome: "refused", reason: messenger.ReasonMismatch, status: 409},
+		{outcome: "refused", reason: messenger.ReasonQuarantine, status: 422},
+		{outcome: "unknown", reason: messenger.ReasonLost, status: 502},
+		{outcome: "unknown", reason: messenger.ReasonExpired, status: 504},
+	}
+	r := newRig(t, true)
+	for _, test := range tests {
+		r.forwarder.answer = func(context.Context, *messenger.Request) executor.Answer {
+			answer := answerOf(test.outcome, test.reason)
+			answer.Response.RetryAfter = test.after
+			return answer
+		}
+		got := r.get(t, "/v1/findings/a")
+		qt.Check(t, got.status, qt.Equals, test.status)
+		qt.Check(t, got.header.Get("Retry-After"), qt.Equals, test.retry)
+		qt.Check(t, got.header.Get(messenger.HeaderOutcome), qt.Equals, string(test.outcome))
+		qt.Check(t, got.header.Get(messenger.HeaderReason), qt.Equals, string(test.reason))
+		qt.Check(t, got.problem.Reason, qt.Equals, test.reason)
+		qt.Check(t, r.counted(test.outcome, test.reason), qt.Equals, uint64(1))
+	}
+}
+
+func TestNoLease(t *testing.T) {
+	r := newRig(t, false)
+	got := r.get(t, "/v1/findings/a")
+	qt.Assert(t, got.status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, got.header.Get(messenger.HeaderReason), qt.Equals, "lease")
+	qt.Assert(t, got.header.Get("Retry-After"), qt.Equals, "1")
+	qt.Assert(t, r.forwarder.got, qt.IsNil)
+}
+
+func TestCallerThatGoesAwayCancels(t *testing.T) {
+	r := newRig(t, true)
+	started, ended := make(chan struct{}), make(chan error, 1)
+	r.forwarder.answer = func(ctx context.Context, _ *messenger.Request) executor.Answer {
+		close(started)
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return answerOf(messenger.OutcomeUnknown, messenger.ReasonLost)
+	}
+	conn, err := net.Dial("tcp", r.acceptor.Address())
+	qt.Assert(t, err, qt.IsNil)
+	_, err = io.WriteString(conn, "POST /v1/findings/a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhinge")
+	qt.Assert(t, err, qt.IsNil)
+	<-started
+	_ = conn.Close()
+	qt.Assert(t, <-ended, qt.ErrorIs, context.Canceled)
+}
+
+func TestStopFinishesWhatIsInFlight(t *testing.T) {
+	r := newRig(t, true)
+	started, finish := make(chan struct{}), make(chan struct{})
+	r.forwarder.answer = func(context.Context, *messenger.Request) executor.Answer {
+		close(started)
+		<-finish
+		return doneWith("whole", nil)
+	}
+	replies, stopped := make(chan reply, 1), make(chan error, 1)
+	go func() { replies <- r.get(t, "/v1/findings/a") }()
+	<-started
+	go func() { stopped <- r.acceptor.Stop(context.Background()) }()
+	// Once the listener is closed, the stop has begun.
+	for {
+		conn, err := net.Dial("tcp", r.acceptor.Address())
+		if err != nil {
+			break
+		}
+		_ = conn.Close()
+	}
+	close(finish)
+	qt.Assert(t, (<-replies).body, qt.Equals, "whole")
+	qt.Assert(t, <-stopped, qt.IsNil)
+}
+
 func TestCutAnswerIsAborted(t *testing.T) {
 	for _, length := range []int64{-1, 100} {
 		r := newRig(t, true)
@@ -99,8 +289,7 @@
 		}
 		got := r.get(t, "/v1/findings/a")
 		qt.Assert(t, got.cut, qt.IsTrue, qt.Commentf("length %d: status %d, body %q", length, got.status, got.body))
-		counter := r.metrics.GetOrCreateCounter(`marigold_requests_total{outcome="unknown",reason="truncated"}`)
-		qt.Assert(t, counter.Get(), qt.Equals, uint64(1))
+		qt.Assert(t, r.counted("unknown", messenger.ReasonTruncated), qt.Equals, uint64(1))
 	}
 }
 
--- a/router/acceptor/harness_test.go
+++ b/router/acceptor/harness_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -119,3 +120,7 @@
 func (r *rig) get(t *testing.T, path string, lines ...string) reply {
 	return r.send(t, "GET "+path+" HTTP/1.1\r\nHost: x\r\n"+strings.Join(append(lines, ""), "\r\n")+"\r\n")
 }
+
+func (r *rig) counted(outcome messenger.Outcome, reason messenger.Reason) uint64 {
+	return r.metrics.GetOrCreateCounter(fmt.Sprintf("marigold_requests_total{outcome=%q,reason=%q}", outcome, reason)).Get()
+}
--- a/router/acceptor/problem.go
+++ b/router/acceptor/problem.go
@@ -2,13 +2,10 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/labstack/echo/v4"
-
 	"marigoldhill/kernel/messenger"
 )
 
@@ -93,16 +90,3 @@
 func wholeSeconds(d time.Duration) int {
 	return int((d + time.Second - 1) / time.Second)
 }
-
-// handleError answers errors of echo itself; the handler returns none.
-func (a *Acceptor) handleError(err error, c echo.Context) {
-	if c.Response().Committed {
-		return
-	}
-	status := http.StatusBadRequest
-	var failure *echo.HTTPError
-	if errors.As(err, &failure) {
-		status = failure.Code
-	}
-	a.refuse(c.Response(), &refusal{reason: messenger.ReasonMalformed, status: status, detail: "no such path"})
-}
--- a/router/forwarder/answer.go
+++ b/router/forwarder/answer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/router/executor"
@@ -39,6 +41,15 @@
 	return messenger.ReasonCanceled
 }
 
+// bodyReason says why a request is given up whose body could not be read.
+func bodyReason(ctx context.Context, err error) messenger.Reason {
+	var broken net.Error
+	if ctx.Err() != nil || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &broken) {
+		return abandonReason(ctx)
+	}
+	return messenger.ReasonMalformed
+}
+
 // doubtReason says why the outcome of a request that was sent is unknown.
 func doubtReason(ctx context.Context) messenger.Reason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/router/forwarder/forwarder.go
+++ b/router/forwarder/forwarder.go
@@ -121,7 +121,7 @@
 	f.retrier.Started(request.Service)
 	source, err := newReplay(body, request.Length)
 	if err != nil {
-		return refuse(request, abandonReason(ctx))
+		return refuse(request, bodyReason(ctx, err))
 	}
 	if source.whole {
 		request.Length = int64(len(source.prefix))
