Compare the policy with baselines under load and faults

Cause: the policy under load was not measured. The load generator takes hot keys, measures churn, weighs imbalance by work, and dials the next router when one cannot be reached.

--- /dev/null
+++ b/bench/baseliner/baseliner_test.go
@@ -0,0 +1,63 @@
+package baseliner_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/bench/baseliner"
+	"marigoldhill/bench/responder"
+	"marigoldhill/kernel/disrupter"
+	"marigoldhill/kernel/messenger"
+)
+
+func TestPlacementWithOneServerLost(t *testing.T) {
+	world := disrupter.New(0)
+	var servers []*responder.Server
+	bases := make(map[string][]string)
+	for i := range 3 {
+		settings := responder.Defaults()
+		settings.Name, settings.Service, settings.Work = fmt.Sprint("d", i), "findings", 0
+		settings.Listen = settings.Name + ":7204"
+		server := responder.New(settings, world.Node(settings.Name), responder.NewLedger())
+		qt.Assert(t, server.Start(t.Context()), qt.IsNil)
+		t.Cleanup(server.Kill)
+		servers = append(servers, server)
+		bases["findings"] = append(bases["findings"], server.URL())
+	}
+	servers[0].Kill()
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		return world.Node("caller").Dial(ctx, address)
+	}
+	client := &http.Client{Transport: &http.Transport{DialContext: dial}}
+	defer client.CloseIdleConnections()
+	tests := []struct {
+		name    string
+		retries int
+		lost    bool
+	}{
+		{"fixed", 0, true},
+		{"round robin", 10, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			settings := baseliner.Settings{Listen: "entry:7200", Servers: bases, Retries: test.retries}
+			baseline := baseliner.New(settings, world.Node("entry"))
+			qt.Assert(t, baseline.Start(), qt.IsNil)
+			defer baseline.Stop()
+			outcomes := make(map[messenger.Outcome]int)
+			for key := range 30 {
+				answer, err := client.Get(fmt.Sprintf("%s/v1/findings/k%d/findings", baseline.URL(), key))
+				qt.Assert(t, err, qt.IsNil)
+				_ = answer.Body.Close()
+				outcomes[messenger.Outcome(answer.Header.Get(messenger.HeaderOutcome))]++
+			}
+			qt.Assert(t, outcomes[messenger.OutcomeUnknown] > 0, qt.Equals, test.lost)
+			qt.Assert(t, outcomes[messenger.OutcomeDone]+outcomes[messenger.OutcomeUnknown], qt.Equals, 30)
+		})
+	}
+}
--- a/bench/launcher/launcher.go
+++ b/bench/launcher/launcher.go
@@ -55,6 +55,9 @@
 	// Server is the pattern for the stand-in servers; Name, Service, Listen and
 	// Router are filled in.
 	Server responder.Settings
+	// Adjust, unless nil, changes the settings of the stand-in server beside
+	// router i, counted from 0.
+	Adjust func(i int, server *responder.Settings)
 }
 
 // Defaults returns settings for loopback TCP with three control replicas and no
--- a/bench/loader/arrivals.go
+++ b/bench/loader/arrivals.go
@@ -13,7 +13,8 @@
 	kind   int
 	key    string
 	number string
-	router string
+	// router is the place in Settings.Routers of the one to send it to.
+	router int
 }
 
 // arrivals makes the open-loop schedule of a run: exponential gaps, keys by a
@@ -50,8 +51,8 @@
 	found := arrival{
 		due:    a.due,
 		kind:   a.pickKind(),
-		key:    fmt.Sprintf("%s%d", a.settings.Prefix, a.zipf.Uint64()),
-		router: a.settings.Routers[a.made%len(a.settings.Routers)],
+		key:    a.pickKey(),
+		router: a.made % len(a.settings.Routers),
 	}
 	if a.settings.Kinds[found.kind].Numbered {
 		found.number = fmt.Sprintf("%x-%d", a.settings.Seed, a.made)
@@ -60,6 +61,17 @@
 	return found, true
 }
 
+// pickKey returns a hot key, or one by the Zipf law.
+func (a *arrivals) pickKey() string {
+	for _, hot := range a.settings.Hot {
+		isNow := a.due >= hot.From && a.due < hot.Until
+		if isNow && a.random.Float64() < hot.Part {
+			return hot.Key
+		}
+	}
+	return fmt.Sprintf("%s%d", a.settings.Prefix, a.zipf.Uint64())
+}
+
 func (a *arrivals) pickKind() int {
 	rest := a.random.Float64() * a.weight
 	for i, kind := range a.settings.Kinds {
--- a/bench/loader/caller.go
+++ b/bench/loader/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,8 @@
 	"strings"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"marigoldhill/bench/responder"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
@@ -32,6 +35,9 @@
 	answerGrace = 2 * time.Second
 )
 
+// errDial says that no connection was made, so nothing was sent.
+var errDial = errs.New("no connection")
+
 // result is what became of one arrival.
 type result struct {
 	kind    int
@@ -54,7 +60,11 @@
 func newCaller(settings Settings, network networker.Network) caller {
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return network.Dial(ctx, address)
+			conn, err := network.Dial(ctx, address)
+			if err != nil {
+				return nil, Error.New("%w: %w", errDial, err)
+			}
+			return conn, nil
 		},
 		MaxIdleConnsPerHost: settings.Flight,
 		DisableCompression:  true,
@@ -67,7 +77,11 @@
 	found := result{kind: arrival.kind, key: arrival.key, due: arrival.due}
 	for {
 		found.attempts++
+		started := time.Now()
 		c.try(ctx, arrival, &found)
+		if found.outcome == OutcomeLost && time.Since(started) >= c.settings.Timeout {
+			found.reason = messenger.ReasonExpired
+		}
 		isOpen := found.outcome == messenger.OutcomeUnknown || found.outcome == OutcomeLost
 		if !isOpen || arrival.number == "" || found.attempts > c.settings.Resends {
 			return found
@@ -85,11 +99,7 @@
 	found.outcome, found.reason = OutcomeLost, messenger.ReasonNone
 	ctx, cancel := context.WithTimeout(ctx, c.settings.Timeout+answerGrace)
 	defer cancel()
-	request, err := c.request(ctx, arrival)
-	if err != nil {
-		return
-	}
-	answer, err := c.client.Do(request)
+	answer, err := c.send(ctx, arrival)
 	if err != nil {
 		return
 	}
@@ -109,10 +119,27 @@
 	}
 }
 
+// send sends an arrival to its router, or to the next one that can be dialled.
+func (c caller) send(ctx context.Context, arrival arrival) (*http.Response, error) {
+	routers := c.settings.Routers
+	for skipped := range routers {
+		router := routers[(arrival.router+skipped)%len(routers)]
+		request, err := c.request(ctx, arrival, router)
+		if err != nil {
+			return nil, err
+		}
+		answer, err := c.client.Do(request)
+		if !errors.Is(err, errDial) {
+			return answer, err
+		}
+	}
+	return nil, errDial
+}
+
 // request makes the HTTP request of an arrival.
-func (c caller) request(ctx context.Context, arrival arrival) (*http.Request, error) {
+func (c caller) request(ctx context.Context, arrival arrival, router string) (*http.Request, error) {
 	kind := c.settings.Kinds[arrival.kind]
-	address := arrival.router + "/v1/" + c.settings.Service + "/" + url.PathEscape(arrival.key) + "/" + kind.Route
+	address := router + "/v1/" + c.settings.Service + "/" + url.PathEscape(arrival.key) + "/" + kind.Route
 	query := url.Values{}
 	if kind.Work > 0 {
 		query.Set("work", kind.Work.String())
--- a/bench/loader/gaps.go
+++ b/bench/loader/gaps.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -9,8 +10,8 @@
 
 // Unavailability is how long keys could not be served, as callers saw it: from
 // when a request was due that ended without its answer, to when one was next due
-// that was answered. Requests refused for want of room do not count, since the
-// key had a server then.
+// that was answered. Requests refused for want of room, and those that took longer
+// than their timeout, do not count, since the key had a server then.
 type Unavailability struct {
 	// Keys is how many keys had a gap.
 	Keys  int           `json:"keys"`
@@ -23,6 +24,7 @@
 type sighting struct {
 	due    time.Duration
 	served bool
+	server string
 }
 
 // gaps collects sightings of each key. It is used by one goroutine.
@@ -39,7 +41,7 @@
 		return
 	}
 	served := result.outcome == messenger.OutcomeDone
-	g.sightings[result.key] = append(g.sightings[result.key], sighting{due: result.due, served: served})
+	g.sightings[result.key] = append(g.sightings[result.key], sighting{due: result.due, served: served, server: result.server})
 }
 
 // isForWantOfRoom reports whether a request was turned away although its key had
@@ -47,12 +49,19 @@
 func isForWantOfRoom(result result) bool {
 	switch result.reason {
 	case messenger.ReasonQueue, messenger.ReasonShare, messenger.ReasonFair, messenger.ReasonShed,
-		messenger.ReasonBudget, messenger.ReasonDeadline, messenger.ReasonQuarantine:
+		messenger.ReasonBudget, messenger.ReasonDeadline, messenger.ReasonExpired, messenger.ReasonQuarantine:
 		return true
 	}
 	return result.outcome == OutcomeUnsent
 }
 
+// sort puts the sightings of each key in the order in which they were due.
+func (g *gaps) sort() {
+	for _, sightings := range g.sightings {
+		slices.SortFunc(sightings, func(a, b sighting) int { return cmp.Compare(a.due, b.due) })
+	}
+}
+
 // report sums up the longest gap of each key.
 func (g *gaps) report() Unavailability {
 	var found Unavailability
@@ -74,10 +83,37 @@
 	return found
 }
 
+// churn is the changes of server, as callers saw them, for each key and hour.
+func (g *gaps) churn(elapsed time.Duration) float64 {
+	changes := 0
+	for _, sightings := range g.sightings {
+		changes += changesOf(sightings)
+	}
+	hours := float64(len(g.sightings)) * elapsed.Hours()
+	if hours == 0 {
+		return 0
+	}
+	return float64(changes) / hours
+}
+
+// changesOf counts how often one key was served by another server than before.
+func changesOf(sightings []sighting) int {
+	changes, last := 0, ""
+	for _, seen := range sightings {
+		if !seen.served {
+			continue
+		}
+		if last != "" && seen.server != last {
+			changes++
+		}
+		last = seen.server
+	}
+	return changes
+}
+
 // gapsOf returns the longest gap of one key and the sum of all. A gap that never
 // ends counts up to the last sighting.
 func gapsOf(sightings []sighting) (worst, total time.Duration) {
-	slices.SortFunc(sightings, func(a, b sighting) int { return int(a.due - b.due) })
 	start, open := time.Duration(0), false
 	for i, seen := range sightings {
 		if !seen.served && !open {
--- /dev/null
+++ b/bench/loader/gaps_test.go
@@ -0,0 +1,85 @@
+package loader
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/kernel/messenger"
+)
+
+func TestGapsAndChurn(t *testing.T) {
+	done := func(due int, server string) result {
+		return result{key: "a", outcome: messenger.OutcomeDone, server: server, due: time.Duration(due) * time.Second}
+	}
+	failed := func(due int, outcome messenger.Outcome, reason messenger.Reason) result {
+		return result{key: "a", outcome: outcome, reason: reason, due: time.Duration(due) * time.Second}
+	}
+	tests := []struct {
+		name    string
+		results []result
+		worst   time.Duration
+		total   time.Duration
+		churn   float64
+	}{{
+		name:    "served",
+		results: []result{done(0, "d1"), done(1, "d1")},
+	}, {
+		name:    "moved",
+		results: []result{done(0, "d1"), done(2, "d1"), done(1, "d2")},
+		churn:   2,
+	}, {
+		name: "two gaps",
+		results: []result{
+			done(0, "d1"), failed(1, messenger.OutcomeRefused, messenger.ReasonUnowned), done(3, "d2"),
+			failed(4, OutcomeLost, ""), done(5, "d2"),
+		},
+		worst: 2 * time.Second, total: 3 * time.Second, churn: 1,
+	}, {
+		name:    "no room",
+		results: []result{done(0, "d1"), failed(1, messenger.OutcomeRefused, messenger.ReasonQueue), done(2, "d1")},
+	}, {
+		name:    "never again",
+		results: []result{done(0, "d1"), failed(1, OutcomeLost, ""), failed(6, OutcomeLost, "")},
+		worst:   5 * time.Second, total: 5 * time.Second,
+	}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			gaps := newGaps()
+			for _, result := range test.results {
+				gaps.add(result)
+			}
+			gaps.sort()
+			report := gaps.report()
+			qt.Assert(t, report.Worst, qt.Equals, test.worst)
+			qt.Assert(t, report.Total, qt.Equals, test.total)
+			qt.Assert(t, gaps.churn(time.Hour), qt.Equals, test.churn)
+		})
+	}
+}
+
+func TestHotKeysTakeTheirPart(t *testing.T) {
+	made := newArrivals(Settings{
+		Routers: []string{"a", "b"}, Rate: 1000, Count: 4000, Duration: time.Minute, Keys: 100, Skew: 1.1, Prefix: "k",
+		Kinds: []Kind{{Weight: 1}}, Seed: 7,
+		Hot: []HotKey{{Key: "hot", Part: 0.5, From: time.Second, Until: 2 * time.Second}},
+	})
+	inside, hot := 0, 0
+	for {
+		arrival, more := made.next()
+		if !more {
+			break
+		}
+		isInside := arrival.due >= time.Second && arrival.due < 2*time.Second
+		qt.Assert(t, arrival.key == "hot" && !isInside, qt.IsFalse)
+		if isInside {
+			inside++
+		}
+		if arrival.key == "hot" {
+			hot++
+		}
+	}
+	part := float64(hot) / float64(inside)
+	qt.Assert(t, part > 0.45 && part < 0.55, qt.IsTrue, qt.Commentf("part %.2f", part))
+}
--- a/bench/loader/mix.go
+++ b/bench/loader/mix.go
@@ -8,6 +8,9 @@
 	"marigoldhill/kernel/messenger"
 )
 
+// interactiveWork is the time that an interactive request takes.
+const interactiveWork = 10 * time.Millisecond
+
 // Mix is the mixture of requests that callers send to one service.
 type Mix struct {
 	Service string
@@ -33,31 +36,31 @@
 
 func findings() Mix {
 	return Mix{Service: "findings", Prefix: "door-", Kinds: []Kind{
-		{Name: "finding", Class: messenger.ClassInteractive, Method: http.MethodGet, Route: "findings", Weight: 85},
-		{Name: "certificate", Class: messenger.ClassInteractive, Method: http.MethodPost, Route: "certificates", Weight: 5, Numbered: true, Size: 2 << 10},
-		{Name: "archive", Class: messenger.ClassBackground, Method: http.MethodGet, Route: "archive", Weight: 10, Work: 30 * time.Millisecond, Answer: 64 << 10},
+		{Name: "finding", Class: messenger.ClassInteractive, Method: http.MethodGet, Route: "findings", Weight: 85, Work: interactiveWork},
+		{Name: "certificate", Class: messenger.ClassInteractive, Method: http.MethodPost, Route: "certificates", Weight: 5, Numbered: true, Size: 2 << 10, Work: interactiveWork},
+		{Name: "archive", Class: messenger.ClassBackground, Method: http.MethodGet, Route: "archive", Weight: 10, Work: 60 * time.Millisecond, Answer: 64 << 10},
 	}}
 }
 
 func reports() Mix {
 	return Mix{Service: "reports", Prefix: "report-", Kinds: []Kind{
-		{Name: "report", Class: messenger.ClassInteractive, Method: http.MethodGet, Route: "reports", Weight: 60},
-		{Name: "photos", Class: messenger.ClassBackground, Method: http.MethodGet, Route: "photos", Weight: 20, Work: 20 * time.Millisecond, Answer: 256 << 10},
-		{Name: "archive", Class: messenger.ClassBackground, Method: http.MethodGet, Route: "archive", Weight: 20, Work: 30 * time.Millisecond, Answer: 64 << 10},
+		{Name: "report", Class: messenger.ClassInteractive, Method: http.MethodGet, Route: "reports", Weight: 60, Work: interactiveWork},
+		{Name: "photos", Class: messenger.ClassBackground, Method: http.MethodGet, Route: "photos", Weight: 20, Work: 40 * time.Millisecond, Answer: 256 << 10},
+		{Name: "archive", Class: messenger.ClassBackground, Method: http.MethodGet, Route: "archive", Weight: 20, Work: 60 * time.Millisecond, Answer: 64 << 10},
 	}}
 }
 
 func enquiry() Mix {
 	return Mix{Service: "enquiry", Prefix: "application-", Kinds: []Kind{
-		{Name: "status", Class: messenger.ClassInteractive, Method: http.MethodGet, Route: "status", Weight: 85},
-		{Name: "lodgement", Class: messenger.ClassInteractive, Method: http.MethodPost, Route: "applications", Weight: 15, Numbered: true, Size: 8 << 10},
+		{Name: "status", Class: messenger.ClassInteractive, Method: http.MethodGet, Route: "status", Weight: 85, Work: interactiveWork},
+		{Name: "lodgement", Class: messenger.ClassInteractive, Method: http.MethodPost, Route: "applications", Weight: 15, Numbered: true, Size: 8 << 10, Work: interactiveWork},
 	}}
 }
 
 func records() Mix {
 	return Mix{Service: "records", Prefix: "record-", Kinds: []Kind{
-		{Name: "status", Class: messenger.ClassInteractive, Method: http.MethodGet, Route: "status", Weight: 50},
-		{Name: "tariff", Class: messenger.ClassInteractive, Method: http.MethodGet, Route: "tariffs", Weight: 35},
-		{Name: "survey", Class: messenger.ClassBackground, Method: http.MethodGet, Route: "surveys", Weight: 15, Work: 20 * time.Millisecond, Answer: 128 << 10},
+		{Name: "status", Class: messenger.ClassInteractive, Method: http.MethodGet, Route: "status", Weight: 50, Work: interactiveWork},
+		{Name: "tariff", Class: messenger.ClassInteractive, Method: http.MethodGet, Route: "tariffs", Weight: 35, Work: interactiveWork},
+		{Name: "survey", Class: messenger.ClassBackground, Method: http.MethodGet, Route: "surveys", Weight: 15, Work: 40 * time.Millisecond, Answer: 128 << 10},
 	}}
 }
--- a/bench/loader/report.go
+++ b/bench/loader/report.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -37,6 +38,8 @@
 type ServerCount struct {
 	Server string `json:"server"`
 	Done   int    `json:"done"`
+	// Busy is the time that the answered requests asked for.
+	Busy time.Duration `json:"busy"`
 }
 
 // Report is what became of a run.
@@ -45,11 +48,15 @@
 	// Total is the number of arrivals; the outcomes add up to it.
 	Total int `json:"total"`
 	// Resent counts sends beyond the first of each arrival.
-	Resent      int            `json:"resent"`
-	Latencies   []Latency      `json:"latencies"`
-	Outcomes    []OutcomeCount `json:"outcomes"`
-	Servers     []ServerCount  `json:"servers"`
-	Imbalance   float64        `json:"imbalance"`
+	Resent    int       `json:"resent"`
+	Latencies []Latency `json:"latencies"`
+	// Classes has the latencies of all kinds of a class together.
+	Classes   []Latency      `json:"classes"`
+	Outcomes  []OutcomeCount `json:"outcomes"`
+	Servers   []ServerCount  `json:"servers"`
+	Imbalance float64        `json:"imbalance"`
+	// Churn is the changes of server for each key and hour.
+	Churn       float64        `json:"churn"`
 	Unavailable Unavailability `json:"unavailable"`
 	// Checked says that the servers' runs were read; Repeated are the numbered
 	// requests that ran more than once.
@@ -57,14 +64,40 @@
 	Repeated []responder.RunCount `json:"repeated"`
 }
 
+// Ledger tells how often numbered requests ran on one server.
+type Ledger interface {
+	// Totals returns the counts of all numbered requests.
+	Totals(all bool) responder.RunTotals
+}
+
 // readRuns asks all servers how often each numbered request ran.
 func (r *Report) readRuns(ctx context.Context, settings Settings, client *http.Client) error {
-	runs := make(map[responder.RunKey]int)
+	var all []responder.RunTotals
 	for _, server := range settings.Servers {
 		totals, err := readTotals(ctx, server, client)
 		if err != nil {
 			return err
 		}
+		all = append(all, totals)
+	}
+	r.addRuns(all)
+	return nil
+}
+
+// CountRuns notes the numbered requests that ran more than once on all the
+// servers together.
+func (r *Report) CountRuns(ledgers []Ledger) {
+	var all []responder.RunTotals
+	for _, ledger := range ledgers {
+		all = append(all, ledger.Totals(true))
+	}
+	r.addRuns(all)
+}
+
+// addRuns adds up the runs of all servers.
+func (r *Report) addRuns(all []responder.RunTotals) {
+	runs := make(map[responder.RunKey]int)
+	for _, totals := range all {
 		for _, run := range totals.Runs {
 			runs[run.RunKey] += run.Runs
 		}
@@ -74,8 +107,7 @@
 			r.Repeated = append(r.Repeated, responder.RunCount{RunKey: run, Runs: count})
 		}
 	}
-	r.Checked = len(settings.Servers) > 0
-	return nil
+	r.Checked = len(all) > 0
 }
 
 func readTotals(ctx context.Context, server string, client *http.Client) (responder.RunTotals, error) {
@@ -117,8 +149,9 @@
 		[2]string{"sent again", strconv.Itoa(r.Resent)},
 		[2]string{"ran more than once", runs},
 		[2]string{"imbalance", fmt.Sprintf("%.2f", r.Imbalance)},
+		[2]string{"churn", fmt.Sprintf("%.3f for each key and hour", r.Churn)},
 		[2]string{"unavailable", unavailableText(r.Unavailable)},
-	) + "\n" + printer.Table(latencyColumns(), r.Latencies) +
+	) + "\n" + printer.Table(latencyColumns(), slices.Concat(r.Latencies, r.Classes)) +
 		"\n" + printer.Table(outcomeColumns(), r.Outcomes) +
 		"\n" + printer.Table(serverColumns(), r.Servers)
 }
--- a/bench/loader/settings.go
+++ b/bench/loader/settings.go
@@ -27,6 +27,16 @@
 	Answer int `json:"answer"`
 }
 
+// HotKey is a key that takes a part of all arrivals for a while.
+type HotKey struct {
+	Key string
+	// Part is its part of the arrivals, 0 to 1.
+	Part float64
+	// From and Until are counted from the start of the run.
+	From  time.Duration
+	Until time.Duration
+}
+
 // Settings describe one run of load.
 type Settings struct {
 	// Routers are the base URLs of the caller interfaces; arrivals go to them
@@ -48,6 +58,8 @@
 	// Prefix starts the name of each key.
 	Prefix string
 	Kinds  []Kind
+	// Hot are keys that take a part of the arrivals for a while.
+	Hot []HotKey
 	// Flight is the most requests in flight; arrivals above it are not sent and
 	// counted as such.
 	Flight int
--- a/bench/responder/responder.go
+++ b/bench/responder/responder.go
@@ -127,7 +127,7 @@
 	s.address = listener.Addr().String()
 	life := &life{
 		born:   time.Now(),
-		slots:  make(chan struct{}, s.settings.Slots),
+		slots:  make(chan struct{}, s.settings.realSlots()),
 		fences: newFences(),
 		done:   make(chan struct{}),
 	}
--- a/bench/responder/settings.go
+++ b/bench/responder/settings.go
@@ -42,6 +42,11 @@
 	Fences bool
 	// Deadlines says that work past its deadline is refused.
 	Deadlines bool
+	// Real is how many requests really run at once when that is fewer than the
+	// announced Slots; 0 means Slots.
+	Real int
+	// Slow multiplies the time that work takes; 0 means 1.
+	Slow float64
 	// Revive is how long after a crash the server starts again. With 0 it
 	// stays down.
 	Revive time.Duration
@@ -67,3 +72,11 @@
 		Health:    ReportTrue,
 	}
 }
+
+// realSlots is how many requests run at once.
+func (s Settings) realSlots() int {
+	if s.Real > 0 {
+		return s.Real
+	}
+	return s.Slots
+}
--- a/bench/responder/worker.go
+++ b/bench/responder/worker.go
@@ -194,11 +194,12 @@
 // workTime is the work of an order, longer while the server is cold.
 func (w worker) workTime(order order) time.Duration {
 	age, warmup := time.Since(w.life.born), w.server.settings.Warmup
-	if age >= warmup {
-		return order.work
+	factor := max(w.server.settings.Slow, 1)
+	if age < warmup {
+		left := float64(warmup-age) / float64(warmup)
+		factor *= 1 + left*(coldFactor-1)
 	}
-	left := float64(warmup-age) / float64(warmup)
-	return time.Duration(float64(order.work) * (1 + left*(coldFactor-1)))
+	return time.Duration(float64(order.work) * factor)
 }
 
 func refuse(c echo.Context, refusal messenger.Refusal) error {
