--- a/router/locator/entry.go
+++ b/router/locator/entry.go
@@ -16,6 +16,7 @@
 type rareFields struct {
 	survivors      []uint64
 	previous       uint64
+	last           uint64
 	forgottenUntil int64
 	forgotten      bool
 }
@@ -31,12 +32,13 @@
 }
 
 func newRareFields(row messenger.ShardRow) *rareFields {
-	if len(row.Survivors) == 0 && row.Previous == 0 && row.ForgottenUntil == 0 && !row.Forgotten {
+	if len(row.Survivors) == 0 && row.Previous == 0 && row.Last == 0 && row.ForgottenUntil == 0 && !row.Forgotten {
 		return nil
 	}
 	return &rareFields{
 		survivors:      row.Survivors,
 		previous:       row.Previous,
+		last:           row.Last,
 		forgotten:      row.Forgotten,
 		forgottenUntil: row.ForgottenUntil,
 	}
@@ -55,6 +57,7 @@
 	if e.rare != nil {
 		row.Survivors = e.rare.survivors
 		row.Previous = e.rare.previous
+		row.Last = e.rare.last
 		row.Forgotten = e.rare.forgotten
 		row.ForgottenUntil = e.rare.forgottenUntil
 	}
