Balance shards, drain servers, promote hot keys and measure the outcome

Cause: shards stayed where they were first placed, and nothing was measured. Heartbeat.Requests and Busy are new. Releases, recoveries and copies that a router repeats are not logged again. Found by it: the number of a key that went back was used again at once, so a router with an old table took another key's shard for its own; a number now rests for 10 s. Before and after: no figures of speed yet.

--- a/control/assigner/assigner.go
+++ b/control/assigner/assigner.go
@@ -61,6 +61,8 @@
 	time int64
 
 	sessions map[uint64]*Session
+	// sorted is the list of sessions in order, nil when it must be made anew.
+	sorted   []*Session
 	routers  map[string]uint64
 	tables   map[string]*Table
 	profiles map[string]Versioned[messenger.Profile]
--- a/control/assigner/command.go
+++ b/control/assigner/command.go
@@ -60,6 +60,9 @@
 	Sessions []uint64
 	// Lapsed says that their leases lapsed; otherwise they ended in order.
 	Lapsed bool
+	// Silence is how long the leases' owners were not heard of, in
+	// milliseconds.
+	Silence int64
 }
 
 // Release gives shards back. Shards that are moving go to their next owner.
--- a/control/assigner/grant.go
+++ b/control/assigner/grant.go
@@ -43,11 +43,25 @@
 
 // own makes a session the owner of a shard under a new fence.
 func (s *State) own(t *Table, number uint32, session *Session) {
-	t.shards[number].fence = s.applied
+	cell := &t.shards[number]
+	s.measureGrant(t, cell, session)
+	cell.fence = s.applied
+	cell.last = session.Row.Session
 	s.setShard(t, number, session.Row.Session, messenger.PhaseOwned)
 	session.Granted = true
 }
 
+// measureGrant counts a grant of a shard that was owned before.
+func (s *State) measureGrant(t *Table, cell *shard, session *Session) {
+	if cell.last == 0 {
+		return
+	}
+	t.measures.addGap(s.time, s.time-cell.since)
+	if cell.last != session.Row.Session {
+		t.measures.addChange(s.time)
+	}
+}
+
 // move starts planned moves of owned shards.
 func (s *State) move(command *Move) Result {
 	t := s.tables[command.Service]
@@ -97,16 +111,11 @@
 	moved := make(map[shardOwner][]uint32)
 	total := 0
 	for _, ref := range command.Shards {
-		t := s.tables[ref.Service]
-		if t == nil || ref.Shard >= t.Size() {
-			continue
-		}
-		cell := &t.shards[ref.Shard]
-		if cell.owner != command.Session || cell.fence != ref.Fence {
+		if !s.Owns(command.Session, ref) {
 			continue
 		}
 		total++
-		if target := s.releaseShard(t, ref.Shard, session); target != nil {
+		if target := s.releaseShard(s.tables[ref.Service], ref.Shard, session); target != nil {
 			pair := shardOwner{service: ref.Service, session: target.Row.Session}
 			moved[pair] = append(moved[pair], ref.Shard)
 		}
@@ -129,7 +138,7 @@
 	planned := t.shards[number].phase == messenger.PhaseMoving
 	target := s.sessions[t.next[number]]
 	s.keepRecords(t, number, session, planned)
-	if target == nil || target.Service() != t.Service.Name {
+	if target == nil || target.Service() != t.Service.Name || target.Row.Leaving {
 		s.setShard(t, number, 0, messenger.PhaseFree)
 		return nil
 	}
@@ -138,20 +147,24 @@
 }
 
 // freeShards frees all shards of closed sessions, and ends the moves to them.
-func (s *State) freeShards(gone []*Session, lapsed bool) {
+func (s *State) freeShards(gone []*Session, silence int64) {
 	closed := make(map[uint64]*Session, len(gone))
 	for _, session := range gone {
 		closed[session.Row.Session] = session
 	}
 	for _, t := range s.Tables() {
 		for number := range t.Size() {
-			s.freeShard(t, number, closed)
+			s.freeShard(t, number, closed, silence)
 		}
 		s.dropSurvivors(t, closed)
+		if t.forgets > 0 {
+			s.event(logger.RecordsForgotten, t.Service.Name, fmt.Sprintf("%d shards", t.forgets))
+			t.forgets = 0
+		}
 	}
 }
 
-func (s *State) freeShard(t *Table, number uint32, closed map[uint64]*Session) {
+func (s *State) freeShard(t *Table, number uint32, closed map[uint64]*Session, silence int64) {
 	cell := &t.shards[number]
 	if cell.owner == 0 {
 		return
@@ -159,12 +172,14 @@
 	if session := closed[cell.owner]; session != nil {
 		s.inheritRecords(t, number, session)
 		s.setShard(t, number, 0, messenger.PhaseFree)
+		cell.since = min(cell.since, s.time-silence)
 		return
 	}
 	if cell.phase != messenger.PhaseMoving {
 		return
 	}
 	if _, lost := closed[t.next[number]]; lost {
+		t.measures.addGap(s.time, s.time-cell.since)
 		s.setShard(t, number, cell.owner, messenger.PhaseOwned)
 	}
 }
--- a/control/assigner/key.go
+++ b/control/assigner/key.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"marigoldhill/kernel/hasher"
 	"marigoldhill/kernel/logger"
@@ -12,6 +11,10 @@
 // MaxKeys is how many keys of a service may have shards of their own.
 const MaxKeys = 1024
 
+// reuseMillis is how long the number of a key that went back stays out of use,
+// in milliseconds: no router with a lease takes it for the old key then.
+const reuseMillis = 10_000
+
 // promote gives a key a shard of its own, with the owner that it has.
 func (s *State) promote(command *Promote) Result {
 	t := s.tables[command.Service]
@@ -26,8 +29,8 @@
 	if owner == nil || t.shards[base].phase != messenger.PhaseOwned || t.recoveries[base].isOpen() {
 		return void()
 	}
-	number := t.addKey(command.Key, s.applied)
-	t.shards[number].used = t.shards[base].used
+	number := s.addKey(t, command.Key)
+	t.shards[number] = shard{used: t.shards[base].used, since: s.time}
 	if pending := t.recoveries[base]; pending != nil {
 		t.recoveries[number] = &recovery{ForgottenUntil: pending.ForgottenUntil}
 	}
@@ -37,8 +40,8 @@
 }
 
 // addKey gives a key a number that is not in use.
-func (t *Table) addKey(key string, revision uint64) uint32 {
-	slot := slices.Index(t.names, "")
+func (s *State) addKey(t *Table, key string) uint32 {
+	slot := s.freeSlot(t)
 	if slot < 0 {
 		slot = len(t.names)
 		t.names = append(t.names, "")
@@ -47,11 +50,22 @@
 	number := t.Service.Shards + uint32(slot)
 	t.names[slot] = key
 	t.keys[key] = number
-	t.keyed[key] = revision
+	t.keyed[key] = s.applied
 	t.free++
 	return number
 }
 
+// freeSlot returns a number that has not been in use for reuseMillis, counted
+// from the hash shards, or -1.
+func (s *State) freeSlot(t *Table) int {
+	for slot, name := range t.names {
+		if name == "" && s.time-t.shards[int(t.Service.Shards)+slot].since >= reuseMillis {
+			return slot
+		}
+	}
+	return -1
+}
+
 // demote puts a key back into its hash shard, when both have the same owner and
 // nothing is to be recovered.
 func (s *State) demote(command *Demote) Result {
--- a/control/assigner/recorder.go
+++ b/control/assigner/recorder.go
@@ -66,7 +66,7 @@
 	}
 	var joined []uint64
 	for _, number := range command.Joined {
-		if slices.Contains(session.Row.Joining, number) && !slices.Contains(joined, number) {
+		if session.IsJoining(number) && !slices.Contains(joined, number) {
 			joined = append(joined, number)
 		}
 	}
@@ -131,6 +131,11 @@
 	return slices.Concat(s.Row.Recorders, s.Row.Joining)
 }
 
+// IsJoining reports whether a session is a joining recorder.
+func (s *Session) IsJoining(number uint64) bool {
+	return slices.Contains(s.Row.Joining, number)
+}
+
 // HasRecorder reports whether a session is a recorder, or a joining one.
 func (s *Session) HasRecorder(number uint64) bool {
 	return slices.Contains(s.Row.Recorders, number) || slices.Contains(s.Row.Joining, number)
--- a/control/assigner/recovery.go
+++ b/control/assigner/recovery.go
@@ -78,6 +78,7 @@
 func (s *State) forgetIfLost(t *Table, entry *recovery) {
 	if len(entry.Survivors) == 0 && entry.Previous == 0 {
 		entry.ForgottenUntil = s.time + t.Service.Retention.Milliseconds()
+		t.forgets++
 	}
 }
 
@@ -109,20 +110,31 @@
 	return changed
 }
 
+// Owns reports whether a session owns a shard under the fence of ref.
+func (s *State) Owns(session uint64, ref messenger.ShardRef) bool {
+	t := s.tables[ref.Service]
+	if t == nil || ref.Shard >= t.Size() {
+		return false
+	}
+	cell := &t.shards[ref.Shard]
+	return cell.owner == session && cell.fence == ref.Fence
+}
+
+// IsRecovering reports whether a session owns a shard whose earlier records it
+// has not read yet.
+func (s *State) IsRecovering(session uint64, ref messenger.ShardRef) bool {
+	return s.Owns(session, ref) && s.tables[ref.Service].recoveries[ref.Shard].isOpen()
+}
+
 // recovered clears what the owner of a shard has read and stored.
 func (s *State) recovered(command *Recovered) Result {
 	total := 0
 	for _, ref := range command.Shards {
-		t := s.tables[ref.Service]
-		if t == nil || ref.Shard >= t.Size() {
-			continue
-		}
-		cell := &t.shards[ref.Shard]
-		entry := t.recoveries[ref.Shard]
-		if cell.owner != command.Session || cell.fence != ref.Fence || !entry.isOpen() {
+		if !s.IsRecovering(command.Session, ref) {
 			continue
 		}
-		s.clearRecovery(t, ref.Shard, entry)
+		t := s.tables[ref.Service]
+		s.clearRecovery(t, ref.Shard, t.recoveries[ref.Shard])
 		total++
 	}
 	if total == 0 {
--- a/control/assigner/session.go
+++ b/control/assigner/session.go
@@ -1,6 +1,7 @@
 package assigner
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -48,16 +49,20 @@
 	return s.sessions[s.routers[router]]
 }
 
-// Sessions returns the open sessions in rising order.
+// Sessions returns the open sessions in rising order. The list is shared and
+// must not be changed.
 func (s *State) Sessions() []*Session {
-	sessions := make([]*Session, 0, len(s.sessions))
+	if s.sorted != nil {
+		return s.sorted
+	}
+	s.sorted = make([]*Session, 0, len(s.sessions))
 	for _, session := range s.sessions {
-		sessions = append(sessions, session)
+		s.sorted = append(s.sorted, session)
 	}
-	slices.SortFunc(sessions, func(a, b *Session) int {
-		return int(int64(a.Row.Session) - int64(b.Row.Session))
+	slices.SortFunc(s.sorted, func(a, b *Session) int {
+		return cmp.Compare(a.Row.Session, b.Row.Session)
 	})
-	return sessions
+	return s.sorted
 }
 
 // open opens a session, unless one of the same router is open.
@@ -82,6 +87,7 @@
 		Stopping: command.Leaving,
 	}
 	s.sessions[s.applied] = session
+	s.sorted = nil
 	s.routers[command.Router] = s.applied
 	s.settle(session)
 	s.event(logger.SessionOpened, command.Router,
@@ -132,6 +138,7 @@
 		}
 		gone = append(gone, session)
 		delete(s.sessions, number)
+		s.sorted = nil
 		delete(s.routers, session.Row.Router)
 		s.bury(tombstone{Kind: tombSession, Number: number})
 		s.closeEvent(session, command.Lapsed)
@@ -140,7 +147,7 @@
 		return void()
 	}
 	s.dropRecorders(gone)
-	s.freeShards(gone, command.Lapsed)
+	s.freeShards(gone, command.Silence)
 	return applied(s.applied, len(gone))
 }
 
--- a/control/assigner/snapshot.go
+++ b/control/assigner/snapshot.go
@@ -40,6 +40,7 @@
 	Keyed      []uint64
 	Shards     []byte
 	Recoveries []recoverySnapshot
+	Measures   Measures
 }
 
 // recoverySnapshot is a recovery with its shard.
@@ -84,6 +85,7 @@
 		Revision: t.Revision,
 		Names:    t.names,
 		Shards:   t.encodeShards(),
+		Measures: t.measures,
 	}
 	for _, name := range t.names {
 		image.Keyed = append(image.Keyed, t.keyed[name])
@@ -110,12 +112,15 @@
 	return data
 }
 
+// runFields is the number of fields of a run.
+const runFields = 8
+
 func appendRun(data []byte, cell *shard, next uint64, run uint32) []byte {
 	flags := uint64(cell.phase) << 1
 	if cell.used {
 		flags |= 1
 	}
-	for _, value := range []uint64{uint64(run), flags, cell.owner, cell.fence, cell.changed, uint64(cell.since), next} {
+	for _, value := range []uint64{uint64(run), flags, cell.owner, cell.fence, cell.changed, cell.last, uint64(cell.since), next} {
 		data = binary.AppendUvarint(data, value)
 	}
 	return data
@@ -176,6 +181,7 @@
 	t := newTable(image.Service)
 	t.Revision = image.Revision
 	t.names = image.Names
+	t.measures = image.Measures
 	t.shards = make([]shard, int(image.Service.Shards)+len(image.Names))
 	t.free = 0
 	for n, name := range image.Names {
@@ -207,7 +213,7 @@
 func (t *Table) decodeShards(data []byte) error {
 	number := uint64(0)
 	for len(data) > 0 {
-		var fields [7]uint64
+		var fields [runFields]uint64
 		for n := range fields {
 			value, size := binary.Uvarint(data)
 			if size <= 0 {
@@ -230,16 +236,17 @@
 	return nil
 }
 
-func (t *Table) setDecoded(number uint32, fields *[7]uint64) {
+func (t *Table) setDecoded(number uint32, fields *[runFields]uint64) {
 	t.shards[number] = shard{
 		phase:   messenger.Phase(fields[1] >> 1),
 		used:    fields[1]&1 != 0,
 		owner:   fields[2],
 		fence:   fields[3],
 		changed: fields[4],
-		since:   int64(fields[5]),
+		last:    fields[5],
+		since:   int64(fields[6]),
 	}
-	if fields[6] != 0 {
-		t.next[number] = fields[6]
+	if fields[7] != 0 {
+		t.next[number] = fields[7]
 	}
 }
--- a/control/assigner/table.go
+++ b/control/assigner/table.go
@@ -12,7 +12,10 @@
 	owner   uint64
 	fence   uint64
 	changed uint64
-	// since is when it got its phase and owner, in milliseconds.
+	// last is the newest session that owned it.
+	last uint64
+	// since is in milliseconds: when it got its owner, or since when it has no
+	// serving owner.
 	since int64
 	phase messenger.Phase
 	// used says that an earlier owner may have accepted non-idempotent work.
@@ -43,6 +46,11 @@
 	changed uint64
 	free    int
 	moving  int
+
+	measures Measures
+	// forgets counts the shards whose records were forgotten by the command
+	// being applied.
+	forgets int
 }
 
 func newTable(service messenger.Service) *Table {
@@ -82,6 +90,25 @@
 	return t.moving
 }
 
+// Changed is the newest revision of a shard.
+func (t *Table) Changed() uint64 {
+	return t.changed
+}
+
+// MoveUnderWay is a planned move that has not ended.
+type MoveUnderWay struct {
+	Shard uint32
+	From  uint64
+	To    uint64
+}
+
+// EachMove calls visit for each move under way, ordered by shard.
+func (t *Table) EachMove(visit func(move MoveUnderWay)) {
+	for _, number := range sortedNumbers(t.next) {
+		visit(MoveUnderWay{Shard: number, From: t.shards[number].owner, To: t.next[number]})
+	}
+}
+
 // Keys is the number of promoted keys.
 func (t *Table) Keys() int {
 	return len(t.keys)
@@ -119,12 +146,15 @@
 	Phase messenger.Phase
 	// Since is when it got its owner, in milliseconds.
 	Since int64
+	// Recovering says that its owner has not read the records of earlier owners
+	// yet.
+	Recovering bool
 }
 
 // Ownership returns the ownership of a shard.
 func (t *Table) Ownership(number uint32) Ownership {
 	cell := &t.shards[number]
-	return Ownership{Owner: cell.owner, Phase: cell.phase, Since: cell.since}
+	return Ownership{Owner: cell.owner, Phase: cell.phase, Since: cell.since, Recovering: t.recoveries[number].isOpen()}
 }
 
 // FreeShards returns up to limit free shards.
@@ -166,9 +196,11 @@
 func (s *State) setShard(t *Table, number uint32, owner uint64, phase messenger.Phase) {
 	cell := &t.shards[number]
 	s.count(t, cell, -1)
+	if !isIdle(cell.phase) || !isIdle(phase) {
+		cell.since = s.time
+	}
 	cell.owner = owner
 	cell.phase = phase
-	cell.since = s.time
 	if phase != messenger.PhaseMoving {
 		delete(t.next, number)
 	}
@@ -176,6 +208,12 @@
 	s.touchShard(t, number)
 }
 
+// isIdle reports whether a shard in this phase has no owner that serves new
+// requests.
+func isIdle(phase messenger.Phase) bool {
+	return phase != messenger.PhaseOwned
+}
+
 // count adds a shard to the counts of its table and its owner, or takes it out.
 func (s *State) count(t *Table, cell *shard, step int) {
 	switch cell.phase {
--- /dev/null
+++ b/control/balancer/imbalance.go
@@ -0,0 +1,16 @@
+package balancer
+
+// Imbalance is the largest to the mean utilization of servers; 1 is even, also
+// when there is no work at all.
+func Imbalance(servers []ServerLoad) float64 {
+	total, most := 0.0, 0.0
+	for _, server := range servers {
+		utilization := server.Load / float64(max(server.Slots, 1))
+		total += utilization
+		most = max(most, utilization)
+	}
+	if total == 0 {
+		return 1
+	}
+	return most * float64(len(servers)) / total
+}
--- a/control/supervisor/close.go
+++ b/control/supervisor/close.go
@@ -11,18 +11,25 @@
 		return
 	}
 	var lapsed []uint64
+	silence := lapseTime
 	for _, session := range s.state.Sessions() {
 		number := session.Row.Session
 		if !s.isLapsed(number, now) {
 			continue
 		}
 		lapsed = append(lapsed, number)
-		s.router(number).closing = true
+		known := s.router(number)
+		known.closing = true
+		silence = max(silence, now.Since(known.heard))
 	}
 	if len(lapsed) == 0 {
 		return
 	}
-	batch.add("lapse", assigner.Command{Close: &assigner.Close{Sessions: lapsed, Lapsed: true}})
+	batch.add("lapse", assigner.Command{Close: &assigner.Close{
+		Sessions: lapsed,
+		Lapsed:   true,
+		Silence:  silence.Milliseconds(),
+	}})
 	s.counters.lapses.Add(len(lapsed))
 }
 
--- a/control/supervisor/grant.go
+++ b/control/supervisor/grant.go
@@ -52,10 +52,9 @@
 	if t.Free() < int(t.Size()) {
 		return true
 	}
-	known := s.services[t.Service.Name]
-	if known == nil {
-		s.services[t.Service.Name] = &service{first: now}
-		return false
+	known := s.service(t)
+	if known.first.IsZero() {
+		known.first = now
 	}
 	return now.Since(known.first) >= settleTime
 }
@@ -63,6 +62,7 @@
 // servers lists the servers that may get shards of a service.
 func (s *Supervisor) servers(t *assigner.Table) []balancer.Server {
 	var servers []balancer.Server
+	moving := movingShards(t)
 	for _, session := range s.state.Sessions() {
 		if session.Service() != t.Service.Name || session.Row.Leaving || !s.isReady(session.Row.Session) {
 			continue
@@ -71,66 +71,19 @@
 			Session: session.Row.Session,
 			Domain:  session.Row.Domain,
 			Slots:   session.Row.Server.Slots,
-			Shards:  session.Owned,
+			Shards:  session.Owned + moving[session.Row.Session],
 		})
 	}
 	return servers
 }
 
-// joinRecorders gives sessions the recorders that they lack.
-func (s *Supervisor) joinRecorders(batch *batch) {
-	if batch.has("join") {
-		return
-	}
-	for _, session := range s.state.Sessions() {
-		joining := s.chooseRecorders(session)
-		if len(joining) == 0 {
-			continue
-		}
-		batch.add("join", assigner.Command{Join: &assigner.Join{Session: session.Row.Session, Joining: joining}})
-		return
-	}
-}
-
-// chooseRecorders chooses recorders that a session lacks.
-func (s *Supervisor) chooseRecorders(session *assigner.Session) []uint64 {
-	t := s.state.Table(session.Service())
-	if t == nil {
-		return nil
-	}
-	var candidates []balancer.Peer
-	for _, other := range s.state.Sessions() {
-		if s.canRecord(other, session) {
-			candidates = append(candidates, balancer.Peer{Session: other.Row.Session, Domain: other.Row.Domain})
-		}
-	}
-	return balancer.ChoosePeers(candidates, s.usedDomains(session), t.Service.Recorders-s.lastingRecorders(session))
-}
-
-func (s *Supervisor) canRecord(other, session *assigner.Session) bool {
-	number := other.Row.Session
-	return number != session.Row.Session && !other.Row.Leaving && s.hasSpoken(number) && !s.routers[number].closing &&
-		!session.HasRecorder(number)
-}
-
-// lastingRecorders counts the recorders that are there or joining, without
-// those that are leaving.
-func (s *Supervisor) lastingRecorders(session *assigner.Session) int {
-	count := 0
-	for _, number := range session.AllRecorders() {
-		if other := s.state.Session(number); other != nil && !other.Row.Leaving {
-			count++
-		}
-	}
-	return count
-}
-
-func (s *Supervisor) usedDomains(session *assigner.Session) []string {
-	domains := []string{session.Row.Domain}
-	for _, number := range session.AllRecorders() {
-		if other := s.state.Session(number); other != nil {
-			domains = append(domains, other.Row.Domain)
-		}
-	}
-	return domains
+// movingShards is how many shards sessions are about to get, less those that
+// they are about to lose, by moves that are under way.
+func movingShards(t *assigner.Table) map[uint64]int {
+	counts := make(map[uint64]int)
+	t.EachMove(func(move assigner.MoveUnderWay) {
+		counts[move.From]--
+		counts[move.To]++
+	})
+	return counts
 }
--- a/control/supervisor/harness_test.go
+++ b/control/supervisor/harness_test.go
@@ -25,6 +25,8 @@
 	standing replicator.Standing
 	index    uint64
 	waiting  [][]byte
+	// observe is told of each command that was applied.
+	observe func(index uint64, data []byte, result assigner.Result)
 }
 
 func newHarness(t testing.TB) *harness {
@@ -51,7 +53,11 @@
 
 func (h *harness) apply(data []byte) assigner.Result {
 	h.index++
-	return h.machine.Apply(h.index, data).(assigner.Result)
+	result := h.machine.Apply(h.index, data).(assigner.Result)
+	if h.observe != nil {
+		h.observe(h.index, data, result)
+	}
+	return result
 }
 
 func (h *harness) commit() {
--- a/control/supervisor/heartbeat.go
+++ b/control/supervisor/heartbeat.go
@@ -37,6 +37,7 @@
 	}
 	known.heard = now
 	if known.take(beat) {
+		s.takeLoads(known, beat)
 		s.proposeOf(session, beat, batch)
 	}
 	if known.closing {
@@ -107,20 +108,34 @@
 	if needsUpdate(session, beat) {
 		batch.add(fmt.Sprintf("update/%d", number), assigner.Command{Update: updateOf(number, beat)})
 	}
-	if len(beat.Copied) > 0 {
-		batch.add(fmt.Sprintf("copied/%d", number), assigner.Command{Copied: &assigner.Copied{Session: number, Joined: beat.Copied}})
+	if joined := keep(beat.Copied, session.IsJoining); len(joined) > 0 {
+		batch.add(fmt.Sprintf("copied/%d", number), assigner.Command{Copied: &assigner.Copied{Session: number, Joined: joined}})
 	}
-	if len(beat.Recovered) > 0 {
-		batch.add(fmt.Sprintf("recovered/%d", number), assigner.Command{Recovered: &assigner.Recovered{Session: number, Shards: beat.Recovered}})
+	isRecovering := func(ref messenger.ShardRef) bool { return s.state.IsRecovering(number, ref) }
+	if shards := keep(beat.Recovered, isRecovering); len(shards) > 0 {
+		batch.add(fmt.Sprintf("recovered/%d", number), assigner.Command{Recovered: &assigner.Recovered{Session: number, Shards: shards}})
 	}
-	if len(beat.Released) > 0 {
-		batch.add(fmt.Sprintf("release/%d", number), assigner.Command{Release: &assigner.Release{Session: number, Shards: beat.Released}})
+	owns := func(ref messenger.ShardRef) bool { return s.state.Owns(number, ref) }
+	if shards := keep(beat.Released, owns); len(shards) > 0 {
+		batch.add(fmt.Sprintf("release/%d", number), assigner.Command{Release: &assigner.Release{Session: number, Shards: shards}})
 	}
 	if beat.Close {
 		s.router(number).closing = batch.add(fmt.Sprintf("close/%d", number), assigner.Command{Close: &assigner.Close{Sessions: []uint64{number}}})
 	}
 }
 
+// keep returns the values that wanted holds for, so that what routers repeat
+// after it was committed is not proposed again.
+func keep[T any](values []T, wanted func(T) bool) []T {
+	var kept []T
+	for _, value := range values {
+		if wanted(value) {
+			kept = append(kept, value)
+		}
+	}
+	return kept
+}
+
 func needsUpdate(session *assigner.Session, beat *messenger.Heartbeat) bool {
 	row := &session.Row
 	return row.Address != beat.Address || row.Domain != beat.Domain || row.Region != beat.Region ||
--- a/control/supervisor/router.go
+++ b/control/supervisor/router.go
@@ -35,17 +35,13 @@
 	revision uint64
 	queue    int
 	stalled  int
+	work     work
+	drain    drainPace
 	// closing says that the closing of its session was proposed; it is not
 	// renewed any more.
 	closing bool
 }
 
-// service is what the leader keeps for a service.
-type service struct {
-	// first is when a server that can own shards was first seen.
-	first timer.Instant
-}
-
 // isLapsed reports whether the lease of a router has lapsed for certain. The
 // time of a router that was not heard of yet starts now.
 func (s *Supervisor) isLapsed(session uint64, now timer.Instant) bool {
--- a/control/supervisor/status.go
+++ b/control/supervisor/status.go
@@ -24,7 +24,7 @@
 		status.Sessions = append(status.Sessions, s.sessionStatus(now, session))
 	}
 	for _, t := range s.state.Tables() {
-		status.Services = append(status.Services, s.serviceStatus(t))
+		status.Services = append(status.Services, s.serviceStatus(now, t))
 	}
 	return status
 }
@@ -70,18 +70,27 @@
 		status.Queue = known.queue
 		status.Stalled = known.stalled
 		status.Revision = known.revision
+		status.Rate = known.work.rate
 		status.Silence = now.Since(known.heard)
 	}
 	return status
 }
 
-func (s *Supervisor) serviceStatus(t *assigner.Table) messenger.ServiceStatus {
+func (s *Supervisor) serviceStatus(now timer.Instant, t *assigner.Table) messenger.ServiceStatus {
+	wall := assigner.Milliseconds(now.Wall)
+	gaps := t.Unavailability(wall)
 	status := messenger.ServiceStatus{
 		Name:   t.Service.Name,
 		Shards: int(t.Service.Shards),
 		Free:   t.Free(),
 		Moving: t.Moving(),
 		Keys:   t.Keys(),
+
+		Imbalance:        s.imbalance(t),
+		Churn:            t.Churn(wall),
+		UnavailableWorst: gaps.Worst,
+		UnavailableP99:   gaps.P99,
+		UnavailableTotal: gaps.Total,
 	}
 	for _, session := range s.state.Sessions() {
 		if session.Service() == t.Service.Name {
--- a/control/supervisor/supervisor.go
+++ b/control/supervisor/supervisor.go
@@ -55,6 +55,8 @@
 	routers  map[uint64]*router
 	pending  *pending
 	services map[string]*service
+	// weighed is when loads were last weighed.
+	weighed timer.Instant
 }
 
 // New returns a Supervisor with an empty state.
@@ -76,6 +78,7 @@
 	s.routers = make(map[uint64]*router)
 	s.pending = newPending()
 	s.services = make(map[string]*service)
+	s.weighed = timer.Instant{}
 }
 
 // Apply implements [replicator.Machine]. The result is an assigner.Result.
@@ -120,6 +123,8 @@
 	if standing.Confirmed {
 		s.grantFree(now, batch)
 		s.joinRecorders(batch)
+		s.drainLeaving(now, batch)
+		s.balance(now, batch)
 	}
 	return batch.commands
 }
--- a/kernel/messenger/session.go
+++ b/kernel/messenger/session.go
@@ -84,6 +84,10 @@
 	Copied []uint64
 	// Loads are the busiest shards, at most 64.
 	Loads []ShardLoad
+	// Requests and Busy sum up the finished work of all shards since the last
+	// heartbeat; when both are 0 the sums of Loads stand for them.
+	Requests uint64
+	Busy     time.Duration
 	// Keys are the hottest keys, at most 16.
 	Keys []KeyLoad
 	// Queue is the number of requests waiting at this owner.
