--- a/control/administrator/administrator.go
+++ b/control/administrator/administrator.go
@@ -30,6 +30,9 @@
 const (
 	// requestTime bounds one call, but for those that wait for events.
 	requestTime = 5 * time.Second
+	// memberTime bounds a change of the members, which waits until a new one
+	// has caught up.
+	memberTime = 30 * time.Second
 	// maxBody is the largest body of a call in bytes.
 	maxBody = 256 << 10
 	// retryAfter is the value of Retry-After without a leader, in seconds.
--- a/control/administrator/member.go
+++ b/control/administrator/member.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 
 	"github.com/labstack/echo/v4"
 
@@ -33,6 +34,10 @@
 		return refuse(http.StatusUnprocessableEntity, "invalid", field+": "+reason)
 	}
 	return a.changeMember(c, func(ctx context.Context) (uint64, error) {
+		// A resend after a lost answer finds the member there.
+		if standing := a.replica.Standing(); slices.Contains(standing.Members, member) {
+			return standing.Applied, nil
+		}
 		return a.replica.AddMember(ctx, member)
 	})
 }
@@ -48,7 +53,7 @@
 	if err := a.requireLeader(c); err != nil {
 		return settled(err)
 	}
-	ctx, cancel := context.WithTimeout(c.Request().Context(), requestTime)
+	ctx, cancel := context.WithTimeout(c.Request().Context(), memberTime)
 	defer cancel()
 	revision, err := commit(ctx)
 	if err != nil {
--- a/control/administrator/problem.go
+++ b/control/administrator/problem.go
@@ -70,8 +70,14 @@
 	switch {
 	case errors.As(err, &status):
 		return refuse(status.Code, "http", http.StatusText(status.Code))
-	case errors.Is(err, replicator.ErrNotLeader):
+	case errors.Is(err, replicator.ErrNotLeader), errors.Is(err, replicator.ErrStopped):
 		return refuse(http.StatusServiceUnavailable, "leader", "the leader changed; the change was not made")
+	case errors.Is(err, replicator.ErrBusy):
+		return refuse(http.StatusConflict, "busy", "another change of the members is under way")
+	case errors.Is(err, replicator.ErrMember):
+		return refuse(http.StatusNotFound, "member", "there is no such member, or its name is taken")
+	case errors.Is(err, replicator.ErrCatchUp):
+		return refuse(http.StatusConflict, "catchup", "the new member did not catch up with the log and was not added")
 	case errors.Is(err, replicator.ErrUnknownResult), errors.Is(err, context.DeadlineExceeded):
 		return refuse(http.StatusGatewayTimeout, "unknown",
 			"it is not known whether the change was made; send it again with the same Idempotency-Key")
--- a/control/balancer/plan.go
+++ b/control/balancer/plan.go
@@ -35,7 +35,7 @@
 const (
 	// basePart is the part of all work that is spread evenly over all shards
 	// when they are weighed, so that shards without measured work count, too.
-	basePart = 0.25
+	basePart = 0.1
 	// idleLoad is the work in slots, for each slot, that an idle service counts
 	// as having.
 	idleLoad = 0.01
--- a/control/supervisor/harness_test.go
+++ b/control/supervisor/harness_test.go
@@ -134,7 +134,8 @@
 // owned lists the shards that the router's table gives to it.
 func (r *fakeRouter) owned() []messenger.ShardRef {
 	var refs []messenger.ShardRef
-	for place, row := range r.rows {
+	for _, place := range sortedPlaces(r.rows) {
+		row := r.rows[place]
 		if row.Owner == r.beat.Session && row.Phase != messenger.PhaseFree {
 			refs = append(refs, messenger.ShardRef{Service: place.Service, Shard: place.Shard, Fence: row.Fence})
 		}
