Drain test of a whole process, and hold requests of a server that went down

Cause: a request at a frozen or dead backend server was refused as down before its grant was seen to be given back, and the entry router spent its few retries within milliseconds.

Change: a grant that is given back refuses as moving, which entry routers hold for the next owner. A crash that the isolator saw counts for the prober at once, and probes give up after 200 ms, so that a frozen server is found sooner. A test drains a whole process with a request in flight.

--- a/router/assembler/assembler.go
+++ b/router/assembler/assembler.go
@@ -258,6 +258,7 @@
 // serverDied is called when the backend server ended with requests in flight.
 func (p *Process) serverDied(rows []messenger.QuarantineRow) {
 	p.options.Log.Emit(logger.ServerCrashed, "requests", len(rows))
+	p.prober.See(prober.Died)
 	p.reporter.Send(messenger.Report{Death: rows})
 }
 
--- /dev/null
+++ b/router/assembler/assembler_test.go
@@ -0,0 +1,184 @@
+package assembler_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/kernel/disrupter"
+	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/logger"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/parser"
+	"marigoldhill/router/assembler"
+)
+
+// control grants one shard to the router once its server is ready, and moves it
+// away when the router leaves.
+type control struct {
+	mu       sync.Mutex
+	revision uint64
+	row      messenger.ShardRow
+	heard    []messenger.Heartbeat
+}
+
+func (c *control) answer(heartbeat *messenger.Heartbeat) (*messenger.HeartbeatAnswer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heard = append(c.heard, *heartbeat)
+	before := c.row
+	switch {
+	case len(heartbeat.Released) > 0:
+		c.row = messenger.ShardRow{Service: "findings"}
+	case heartbeat.Leaving && c.row.Phase == messenger.PhaseOwned:
+		c.row.Phase = messenger.PhaseMoving
+	case heartbeat.State == messenger.ServerReady && !heartbeat.Leaving && c.row.Owner == 0:
+		c.row = messenger.ShardRow{Service: "findings", Phase: messenger.PhaseOwned, Owner: 1, Fence: 7}
+	}
+	if before.Phase != c.row.Phase || c.revision == 0 {
+		c.revision++
+	}
+	return &messenger.HeartbeatAnswer{
+		Status: messenger.HeartbeatAlive, Session: 1, Sequence: heartbeat.Sequence,
+		Delta: &messenger.TableDelta{
+			Full: true, To: c.revision,
+			Sessions: []messenger.SessionRow{{Session: 1, Router: "r1", Address: "r1:2"}},
+			Shards:   []messenger.ShardRow{c.row},
+			Services: []messenger.Service{{Name: "findings", Shards: 1, Routes: []messenger.Route{{Profile: "read"}}}},
+			Profiles: []messenger.Profile{{
+				Name: "read", Class: messenger.ClassInteractive, Idempotent: true, Deadline: 10 * time.Second, Queue: 10, Share: 1, Weight: 1,
+			}},
+		},
+	}, nil
+}
+
+// serve serves HTTP at an address of the in-memory network.
+func serve(t *testing.T, world *disrupter.World, address string, handler http.HandlerFunc) {
+	socket, err := world.Node("r1").Listen(address)
+	qt.Assert(t, err, qt.IsNil)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(socket) }()
+	t.Cleanup(func() { _ = server.Close() })
+}
+
+// TestDrainWithWorkInFlight stops a router while a request runs: the request
+// gets its whole answer, the shard is given back after that, and the session
+// ends in order.
+func TestDrainWithWorkInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := disrupter.New(time.Millisecond)
+		group := &control{row: messenger.ShardRow{Service: "findings"}}
+		hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleControl, Name: "c1"}
+		server, err := linker.Listen(world.Node("c1"), "c1:1", linker.Options{
+			Hello: hello,
+			Handler: func(_ context.Context, _ *linker.Link, stream *linker.Stream) {
+				_ = linker.Answer(stream, group.answer)
+			},
+		})
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = server.Close() }()
+
+		var mu sync.Mutex
+		var calls []string
+		serve(t, world, "r1:9", func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/door/slow" {
+				time.Sleep(3 * time.Second)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if r.URL.Path != messenger.PathHealth {
+				calls = append(calls, r.URL.Path)
+			}
+			_, _ = io.WriteString(w, `{"state":"ready"}`)
+		})
+
+		settings := assembler.Settings{
+			Version: parser.Version, Cluster: "test", Name: "r1", Domain: "d1", Region: "tas",
+			Listen: "r1:1", Peer: "r1:2", Backend: "r1:3", Operator: "r1:4", Control: []string{"c1:1"},
+		}
+		field, reason := settings.Check()
+		qt.Assert(t, field+reason, qt.Equals, "")
+		process, err := assembler.New(settings, assembler.Options{Network: world.Node("r1"), Log: logger.Discard(), Metrics: metrics.NewSet()})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, process.Start(t.Context()), qt.IsNil)
+
+		transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return world.Node("r1").Dial(ctx, address)
+		}}
+		client := &http.Client{Transport: transport}
+		row, _ := json.Marshal(messenger.ServerRow{Name: "d1", Service: "findings", URL: "http://r1:9", Slots: 2, Fences: true})
+		response, err := client.Post(process.BackendURL()+messenger.PathAnnounce, "application/json", bytes.NewReader(row))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK)
+		_ = response.Body.Close()
+		time.Sleep(time.Second)
+
+		answers := make(chan string, 1)
+		go func() {
+			response, err := client.Get(process.CallerURL() + "/v1/findings/door/slow")
+			if err != nil {
+				answers <- err.Error()
+				return
+			}
+			defer func() { _ = response.Body.Close() }()
+			body, err := io.ReadAll(response.Body)
+			if err != nil {
+				answers <- err.Error()
+				return
+			}
+			answers <- response.Header.Get(messenger.HeaderOutcome) + " " + string(body)
+		}()
+		time.Sleep(time.Second)
+		begun := time.Now()
+		qt.Assert(t, process.Stop(t.Context()), qt.IsNil)
+		qt.Assert(t, <-answers, qt.Equals, `done {"state":"ready"}`)
+		qt.Assert(t, time.Since(begun) < 3*time.Second, qt.IsTrue, qt.Commentf("stopping took %v", time.Since(begun)))
+
+		group.mu.Lock()
+		defer group.mu.Unlock()
+		last := group.heard[len(group.heard)-1]
+		qt.Assert(t, last.Close, qt.IsTrue)
+		qt.Assert(t, group.row.Owner, qt.Equals, uint64(0))
+		mu.Lock()
+		defer mu.Unlock()
+		qt.Assert(t, calls, qt.DeepEquals, []string{messenger.PathGrants, "/door/slow", messenger.PathRevokes})
+	})
+}
+
+func TestSettings(t *testing.T) {
+	right := assembler.Settings{
+		Version: parser.Version, Cluster: "test", Name: "r1", Domain: "d1", Region: "tas",
+		Listen: "127.0.0.1:1", Peer: "127.0.0.1:2", Backend: "127.0.0.1:3", Operator: "127.0.0.1:4",
+		Control: []string{"127.0.0.1:5"},
+	}
+	tests := []struct {
+		field  string
+		change func(s *assembler.Settings)
+	}{
+		{"", func(*assembler.Settings) {}},
+		{"version", func(s *assembler.Settings) { s.Version = 99 }},
+		{"name", func(s *assembler.Settings) { s.Name = "Router 1" }},
+		{"domain", func(s *assembler.Settings) { s.Domain = "" }},
+		{"listen", func(s *assembler.Settings) { s.Listen = "8000" }},
+		{"peer", func(s *assembler.Settings) { s.Peer = "0.0.0.0:2" }},
+		{"control", func(s *assembler.Settings) { s.Control = nil }},
+		{"control[0]", func(s *assembler.Settings) { s.Control = []string{"c1"} }},
+		{"log", func(s *assembler.Settings) { s.Log = "xml" }},
+	}
+	for _, test := range tests {
+		settings := right
+		test.change(&settings)
+		field, _ := settings.Check()
+		qt.Check(t, field, qt.Equals, test.field)
+	}
+}
--- a/router/executor/run.go
+++ b/router/executor/run.go
@@ -49,9 +49,9 @@
 	if ticket == nil {
 		return refuse(messenger.ReasonMoving, 0)
 	}
-	if !r.options.Numbers.Begin(timer.Now(), r.request.Number, r.profile.Idempotent) {
+	if reason := r.begin(); reason != messenger.ReasonNone {
 		r.options.Tracker.Leave(ticket)
-		return refuse(messenger.ReasonStale, 0)
+		return refuse(reason, 0)
 	}
 	watch := r.watch(ctx, ticket)
 	answer := r.serve(watch)
@@ -77,8 +77,21 @@
 	r.ref = drainer.Ref(place.Row)
 	r.profile = table.Profile(place.Service, r.request.Method, r.request.Route)
 	r.deadline = time.Now().Add(r.timeout())
+	return messenger.ReasonNone
+}
+
+// begin looks at the backend server and notes the number of the request. A
+// grant that is given back for the server's sake was refused as moving before,
+// so that entry routers hold the request for the next owner.
+func (r *run) begin() messenger.Reason {
 	r.view = r.options.Server.View()
-	return serverReason(r.view)
+	if reason := serverReason(r.view); reason != messenger.ReasonNone {
+		return reason
+	}
+	if !r.options.Numbers.Begin(timer.Now(), r.request.Number, r.profile.Idempotent) {
+		return messenger.ReasonStale
+	}
+	return messenger.ReasonNone
 }
 
 // timeout is how long the request may take.
--- a/router/prober/judge.go
+++ b/router/prober/judge.go
@@ -32,6 +32,9 @@
 	TrafficBroken
 	// TrafficExpired means that a request got no answer before its deadline.
 	TrafficExpired
+	// Died means that it refused a connection right after one broke while a
+	// request ran.
+	Died
 )
 
 const (
@@ -114,6 +117,9 @@
 	case ProbeRefused, TrafficRefused:
 		j.refused++
 		j.recovery = 0
+	case Died:
+		j.refused = max(j.refused, refusedConnections)
+		j.recovery = 0
 	case TrafficAnswered:
 		j.trafficAnswered(now)
 	case TrafficBroken:
--- a/router/prober/judge_test.go
+++ b/router/prober/judge_test.go
@@ -29,6 +29,8 @@
 		{"announced and probed", ready, messenger.ServerReady},
 		{"one refused connection", append(ready, seen{ProbeRefused, 1, beat}), messenger.ServerReady},
 		{"refused connections", append(ready, seen{TrafficRefused, 2, beat}), messenger.ServerDown},
+		{"died", append(ready, seen{Died, 1, beat}), messenger.ServerDown},
+		{"died and came back", append(ready, seen{Died, 1, beat}, seen{ProbeAnswered, 2, beat}), messenger.ServerReady},
 		{"gone for long", append(ready, seen{ProbeRefused, 30, beat}), messenger.ServerAbsent},
 		{"few silent probes", append(ready, seen{ProbeSilent, 2, time.Second}), messenger.ServerReady},
 		{"silent probes", append(ready, seen{ProbeSilent, 4, 400 * time.Millisecond}), messenger.ServerFrozen},
--- a/router/prober/prober.go
+++ b/router/prober/prober.go
@@ -34,7 +34,7 @@
 	// probeInterval is the time between two probes.
 	probeInterval = 250 * time.Millisecond
 	// probeTime bounds one probe.
-	probeTime = 400 * time.Millisecond
+	probeTime = 200 * time.Millisecond
 	// maxEvidence is how many pieces of evidence wait for the goroutine of Run.
 	maxEvidence = 256
 )
