Close the holes that mutants of the owner side showed

Change: tests for a late answer to an opening, entries out of order at a peer, a copy during which a record was missed, and a hot key of many callers. A check of waiting interactive work that could never matter is gone; slots that a warming server got since the last event now go to who waits, before who arrives.

--- a/router/admitter/policy.go
+++ b/router/admitter/policy.go
@@ -76,7 +76,6 @@
 	lanes    map[string]*lane
 	passes   map[messenger.Class]float64
 	running  map[messenger.Class]int
-	waiting  map[messenger.Class]int
 	sequence uint64
 	// pressure is how much interactive work queues, 0 to 1.
 	pressure float64
@@ -89,7 +88,6 @@
 		lanes:   make(map[string]*lane),
 		passes:  make(map[messenger.Class]float64),
 		running: make(map[messenger.Class]int),
-		waiting: make(map[messenger.Class]int),
 		pressed: now,
 	}
 }
@@ -100,30 +98,31 @@
 	p.sequence++
 	t = &ticket{job: job, sequence: p.sequence, arrived: now}
 	lane := p.lane(&job)
+	// A cold server may have got slots since the last event.
+	changes = p.fill(now)
 	if lane.queue.size == 0 && p.hasRoom(now, &job) {
 		p.press(now, job.Class, false)
 		p.start(lane, t)
-		return t, verdict{}, nil
+		return t, verdict{}, changes
 	}
 	p.press(now, job.Class, true)
 	if job.Queue == 0 {
-		return t, p.refusal(now, lane, p.fullReason(now, &job)), nil
+		return t, p.refusal(now, lane, p.fullReason(now, &job)), changes
 	}
 	if wait := p.estimate(now, lane, &job); wait+p.limiter.latency(job.Profile).mean() > job.Timeout {
-		return t, p.refusal(now, lane, messenger.ReasonDeadline), nil
+		return t, p.refusal(now, lane, messenger.ReasonDeadline), changes
 	}
 	if lane.queue.size >= job.Queue {
 		left, ok := p.displace(now, lane, t)
 		if !ok {
-			return t, left, nil
+			return t, left, changes
 		}
 		changes = append(changes, change{lane.queue.hindmost(), left})
-		p.drop(lane, lane.queue.hindmost())
+		lane.queue.remove(lane.queue.hindmost())
 	}
 	t.waiting = true
 	t.verdict = make(chan verdict, 1)
 	lane.queue.push(t)
-	p.waiting[job.Class]++
 	return t, verdict{}, changes
 }
 
@@ -169,15 +168,10 @@
 	if !t.waiting {
 		return false
 	}
-	p.drop(p.lane(&t.job), t)
+	p.lane(&t.job).queue.remove(t)
 	return true
 }
 
-func (p *policy) drop(lane *lane, t *ticket) {
-	lane.queue.remove(t)
-	p.waiting[t.job.Class]--
-}
-
 // fill lets in jobs while there is room.
 func (p *policy) fill(now timer.Instant) []change {
 	var changes []change
@@ -189,7 +183,7 @@
 			}
 			t := lane.queue.peek()
 			lane.queue.turn = max(lane.queue.turn, t.turn)
-			p.drop(lane, t)
+			lane.queue.remove(t)
 			p.start(lane, t)
 			changes = append(changes, change{t, verdict{}})
 		}
@@ -240,9 +234,6 @@
 	if job.Class != messenger.ClassBackground {
 		return true
 	}
-	if p.waiting[messenger.ClassInteractive] > 0 {
-		return false
-	}
 	return p.running[messenger.ClassBackground] < p.backgroundSlots(now, job.Share)
 }
 
--- a/router/admitter/policy_test.go
+++ b/router/admitter/policy_test.go
@@ -84,6 +84,32 @@
 	qt.Assert(t, order(p, origin, running), qt.DeepEquals, []string{"hot", "a", "b", "hot", "hot", "hot"})
 }
 
+func TestHotKeyOfManyCallersTakesTurns(t *testing.T) {
+	p := newPolicy(origin, 1, false)
+	running := enter(t, p, origin, interactive("x"))
+	for i := range 3 {
+		job := interactive("hot")
+		job.Caller = fmt.Sprint(i)
+		queueUp(t, p, origin, job)
+	}
+	queueUp(t, p, origin, interactive("a"))
+	qt.Assert(t, order(p, origin, running), qt.DeepEquals, []string{"hot", "a", "hot", "hot"})
+}
+
+// TestSlotsOfAWarmServer gives slots that a server got by warming up to who
+// waits, before who arrives.
+func TestSlotsOfAWarmServer(t *testing.T) {
+	p := newPolicy(origin, 4, true)
+	enter(t, p, origin, interactive("x"))
+	waiting := queueUp(t, p, origin, interactive("a"))
+	p.limiter.limit = 2
+	_, decided, changes := p.arrive(at(warmTime), background("b"))
+	qt.Assert(t, decided.reason, qt.Equals, messenger.ReasonNone)
+	qt.Assert(t, changes, qt.HasLen, 1)
+	qt.Assert(t, changes[0].ticket == waiting, qt.IsTrue)
+	qt.Assert(t, p.running[messenger.ClassBackground], qt.Equals, 0)
+}
+
 func TestHotCallerTakesTurns(t *testing.T) {
 	p := newPolicy(origin, 1, false)
 	running := enter(t, p, origin, interactive("x"))
--- a/router/keeper/core_test.go
+++ b/router/keeper/core_test.go
@@ -110,6 +110,15 @@
 	}
 }
 
+func TestLateOpeningIsVoid(t *testing.T) {
+	c := newCore([]string{"a"})
+	c.tick(at(0))
+	attempt := c.begin(at(0))
+	step := c.answered(at(messenger.LeaseTime), attempt.sequence, alive(7))
+	qt.Assert(t, step.apply, qt.IsFalse)
+	qt.Assert(t, c.session, qt.Equals, uint64(0))
+}
+
 func TestUnappliedTableDoesNotExtend(t *testing.T) {
 	c := opened(t)
 	attempt := c.begin(at(300 * time.Millisecond))
--- a/router/recorder/recorder_test.go
+++ b/router/recorder/recorder_test.go
@@ -184,6 +184,36 @@
 	qt.Assert(t, b.expire(made.Add(62*time.Second)), qt.Equals, 1)
 }
 
+func TestEntriesOutOfOrder(t *testing.T) {
+	b := newBook()
+	at := func(attempt uint64, state messenger.RecordState) *entry {
+		return &entry{id: id{key: "door"}, attempt: attempt, state: state, retention: time.Minute}
+	}
+	b.store(at(2, messenger.RecordStarted))
+	b.store(at(1, messenger.RecordRefused))
+	qt.Assert(t, b.entries, qt.HasLen, 1)
+	b.store(at(2, messenger.RecordDone))
+	b.store(at(2, messenger.RecordStarted))
+	qt.Assert(t, b.entries[id{key: "door"}].state, qt.Equals, messenger.RecordDone)
+	b = newBook()
+	b.store(at(2, messenger.RecordStarted))
+	b.store(at(2, messenger.RecordRefused))
+	qt.Assert(t, b.entries, qt.HasLen, 0)
+}
+
+func TestCopyWithAMissedRecordDoesNotCount(t *testing.T) {
+	inFleet(t, 4, func(t *testing.T, f *fleet) {
+		f.world.CutBoth("r1", "r4")
+		f.recorders(1, []uint64{2, 3}, []uint64{4})
+		f.publish()
+		records := f.nodes[1].records
+		before := records.failures(4)
+		qt.Assert(t, records.copyAgain(4), qt.IsTrue)
+		qt.Assert(t, records.markCopied(4, before), qt.IsFalse)
+		qt.Assert(t, records.markCopied(4, records.failures(4)), qt.IsTrue)
+	})
+}
+
 // takeOver lets session 1 end after it ran "done" and started "started", and
 // grants its shards to session 4 with the survivors.
 func takeOver(f *fleet, survivors []uint64) {
