Reach a joining recorder before it counts as complete

Cause: an owner without records yet reported a joining recorder as complete though it could not be reached, so that the control group would have made an unreachable session a recorder. TestJoiningRecorderThatMissesARecord failed so in some runs, by the order of two goroutines.

Change: an empty record is stored there first.

--- a/router/recorder/copy.go
+++ b/router/recorder/copy.go
@@ -31,6 +31,11 @@
 // there as well; when one of those failed, the copy counts for nothing.
 func (r *Recorder) copyTo(ctx context.Context, table *locator.Table, session uint64, joiner target) {
 	before := r.failures(joiner.session)
+	// Without records, too, the joiner must have been reached.
+	if !r.copyRecord(ctx, joiner, messenger.Record{Owner: session}) {
+		r.count("uncopied", 1)
+		return
+	}
 	entries := r.snapshot(timer.Now())
 	missed := r.storeGroups(ctx, table, session, groupByShard(table, entries), func(record messenger.Record) bool {
 		return r.copyRecord(ctx, joiner, record)
