Forward a request with fewer allocations and smaller batches

Cause: a profile of BenchmarkForward showed an error with its stack trace for each closed stream (12% of the processor time), two contexts and two checksums on the heap for each stream, a copy of each message, buffers that grew with each frame, and batches of up to 1 MiB whose buffer was dropped each time.

Change: streams close with one error made beforehand; a context only where it is asked for; checksums inside the stream; messages are encoded in reused buffers; frames wait in parts of a pool; bodies of known length are read into one buffer; a connection takes 256 KiB of data ahead instead of 1 MiB, so small requests also wait behind less.

--- a/kernel/linker/link.go
+++ b/kernel/linker/link.go
@@ -98,7 +98,7 @@
 		return nil, Error.New("opening a stream: %w", context.Cause(l.ctx))
 	}
 	l.last++
-	stream := newStream(ctx, l, l.last, kind)
+	stream := newOpened(ctx, l, l.last, kind)
 	l.streams[stream.number] = stream
 	l.pulse.start()
 	// Sent under the lock, so that numbers reach the peer in order.
@@ -242,6 +242,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.ctx.Err() != nil {
+		return nil
+	}
 	if frame.Stream <= l.last {
 		l.options.count("late_frames", "reopened")
 		return Error.New("stream %d was used before: %w", frame.Stream, ErrProtocol)
@@ -252,7 +255,7 @@
 		l.send(framer.Frame{Type: framer.TypeReset, Stream: frame.Stream, Payload: []byte("too many streams")})
 		return nil
 	}
-	stream := newStream(l.ctx, l, frame.Stream, messenger.Kind(frame.Payload[0]))
+	stream := newAccepted(l, frame.Stream, messenger.Kind(frame.Payload[0]))
 	l.streams[stream.number] = stream
 	l.pulse.start()
 	l.tasks.Go(func() { l.serve(stream) })
--- a/kernel/linker/outbox.go
+++ b/kernel/linker/outbox.go
@@ -9,12 +9,12 @@
 const (
 	// maxPending is how many bytes wait for the connection before writers of
 	// data are held back.
-	maxPending = 1 << 20
+	maxPending = 256 << 10
 	// overflow is how many bytes may wait in all. Only frames that answer the
 	// peer's own go beyond maxPending.
 	overflow = 8 << 20
 	// maxSpare is the largest buffer that is kept for the next batch.
-	maxSpare = 256 << 10
+	maxSpare = 512 << 10
 )
 
 // outbox holds the frames that wait for the connection.
--- a/kernel/linker/stream.go
+++ b/kernel/linker/stream.go
@@ -7,7 +7,6 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"marigoldhill/kernel/framer"
 	"marigoldhill/kernel/messenger"
@@ -20,12 +19,16 @@
 	number uint64
 	kind   messenger.Kind
 	ctx    context.Context
+	// cancel ends ctx; nil for a stream that was opened here, until its context
+	// is asked for.
 	cancel context.CancelCauseFunc
+	// unhook stops watching the context of a stream that was opened here; nil
+	// for the peer's.
 	unhook func() bool
 
 	mu        sync.Mutex
 	changed   sync.Cond
-	received  []byte // not read yet
+	received  inbox  // not read yet
 	credit    uint64 // read, but not announced to the peer yet
 	window    int64  // bytes that may still be sent
 	allowed   int64  // bytes that the peer may still send
@@ -34,28 +37,46 @@
 	failure   error
 	inLength  uint64
 	outLength uint64
-	inSum     *xxhash.Digest
-	outSum    *xxhash.Digest
+	inSum     xxhash.Digest
+	outSum    xxhash.Digest
 }
 
-func newStream(ctx context.Context, link *Link, number uint64, kind messenger.Kind) *Stream {
+// errStreamClosed is what a stream that was closed here returns. It is made
+// once, since most streams end so.
+var errStreamClosed = Error.New("stream: %w", ErrClosed)
+
+func newStream(link *Link, number uint64, kind messenger.Kind) *Stream {
 	stream := &Stream{
 		link:    link,
 		number:  number,
 		kind:    kind,
 		window:  StreamWindow,
 		allowed: StreamWindow,
-		inSum:   xxhash.New(),
-		outSum:  xxhash.New(),
 	}
 	stream.changed.L = &stream.mu
-	stream.ctx, stream.cancel = context.WithCancelCause(ctx)
+	stream.inSum.Reset()
+	stream.outSum.Reset()
+	return stream
+}
+
+// newOpened returns a stream that this side opens; the end of ctx resets it.
+func newOpened(ctx context.Context, link *Link, number uint64, kind messenger.Kind) *Stream {
+	stream := newStream(link, number, kind)
+	stream.ctx = ctx
 	stream.unhook = context.AfterFunc(ctx, func() {
 		stream.reset(Error.New("stream: %w", context.Cause(ctx)))
 	})
 	return stream
 }
 
+// newAccepted returns a stream that the peer opened. The link aborts it when it
+// ends itself.
+func newAccepted(link *Link, number uint64, kind messenger.Kind) *Stream {
+	stream := newStream(link, number, kind)
+	stream.ctx, stream.cancel = context.WithCancelCause(link.ctx)
+	return stream
+}
+
 // Kind returns what the stream carries.
 func (s *Stream) Kind() messenger.Kind {
 	return s.kind
@@ -63,6 +84,15 @@
 
 // Context ends when the stream is aborted by either side.
 func (s *Stream) Context() context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel != nil {
+		return s.ctx
+	}
+	s.ctx, s.cancel = context.WithCancelCause(s.ctx)
+	if s.failure != nil {
+		s.cancel(s.failure)
+	}
 	return s.ctx
 }
 
@@ -82,6 +112,29 @@
 	return written, nil
 }
 
+// ReadFrom implements io.ReaderFrom, so that copies reuse their buffers.
+func (s *Stream) ReadFrom(source io.Reader) (int64, error) {
+	buffer := parts.Get().(*[framer.MaxPayload]byte)
+	defer parts.Put(buffer)
+	var sent int64
+	for {
+		n, err := source.Read(buffer[:])
+		if n > 0 {
+			written, err := s.Write(buffer[:n])
+			sent += int64(written)
+			if err != nil {
+				return sent, err
+			}
+		}
+		switch {
+		case err == io.EOF:
+			return sent, nil
+		case err != nil:
+			return sent, err
+		}
+	}
+}
+
 // reserve waits until the window lets some of wanted bytes through.
 func (s *Stream) reserve(wanted int) (int, error) {
 	s.mu.Lock()
@@ -111,20 +164,16 @@
 func (s *Stream) Read(data []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for len(s.received) == 0 && !s.ended && s.failure == nil {
+	for s.received.isEmpty() && !s.ended && s.failure == nil {
 		s.changed.Wait()
 	}
-	if len(s.received) == 0 {
+	if s.received.isEmpty() {
 		if s.ended {
 			return 0, io.EOF
 		}
 		return 0, s.failure
 	}
-	n := copy(data, s.received)
-	s.received = s.received[n:]
-	if len(s.received) == 0 {
-		s.received = nil
-	}
+	n := s.received.take(data)
 	s.giveCredit(n)
 	return n, nil
 }
@@ -140,42 +189,6 @@
 	s.link.send(framer.Frame{Type: framer.TypeWindow, Stream: s.number, Payload: payload})
 }
 
-// Send sends one message.
-func (s *Stream) Send(message any) error {
-	data, err := msgpack.Marshal(message)
-	if err != nil {
-		return Error.New("encoding a %T: %w", message, err)
-	}
-	prefixed := binary.BigEndian.AppendUint32(make([]byte, 0, len(data)+4), uint32(len(data)))
-	if _, err := s.Write(append(prefixed, data...)); err != nil {
-		return Error.New("sending a %T: %w", message, err)
-	}
-	return nil
-}
-
-// Receive reads one message into message, a pointer.
-func (s *Stream) Receive(message any) error {
-	var prefix [4]byte
-	if _, err := io.ReadFull(s, prefix[:]); err != nil {
-		return Error.New("receiving a %T: %w", message, err)
-	}
-	length := binary.BigEndian.Uint32(prefix[:])
-	if length > MaxMessage {
-		return Error.New("message of %d bytes: %w", length, ErrProtocol)
-	}
-	data, err := io.ReadAll(io.LimitReader(s, int64(length)))
-	if err != nil {
-		return Error.New("receiving a %T: %w", message, err)
-	}
-	if len(data) < int(length) {
-		return Error.New("receiving a %T: %w", message, io.ErrUnexpectedEOF)
-	}
-	if err := msgpack.Unmarshal(data, message); err != nil {
-		return Error.New("decoding a %T: %w", message, err)
-	}
-	return nil
-}
-
 // CloseWrite ends the sending direction: the peer sees io.EOF after all bytes.
 func (s *Stream) CloseWrite() error {
 	s.mu.Lock()
@@ -196,7 +209,7 @@
 // Close ends the stream. Unless both directions ended well, the peer sees it
 // reset.
 func (s *Stream) Close() {
-	s.reset(Error.New("stream: %w", ErrClosed))
+	s.reset(errStreamClosed)
 }
 
 // reset aborts the stream here and at the peer.
@@ -214,21 +227,28 @@
 
 // abort ends the stream here with a cause.
 func (s *Stream) abort(cause error) {
-	s.unhook()
+	if s.unhook != nil {
+		s.unhook()
+	}
 	s.mu.Lock()
 	if s.failure == nil {
 		s.failure = cause
 	}
 	s.changed.Broadcast()
+	cancel := s.cancel
 	s.mu.Unlock()
-	s.cancel(cause)
+	if cancel != nil {
+		cancel(cause)
+	}
 }
 
 // retire forgets the stream once both directions ended. The caller holds mu.
 func (s *Stream) retire() {
 	if s.sealed && s.ended {
 		s.link.forget(s)
-		s.unhook()
+		if s.unhook != nil {
+			s.unhook()
+		}
 	}
 }
 
@@ -261,7 +281,7 @@
 	}
 	_, _ = s.inSum.Write(data)
 	s.inLength += uint64(len(data))
-	s.received = append(s.received, data...)
+	s.received.add(data)
 	s.changed.Broadcast()
 	return nil
 }
--- a/router/forwarder/handle.go
+++ b/router/forwarder/handle.go
@@ -66,11 +66,7 @@
 // intake reads the body that a request needs before it may run: all of it, or
 // more than BufferSize bytes.
 func intake(stream *linker.Stream, length int64) (io.Reader, error) {
-	size := int64(BufferSize)
-	if length >= 0 && length < size {
-		size = length
-	}
-	prefix, whole, err := readPrefix(stream, size)
+	prefix, whole, err := readPrefix(stream, length)
 	if err != nil {
 		return nil, Error.New("receiving the body: %w", err)
 	}
--- a/router/forwarder/replay.go
+++ b/router/forwarder/replay.go
@@ -4,9 +4,13 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 	"sync/atomic"
 )
 
+// firstRead is how many bytes of a body of unknown length are expected.
+const firstRead = 4 << 10
+
 // replay is the body of a caller's request. Its first BufferSize bytes are
 // kept, so that they can be sent again.
 type replay struct {
@@ -23,35 +27,37 @@
 	if body == nil || length == 0 {
 		return &replay{whole: true}, nil
 	}
-	size := int64(BufferSize)
-	if length > 0 && length < size {
-		size = length
-	}
-	prefix, whole, err := readPrefix(body, size)
+	prefix, whole, err := readPrefix(body, length)
 	if err != nil {
 		return nil, Error.New("reading the body: %w", err)
 	}
 	return &replay{prefix: prefix, whole: whole, rest: body}, nil
 }
 
-// readPrefix reads at most size bytes; whole says that there are no more.
-func readPrefix(body io.Reader, size int64) (prefix []byte, whole bool, err error) {
-	buffer := bytes.NewBuffer(make([]byte, 0, min(size, 4<<10)+bytes.MinRead))
-	if _, err := io.Copy(buffer, io.LimitReader(body, size)); err != nil {
-		return nil, false, err
-	}
-	if int64(buffer.Len()) < size {
-		return buffer.Bytes(), true, nil
+// readPrefix reads a body of the given length, which may be -1 and is no more
+// than a hint, as long as it has no more than BufferSize bytes. Of a larger one
+// it reads one byte more and reports that prefix is not the whole.
+func readPrefix(body io.Reader, length int64) (prefix []byte, whole bool, err error) {
+	const most = BufferSize + 1
+	if length < 0 || length >= most {
+		length = firstRead
 	}
-	var next [1]byte
-	n, err := io.ReadFull(body, next[:])
-	switch {
-	case errors.Is(err, io.EOF):
-		return buffer.Bytes(), true, nil
-	case err != nil:
-		return nil, false, err
+	// One byte more than expected has room for the end to show.
+	buffer := make([]byte, 0, length+1)
+	for len(buffer) < most {
+		if len(buffer) == cap(buffer) {
+			buffer = slices.Grow(buffer, min(len(buffer), most-len(buffer)))
+		}
+		n, err := body.Read(buffer[len(buffer):min(cap(buffer), most)])
+		buffer = buffer[:len(buffer)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return buffer, true, nil
+		case err != nil:
+			return nil, false, err
+		}
 	}
-	return append(buffer.Bytes(), next[:n]...), false, nil
+	return buffer, false, nil
 }
 
 // reader returns a reader of the whole body from its start. It must not be
