Encode deltas once and rows without names, measure the slopes

Cause: a heartbeat with 64 loads took 4,204 bytes, 14 KB a second for a node whose budget is 10; each router's delta was encoded anew. Change: ShardRow and ShardLoad are encoded as arrays with short integers; the receiver encodes each shared delta once.

--- a/control/receiver/receiver.go
+++ b/control/receiver/receiver.go
@@ -46,6 +46,7 @@
 type Receiver struct {
 	replica Replica
 	metrics *metrics.Set
+	encoder *encoder
 }
 
 // New returns a Receiver that asks replica.
@@ -54,7 +55,7 @@
 	if set == nil {
 		set = metrics.NewSet()
 	}
-	return &Receiver{replica: replica, metrics: set}
+	return &Receiver{replica: replica, metrics: set, encoder: newEncoder()}
 }
 
 // Handle serves one stream; it is a [linker.Handler] for the kinds heartbeat
@@ -71,7 +72,7 @@
 func (r *Receiver) serve(ctx context.Context, stream *linker.Stream) error {
 	switch stream.Kind() {
 	case messenger.KindHeartbeat:
-		return linker.Answer(stream, func(beat *messenger.Heartbeat) (*messenger.HeartbeatAnswer, error) {
+		return linker.Answer(stream, func(beat *messenger.Heartbeat) (*wireAnswer, error) {
 			return r.heartbeat(ctx, beat)
 		})
 	case messenger.KindReport:
@@ -82,7 +83,7 @@
 	return Error.New("stream of kind %d", stream.Kind())
 }
 
-func (r *Receiver) heartbeat(ctx context.Context, beat *messenger.Heartbeat) (*messenger.HeartbeatAnswer, error) {
+func (r *Receiver) heartbeat(ctx context.Context, beat *messenger.Heartbeat) (*wireAnswer, error) {
 	answer, err := r.replica.Query(ctx, beat)
 	if err != nil {
 		return nil, Error.New("asking the replica about a heartbeat: %w", err)
@@ -91,7 +92,7 @@
 	if !ok {
 		return nil, Error.New("answer to a heartbeat is a %T", answer)
 	}
-	return typed, nil
+	return r.encoder.encode(typed)
 }
 
 // report answers only after what was reported is committed.
--- /dev/null
+++ b/control/receiver/receiver_test.go
@@ -0,0 +1,89 @@
+package receiver_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/control/receiver"
+	"marigoldhill/control/replicator"
+	"marigoldhill/control/supervisor"
+	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/networker"
+)
+
+// fakeReplica answers each query with the same answer.
+type fakeReplica struct {
+	answer    any
+	failure   error
+	committed [][]byte
+}
+
+func (f *fakeReplica) Query(context.Context, any) (any, error) { return f.answer, nil }
+
+func (f *fakeReplica) Propose(_ context.Context, command []byte) (replicator.Proposal, error) {
+	if f.failure != nil {
+		return replicator.Proposal{}, f.failure
+	}
+	f.committed = append(f.committed, command)
+	return replicator.Proposal{}, nil
+}
+
+// dial serves replica on a loopback address and returns a pool that reaches it.
+func dial(t *testing.T, replica *fakeReplica) (*linker.Pool, string) {
+	hello := func(role messenger.Role) messenger.Hello {
+		return messenger.Hello{Cluster: "test", Version: messenger.Version, Role: role, Name: "x"}
+	}
+	serve := receiver.New(replica, receiver.Options{})
+	server, err := linker.Listen(networker.TCP{}, "127.0.0.1:0", linker.Options{Hello: hello(messenger.RoleControl), Handler: serve.Handle})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = server.Close() })
+	pool := linker.NewPool(networker.TCP{}, linker.Options{Hello: hello(messenger.RoleRouter)})
+	t.Cleanup(pool.Close)
+	return pool, server.Address()
+}
+
+func TestHeartbeatIsAnsweredAsAsked(t *testing.T) {
+	delta := &messenger.TableDelta{Full: true, To: 7, Shards: []messenger.ShardRow{{Service: "findings", Shard: 3, Owner: 5, Fence: 7}}}
+	tests := []*messenger.HeartbeatAnswer{
+		{Status: messenger.HeartbeatAlive, Session: 5, Sequence: 9, Delta: delta, More: true},
+		{Status: messenger.HeartbeatAlive, Session: 6, Sequence: 2, Delta: delta},
+		{Status: messenger.HeartbeatRedirect, Leader: "127.0.0.1:9"},
+	}
+	replica := &fakeReplica{}
+	pool, address := dial(t, replica)
+	for _, want := range tests {
+		replica.answer = want
+		got, err := linker.Call[messenger.Heartbeat, messenger.HeartbeatAnswer](
+			t.Context(), pool, address, messenger.KindHeartbeat, &messenger.Heartbeat{Router: "r1"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.DeepEquals, want)
+	}
+}
+
+func TestReportIsAcceptedOnceCommitted(t *testing.T) {
+	tests := []struct {
+		name    string
+		replica *fakeReplica
+		want    *messenger.ReportAnswer
+		commits int
+	}{
+		{name: "leader", replica: &fakeReplica{answer: &supervisor.ReportTaken{Command: []byte("x")}}, want: &messenger.ReportAnswer{Accepted: true}, commits: 1},
+		{name: "follower", replica: &fakeReplica{answer: &supervisor.NotLeading{Leader: messenger.Member{Address: "c2"}}}, want: &messenger.ReportAnswer{Leader: "c2"}},
+		{name: "closed session", replica: &fakeReplica{answer: &messenger.ReportAnswer{}}, want: &messenger.ReportAnswer{}},
+		{name: "not committed", replica: &fakeReplica{answer: &supervisor.ReportTaken{}, failure: errors.New("lost")}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			pool, address := dial(t, test.replica)
+			got, err := linker.Call[messenger.Report, messenger.ReportAnswer](
+				t.Context(), pool, address, messenger.KindReport, &messenger.Report{Session: 1})
+			qt.Assert(t, err == nil, qt.Equals, test.want != nil)
+			qt.Assert(t, got, qt.DeepEquals, test.want)
+			qt.Assert(t, test.replica.committed, qt.HasLen, test.commits)
+		})
+	}
+}
--- a/control/supervisor/chaos_test.go
+++ b/control/supervisor/chaos_test.go
@@ -9,7 +9,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"marigoldhill/control/assigner"
-	"marigoldhill/control/supervisor"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/profiler"
 	"marigoldhill/kernel/timer"
@@ -41,6 +40,8 @@
 	// snapshot now and then; steady one that never is.
 	shadow *assigner.State
 	steady *assigner.State
+	// reader follows the steady replica by deltas.
+	reader *reader
 	log    [][]byte
 	// rows are the rows before the last command, closed the closed sessions.
 	rows map[uint32]messenger.ShardRow
@@ -61,6 +62,7 @@
 		random:  rand.New(rand.NewPCG(seed, seed)),
 		shadow:  assigner.New(),
 		steady:  assigner.New(),
+		reader:  newReader(),
 		rows:    make(map[uint32]messenger.ShardRow),
 		records: make(map[uint32][]int),
 		counts:  make(map[string]int),
@@ -269,105 +271,6 @@
 	}
 }
 
-// fault makes a random fault, seldom.
-func (c *chaos) fault() {
-	n := c.nodes[c.random.IntN(len(c.nodes))]
-	switch c.random.IntN(160) {
-	case 0:
-		n.dead = true
-	case 20:
-		n.dead = true
-		c.nodes[c.random.IntN(len(c.nodes))].dead = true
-		c.nodes[c.random.IntN(len(c.nodes))].dead = true
-	case 21:
-		c.change(assigner.Command{Promote: &assigner.Promote{Service: "findings", Key: c.key()}})
-	case 22:
-		c.change(assigner.Command{Demote: &assigner.Demote{Service: "findings", Key: c.key()}})
-	case 1, 2, 3:
-		for _, other := range c.nodes {
-			if other.dead {
-				other.dead = false
-				other.reset()
-				return
-			}
-		}
-	case 4:
-		n.asleep = c.h.now.Add(time.Duration(c.random.IntN(3000)) * time.Millisecond)
-	case 5:
-		n.router.beat.State = messenger.ServerFrozen
-	case 6, 7, 8:
-		n.router.beat.State = messenger.ServerReady
-	case 9, 10:
-		c.change(assigner.Command{Move: &assigner.Move{Service: "findings", Placements: []assigner.Placement{{
-			Session: n.session(), Shards: assigner.NewShardSet([]uint32{c.random.Uint32N(chaosShards)}),
-		}}}})
-	case 11:
-		c.change(assigner.Command{Drain: &assigner.Drain{Server: n.router.beat.Server.Name, On: c.random.IntN(2) == 0}})
-	case 12:
-		c.newLeader()
-	case 13:
-		c.h.standing.Confirmed = false
-	case 14, 15, 16, 17:
-		c.h.standing.Confirmed = true
-	case 18:
-		c.replay()
-	case 19:
-		c.checkSnapshots()
-	}
-}
-
-func (c *chaos) key() string {
-	return fmt.Sprintf("key-%d", c.random.IntN(3))
-}
-
-func (c *chaos) change(command assigner.Command) {
-	c.counts[string(rune('0'+c.h.propose(command).Verdict))]++
-}
-
-// newLeader lets a prefix of what the old leader proposed be committed, and
-// starts a new leader from a snapshot.
-func (c *chaos) newLeader() {
-	c.h.waiting = c.h.waiting[:c.random.IntN(len(c.h.waiting)+1)]
-	c.h.commit()
-	snapshot, err := c.h.machine.Snapshot()
-	qt.Assert(c.h.t, err, qt.IsNil)
-	c.h.machine = supervisor.New(supervisor.Options{Cluster: "test"})
-	qt.Assert(c.h.t, c.h.machine.Restore(c.h.index, snapshot), qt.IsNil)
-	c.h.standing.Term++
-	c.h.standing.Since = c.h.now
-	c.h.standing.Confirmed = true
-	c.counts["leaders"]++
-}
-
-// replay commits an old grant, move or copy again, as a leader might that was
-// frozen.
-func (c *chaos) replay() {
-	for range 20 {
-		data := c.log[c.random.IntN(len(c.log))]
-		command, err := assigner.Decode(data)
-		qt.Assert(c.h.t, err, qt.IsNil)
-		if command.Grant != nil || command.Move != nil || command.Join != nil {
-			c.h.commit()
-			c.h.apply(data)
-			c.counts["replays"]++
-			return
-		}
-	}
-}
-
-// checkSnapshots checks that a restored replica is equal to one that never was.
-func (c *chaos) checkSnapshots() {
-	t := c.h.t
-	want, err := c.steady.Snapshot()
-	qt.Assert(t, err, qt.IsNil)
-	got, err := c.shadow.Snapshot()
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, string(got) == string(want), qt.IsTrue, qt.Commentf("replicas differ at %d", c.h.index))
-	c.shadow = assigner.New()
-	qt.Assert(t, c.shadow.Restore(got), qt.IsNil)
-	c.counts["snapshots"]++
-}
-
 func TestRandomFaults(t *testing.T) {
 	total := make(map[string]int)
 	for seed := range uint64(8) {
@@ -383,7 +286,7 @@
 			}
 		})
 	}
-	for _, name := range []string{"owner changes", "record checks", "leaders", "snapshots", "expired", "replays", "demoted", "forgotten"} {
+	for _, name := range []string{"owner changes", "record checks", "leaders", "snapshots", "expired", "replays", "demoted", "forgotten", "full deltas", "deltas"} {
 		qt.Check(t, total[name] > 0, qt.IsTrue, qt.Commentf("no %s", name))
 	}
 }
--- /dev/null
+++ b/control/supervisor/slope_test.go
@@ -0,0 +1,211 @@
+package supervisor_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"marigoldhill/control/assigner"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/profiler"
+)
+
+const slopeShards = 65_536
+
+// newFleet starts a service whose shards are spread over sessions.
+func newFleet(b *testing.B, sessions int, shards uint32) (*harness, []*fakeRouter) {
+	h := newHarness(b)
+	for _, profile := range profiler.DefaultProfiles() {
+		h.propose(assigner.Command{PutProfile: &assigner.PutProfile{Profile: profile}})
+	}
+	service := profiler.DefaultService("findings")
+	service.Shards = shards
+	h.propose(assigner.Command{PutService: &assigner.PutService{Service: service}})
+	var routers []*fakeRouter
+	for n := range sessions {
+		router := newRouter(h, n, "findings")
+		router.beat.Domain = fmt.Sprintf("d%d", n%10)
+		routers = append(routers, router)
+	}
+	for range 20 {
+		for n := range 12 {
+			h.pass()
+			for place, router := range routers {
+				if place%12 == n {
+					sendOnly(router)
+				}
+			}
+		}
+	}
+	h.commit()
+	return h, routers
+}
+
+// sendOnly sends a heartbeat as if the router had applied the whole table.
+func sendOnly(r *fakeRouter) *messenger.HeartbeatAnswer {
+	r.beat.Sequence++
+	beat := r.beat
+	answer := r.h.ask(&beat).(*messenger.HeartbeatAnswer)
+	if answer.Status == messenger.HeartbeatAlive {
+		r.beat.Session = answer.Session
+		if answer.Delta != nil {
+			r.beat.Revision = answer.Delta.To
+		}
+	}
+	return answer
+}
+
+func size(b *testing.B, message any) float64 {
+	data, err := msgpack.Marshal(message)
+	qt.Assert(b, err, qt.IsNil)
+	return float64(len(data))
+}
+
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, sessions := range []int{100, 300, 1000} {
+		b.Run(fmt.Sprintf("sessions=%d", sessions), func(b *testing.B) {
+			h, routers := newFleet(b, sessions, slopeShards)
+			for n, router := range routers {
+				for k := range 64 {
+					load := messenger.ShardLoad{Service: "findings", Shard: uint32(64*n+k) % slopeShards, Requests: 5, Busy: time.Millisecond}
+					router.beat.Loads = append(router.beat.Loads, load)
+				}
+			}
+			n := 0
+			for b.Loop() {
+				router := routers[n%len(routers)]
+				sendOnly(router)
+				n++
+			}
+			b.ReportMetric(size(b, &routers[0].beat), "beat-bytes")
+			b.ReportMetric(size(b, sendOnly(routers[0])), "answer-bytes")
+			qt.Assert(b, len(h.waiting), qt.Equals, 0)
+		})
+	}
+}
+
+// BenchmarkTick is the leader's work each 25 ms, and once a second the weighing
+// of loads.
+func BenchmarkTick(b *testing.B) {
+	for _, sessions := range []int{100, 300, 1000} {
+		b.Run(fmt.Sprintf("sessions=%d", sessions), func(b *testing.B) {
+			h, routers := newFleet(b, sessions, slopeShards)
+			n := 0
+			for b.Loop() {
+				b.StopTimer()
+				if n%12 == 0 {
+					for _, router := range routers {
+						sendOnly(router)
+					}
+				}
+				n++
+				b.StartTimer()
+				h.pass()
+			}
+		})
+	}
+}
+
+// BenchmarkTakeover is the loss of a tenth of all sessions, with their shards;
+// each round another tenth is lost.
+func BenchmarkTakeover(b *testing.B) {
+	for _, sessions := range []int{100, 300, 1000} {
+		b.Run(fmt.Sprintf("sessions=%d", sessions), func(b *testing.B) {
+			h, routers := newFleet(b, sessions, slopeShards)
+			lost := len(routers) / 10
+			var closing, granting, answering time.Duration
+			bytes, rows, rounds := 0.0, 0, 0
+			for b.Loop() {
+				b.StopTimer()
+				var numbers []uint64
+				for _, router := range routers[:lost] {
+					numbers = append(numbers, router.beat.Session)
+				}
+				b.StartTimer()
+				start := time.Now()
+				h.propose(assigner.Command{Close: &assigner.Close{Sessions: numbers, Lapsed: true}})
+				closed := time.Now()
+				h.pass()
+				h.commit()
+				granted := time.Now()
+				var answer *messenger.HeartbeatAnswer
+				for _, router := range routers[lost:] {
+					answer = sendOnly(router)
+				}
+				answered := time.Now()
+				b.StopTimer()
+				rows = len(answer.Delta.Shards)
+				bytes = size(b, answer)
+				closing += closed.Sub(start)
+				granting += granted.Sub(closed)
+				answering += answered.Sub(granted)
+				rounds++
+				for _, router := range routers[:lost] {
+					router.beat.Session, router.beat.Revision = 0, 0
+					router.beat.Instance++
+				}
+				settle(h, routers)
+				routers = slices.Concat(routers[lost:], routers[:lost])
+				b.StartTimer()
+			}
+			count := float64(rounds)
+			b.ReportMetric(closing.Seconds()*1e3/count, "close-ms")
+			b.ReportMetric(granting.Seconds()*1e3/count, "grant-ms")
+			b.ReportMetric(answering.Seconds()*1e3/count, "answers-ms")
+			b.ReportMetric(bytes, "answer-bytes")
+			b.ReportMetric(float64(rows), "rows")
+		})
+	}
+}
+
+// settle lets all routers open sessions and get shards again.
+func settle(h *harness, routers []*fakeRouter) {
+	for n := range 120 {
+		h.pass()
+		for _, router := range routers {
+			if n%12 == 11 {
+				sendOnly(router)
+			}
+		}
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	for _, shards := range []uint32{4096, 16_384, slopeShards} {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
+			h, _ := newFleet(b, 1000, shards)
+			var data []byte
+			for b.Loop() {
+				var err error
+				data, err = h.machine.Snapshot()
+				qt.Assert(b, err, qt.IsNil)
+			}
+			b.ReportMetric(float64(len(data)), "bytes")
+		})
+	}
+}
+
+func BenchmarkFullDelta(b *testing.B) {
+	for _, shards := range []uint32{4096, 16_384, slopeShards} {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
+			_, routers := newFleet(b, 1000, shards)
+			bytes := 0.0
+			for b.Loop() {
+				routers[0].beat.Revision = 0
+				bytes = 0
+				for more := true; more; {
+					answer := sendOnly(routers[0])
+					more = answer.More
+					b.StopTimer()
+					bytes += size(b, answer)
+					b.StartTimer()
+				}
+			}
+			b.ReportMetric(bytes, "bytes")
+		})
+	}
+}
--- a/control/supervisor/supervisor_test.go
+++ b/control/supervisor/supervisor_test.go
@@ -114,3 +114,13 @@
 	qt.Assert(t, change(base, "a", 3).Verdict, qt.Equals, assigner.VerdictMismatch)
 	qt.Assert(t, change(first.Revision, "c", 4).Verdict, qt.Equals, assigner.VerdictApplied)
 }
+
+func TestPausedLeaderClosesNobody(t *testing.T) {
+	h := newHarness(t)
+	router := newRouter(h, 1, "findings")
+	h.run(time.Second, router)
+	h.now = h.now.Add(10 * time.Second)
+	h.pass()
+	h.commit()
+	qt.Assert(t, router.send(), qt.Equals, messenger.HeartbeatAlive)
+}
--- /dev/null
+++ b/kernel/messenger/messenger_test.go
@@ -0,0 +1,71 @@
+package messenger_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"marigoldhill/kernel/messenger"
+)
+
+func TestCompactMessagesComeBack(t *testing.T) {
+	delta := messenger.TableDelta{From: 3, To: 9, Shards: []messenger.ShardRow{
+		{},
+		{Service: "findings", Shard: 65_535, Phase: messenger.PhaseOwned, Owner: 1 << 40, Fence: 1<<64 - 1},
+		{Service: "findings", Shard: 7, Phase: messenger.PhaseMoving, Owner: 3, Fence: 9, Next: 4},
+		{Service: "findings", Shard: 8, Survivors: []uint64{1, 2}, Last: 1, Forgotten: true, ForgottenUntil: 1 << 41, Previous: 5},
+	}}
+	data, err := msgpack.Marshal(&delta)
+	qt.Assert(t, err, qt.IsNil)
+	var got messenger.TableDelta
+	qt.Assert(t, msgpack.Unmarshal(data, &got), qt.IsNil)
+	qt.Assert(t, got, qt.DeepEquals, delta)
+
+	beat := messenger.Heartbeat{Router: "r1", Loads: []messenger.ShardLoad{
+		{Service: "findings", Shard: 1, Requests: 1 << 40, Busy: time.Hour},
+		{},
+	}}
+	data, err = msgpack.Marshal(&beat)
+	qt.Assert(t, err, qt.IsNil)
+	var read messenger.Heartbeat
+	qt.Assert(t, msgpack.Unmarshal(data, &read), qt.IsNil)
+	qt.Assert(t, read, qt.DeepEquals, beat)
+}
+
+func TestCompactDecoderRefusesDamage(t *testing.T) {
+	tests := []struct {
+		name string
+		data []byte
+	}{
+		{name: "not an array", data: []byte{0x81, 0x01, 0x02}},
+		{name: "cut short", data: []byte{0x95, 0xa1}},
+		{name: "wrong type", data: []byte{0x92, 0x01, 0x02}},
+	}
+	for _, test := range tests {
+		var row messenger.ShardRow
+		qt.Check(t, msgpack.Unmarshal(test.data, &row), qt.IsNotNil, qt.Commentf(test.name))
+		var load messenger.ShardLoad
+		qt.Check(t, msgpack.Unmarshal(test.data, &load), qt.IsNotNil, qt.Commentf(test.name))
+	}
+}
+
+func TestDurationsAreText(t *testing.T) {
+	profile := messenger.Profile{Name: "lookup", Class: messenger.ClassInteractive, Deadline: 2 * time.Second, Share: 1}
+	data, err := json.Marshal(profile)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(data), qt.Contains, `"deadline":"2s"`)
+	var got messenger.Profile
+	qt.Assert(t, json.Unmarshal(data, &got), qt.IsNil)
+	qt.Assert(t, got, qt.DeepEquals, profile)
+
+	service := messenger.Service{Name: "findings", Shards: 8, Retention: time.Minute}
+	data, err = json.Marshal(service)
+	qt.Assert(t, err, qt.IsNil)
+	var read messenger.Service
+	qt.Assert(t, json.Unmarshal(data, &read), qt.IsNil)
+	qt.Assert(t, read, qt.DeepEquals, service)
+	qt.Assert(t, json.Unmarshal([]byte(`{"retention":"soon"}`), &read), qt.IsNotNil)
+}
