--- a/bench/matrix/check_test.go
+++ b/bench/matrix/check_test.go
@@ -35,6 +35,12 @@
 		{name: "two owners at once", want: []Promise{PromiseOwner}, history: History{
 			Runs: []Run{run("x", "1", 5, 0, 2*second), run("y", "2", 6, second, 3*second)},
 		}},
+		{name: "frozen in mid-run", history: History{
+			Runs: []Run{{Server: "x", Key: "k", Number: "1", Fence: 5, End: 2 * second, Frozen: true}, run("y", "2", 6, second, 3*second)},
+		}},
+		{name: "frozen before it ran", want: []Promise{PromiseOwner}, history: History{
+			Runs: []Run{run("y", "2", 6, 0, second), {Server: "x", Key: "k", Number: "1", Fence: 5, Start: second, End: 2 * second, Frozen: true}},
+		}},
 		{name: "fence falls", want: []Promise{PromiseOwner}, history: History{
 			Runs: []Run{run("x", "1", 6, 0, second), run("x", "2", 5, 2*second, 3*second)},
 		}},
--- a/bench/matrix/history.go
+++ b/bench/matrix/history.go
@@ -71,6 +71,9 @@
 	Start  time.Duration
 	// End is 0 while it runs.
 	End time.Duration
+	// Frozen says that the backend server was frozen while it ran. What such a
+	// run does after the server wakes is for the server's own fence to stop.
+	Frozen bool
 }
 
 // Sight is the revision that a router had in force at a moment.
@@ -155,6 +158,16 @@
 	h.Leaves = append(h.Leaves, leave)
 }
 
+// FreezeRuns marks the runs that are under way at a backend server.
+func (h *History) FreezeRuns(server string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range h.Runs {
+		run := &h.Runs[i]
+		run.Frozen = run.Frozen || (run.Server == server && run.End == 0)
+	}
+}
+
 // StartRun records the start of a run and returns the function that ends it.
 func (h *History) StartRun(run Run) (end func()) {
 	h.mu.Lock()
--- a/kernel/disrupter/dial.go
+++ b/kernel/disrupter/dial.go
@@ -10,6 +10,9 @@
 	"marigoldhill/kernel/messenger"
 )
 
+// thawPoll is the time between two looks whether a VM is still frozen.
+const thawPoll = 5 * time.Millisecond
+
 // address is a net.Addr of the in-memory network.
 type address string
 
@@ -92,6 +95,11 @@
 	if err := sleep(ctx, there+back); err != nil {
 		return nil, Error.New("dialling %s: %w", at, err)
 	}
+	for w.isFrozen(pair{from, to}) {
+		if err := sleep(ctx, thawPoll); err != nil {
+			return nil, Error.New("dialling %s: %w", at, err)
+		}
+	}
 	w.mu.Lock()
 	l, ok := w.listeners[at]
 	w.mu.Unlock()
@@ -128,6 +136,7 @@
 	shared := &streams{kinds: make(map[uint64]messenger.Kind)}
 	there := newFlow(w, pair{from, to}, shared)
 	back := newFlow(w, pair{to, from}, shared)
+	back.frames.back = true
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.nextPort++
--- a/kernel/disrupter/flow.go
+++ b/kernel/disrupter/flow.go
@@ -127,6 +127,9 @@
 		}
 		return 0, 0, nil
 	}
+	if f.world.isFrozen(f.way) {
+		return 0, thawPoll, nil
+	}
 	head := &f.queue[0]
 	if wait := time.Until(head.ready); wait > 0 {
 		return 0, wait, nil
--- a/kernel/disrupter/inspector.go
+++ b/kernel/disrupter/inspector.go
@@ -18,12 +18,16 @@
 	// frames of the connection itself.
 	Stream uint64
 	Kind   messenger.Kind
+	// Back says that the frame comes from the side that was dialled.
+	Back bool
 }
 
 // Verdict is what becomes of a frame.
 type Verdict struct {
 	// Drop makes the frame vanish.
 	Drop bool
+	// Swap lets the next frame on the connection overtake this one.
+	Swap bool
 	// Copies are sent besides the frame.
 	Copies int
 	// Hold delays the frame and all that follow it on the connection.
@@ -50,9 +54,12 @@
 // other protocols pass as they are.
 type inspector struct {
 	way     pair
+	back    bool
 	judged  bool
 	framed  bool
 	streams *streams
+	// overtaken is the frame that the next one overtakes.
+	overtaken []byte
 }
 
 // streams has the kinds of the streams of one connection, for both directions.
@@ -101,6 +108,7 @@
 		To:     i.way.to,
 		Type:   framer.Type(frame[4]),
 		Stream: binary.BigEndian.Uint64(frame[5:framer.HeaderSize]),
+		Back:   i.back,
 	}
 	if step.Type == framer.TypeOpen && len(frame) > framer.HeaderSize {
 		i.streams.open(step.Stream, messenger.Kind(frame[framer.HeaderSize]))
@@ -113,7 +121,15 @@
 	if verdict.Drop {
 		return nil
 	}
+	if verdict.Swap && i.overtaken == nil {
+		i.overtaken = frame
+		return nil
+	}
 	parts := []part{{data: frame, hold: verdict.Hold}}
+	if i.overtaken != nil {
+		parts = append(parts, part{data: i.overtaken})
+		i.overtaken = nil
+	}
 	for range verdict.Copies {
 		parts = append(parts, part{data: frame, hold: verdict.Hold})
 	}
--- a/kernel/disrupter/world.go
+++ b/kernel/disrupter/world.go
@@ -50,6 +50,7 @@
 	latency   time.Duration
 	delays    map[pair]time.Duration
 	cuts      map[pair]bool
+	frozen    map[string]bool
 	listeners map[string]*listener
 	conns     map[*conn]struct{}
 	hook      Hook
@@ -62,6 +63,7 @@
 		latency:   latency,
 		delays:    make(map[pair]time.Duration),
 		cuts:      make(map[pair]bool),
+		frozen:    make(map[string]bool),
 		listeners: make(map[string]*listener),
 		conns:     make(map[*conn]struct{}),
 		nextPort:  40000,
@@ -114,6 +116,28 @@
 	w.Heal(b, a)
 }
 
+// Freeze holds back all that the VM called name sends, receives and tells
+// itself, until Thaw.
+func (w *World) Freeze(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.frozen[name] = true
+}
+
+// Thaw ends a freeze; what was held back arrives.
+func (w *World) Thaw(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.frozen, name)
+}
+
+// isFrozen reports whether either end of a direction is frozen.
+func (w *World) isFrozen(way pair) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.frozen[way.from] || w.frozen[way.to]
+}
+
 // Silence makes the connections that are open between a and b swallow all that
 // is written to them from now on. New connections work.
 func (w *World) Silence(a, b string) {
--- a/kernel/disrupter/world_test.go
+++ b/kernel/disrupter/world_test.go
@@ -79,6 +79,7 @@
 		{name: "data doubled", hurt: once(framer.TypeData, disrupter.Verdict{Copies: 1})},
 		{name: "open doubled", hurt: once(framer.TypeOpen, disrupter.Verdict{Copies: 1})},
 		{name: "end doubled", hurt: once(framer.TypeEnd, disrupter.Verdict{Copies: 1})},
+		{name: "data overtaken", hurt: once(framer.TypeData, disrupter.Verdict{Swap: true}), first: fails},
 		{name: "data held", hurt: once(framer.TypeData, disrupter.Verdict{Hold: 200 * time.Millisecond})},
 	}
 	for _, test := range tests {
@@ -119,6 +120,21 @@
 	})
 }
 
+func TestFreezeAndThaw(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := disrupter.New(time.Millisecond)
+		server, pool := serve(t, world)
+		qt.Assert(t, call(t.Context(), pool, time.Second), qt.IsNil)
+		world.Freeze("b")
+		time.AfterFunc(500*time.Millisecond, func() { world.Thaw("b") })
+		start := time.Now()
+		qt.Check(t, call(t.Context(), pool, time.Second), qt.IsNil)
+		qt.Check(t, time.Since(start) >= 500*time.Millisecond, qt.IsTrue)
+		pool.Close()
+		qt.Check(t, server.Close(), qt.IsNil)
+	})
+}
+
 func TestReadDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		world := disrupter.New(0)
