Call a request unknown once one of its sends may have run

Cause: an idempotent request whose first send was lost was sent again; when the second send found the owner gone, the caller got 'refused (unreachable)' although the first had run. Ruled out: the owner's own outcomes; each of them was true for its send. Change: the trip keeps the reason of a send that stayed unknown, and a later refusal becomes unknown with that reason. Conclusion: refused means that no send of the request ran.

--- a/router/forwarder/trip.go
+++ b/router/forwarder/trip.go
@@ -21,6 +21,9 @@
 	corrected int
 	// place is where the key was at the last send.
 	place locator.Place
+	// doubted is the reason of an earlier send whose outcome stayed unknown:
+	// from then on the request as a whole cannot be called refused.
+	doubted messenger.Reason
 	// heldSince is when the request was held first; zero before that.
 	heldSince timer.Instant
 }
@@ -30,18 +33,32 @@
 		answer := t.attempt(ctx)
 		decision := t.decide(ctx, answer)
 		if decision.Verdict == retrier.VerdictBudget {
-			return t.overBudget(answer)
+			return t.final(t.overBudget(answer))
 		}
 		if !decision.Verdict.IsAgain() {
-			return answer
+			return t.final(answer)
 		}
 		if !t.pause(ctx, decision) {
-			return answer
+			return t.final(answer)
+		}
+		if answer.Response.Outcome == messenger.OutcomeUnknown {
+			t.doubted = answer.Response.Reason
 		}
 		answer.Close()
 	}
 }
 
+// final turns the answer of the last send into that of the request: a refusal
+// of the last send says nothing about an earlier one that may have run.
+func (t *trip) final(answer executor.Answer) executor.Answer {
+	if t.doubted == messenger.ReasonNone || answer.Response.Outcome != messenger.OutcomeRefused {
+		return answer
+	}
+	answer.Response.Outcome = messenger.OutcomeUnknown
+	answer.Response.Reason = t.doubted
+	return answer
+}
+
 // attempt sends the request once to the place that the routing table gives.
 func (t *trip) attempt(ctx context.Context) executor.Answer {
 	options := &t.forwarder.options
