--- a/GNUmakefile
+++ b/GNUmakefile
@@ -5,7 +5,7 @@
 BIN := bin
 FUZZTIME ?= 30s
 
-.PHONY: all build test race vet lint format-check format run bench fuzz ci clean
+.PHONY: all build test race matrix vet lint format-check format run bench fuzz ci clean
 
 all: build
 
@@ -21,6 +21,10 @@
 race:
 	go test -race $(addprefix ./,$(addsuffix /...,$(MODULES)))
 
+# Every fault at every step; "make test" runs a fixed part of them.
+matrix:
+	go test -timeout 60m ./bench/matrix -args -every 1
+
 vet:
 	go vet $(addprefix ./,$(addsuffix /...,$(MODULES)))
 
@@ -49,7 +53,7 @@
 	go test -run '^$$' -fuzz FuzzBytes -fuzztime $(FUZZTIME) ./kernel/parser
 	go test -run '^$$' -fuzz FuzzReceive -fuzztime $(FUZZTIME) ./kernel/linker
 
-ci: lint test race
+ci: lint test race matrix
 
 clean:
 	rm -rf $(BIN)
--- a/bench/matrix/arena.go
+++ b/bench/matrix/arena.go
@@ -187,6 +187,7 @@
 	}
 	a.dead[node] = true
 	a.mu.Unlock()
+	a.History.AddLoss(node)
 	a.World.Crash(node)
 	if IsControl(node) {
 		a.disk(node).Crash(torn)
@@ -226,6 +227,7 @@
 
 // Freeze stops a VM: it sends, receives and runs nothing until Thaw.
 func (a *Arena) Freeze(node string) {
+	a.History.AddLoss(node)
 	a.World.Freeze(node)
 	if !IsControl(node) {
 		server := a.Cluster.Servers[index(node)]
@@ -245,6 +247,7 @@
 // Isolate cuts a VM off from the others, for what it sends, what it receives or
 // both. Callers and operators still reach it.
 func (a *Arena) Isolate(node string, out, in bool) {
+	a.History.AddLoss(node)
 	for _, other := range a.Nodes() {
 		if other == node {
 			continue
--- a/bench/matrix/check_test.go
+++ b/bench/matrix/check_test.go
@@ -84,6 +84,16 @@
 			Changes: []Change{{Revision: 9}},
 			Sights:  []Sight{{Router: "r", Revision: 5, Serving: true, At: 7 * second}},
 		}},
+		{name: "not served again", want: []Promise{PromiseServed}, history: History{
+			Sends:    []Send{send("1", ""), send("2", "")},
+			Receives: []Receive{done("1", Echo{Key: "k", Number: "1"}), {Number: "2", Outcome: messenger.OutcomeDone, Echo: Echo{Key: "k", Number: "2"}, Whole: true, At: 5 * second}},
+			Losses:   []Loss{{Node: "r1", At: second}},
+		}},
+		{name: "served again after the second loss", history: History{
+			Sends:    []Send{send("1", ""), send("2", "")},
+			Receives: []Receive{done("1", Echo{Key: "k", Number: "1"}), {Number: "2", Outcome: messenger.OutcomeDone, Echo: Echo{Key: "k", Number: "2"}, Whole: true, At: 5 * second}},
+			Losses:   []Loss{{Node: "r1", At: second}, {Node: "r2", At: 3 * second}},
+		}},
 		{name: "work after leaving", want: []Promise{PromiseLeaving}, history: History{
 			Leaves: []Leave{{Server: "x"}},
 			Runs:   []Run{run("x", "1", 5, 4*second, 5*second)},
--- a/bench/matrix/history.go
+++ b/bench/matrix/history.go
@@ -35,6 +35,8 @@
 	Key      string
 	// Idempotent says that the profile of the request is idempotent.
 	Idempotent bool
+	// Size is the padding of the answer that was asked for, in bytes.
+	Size int
 	// At is the time since the start of the history.
 	At time.Duration
 }
@@ -99,6 +101,12 @@
 	At     time.Duration
 }
 
+// Loss is the moment when a VM was lost: killed, frozen or cut off.
+type Loss struct {
+	Node string
+	At   time.Duration
+}
+
 // History is what happened in one cell. Its methods are safe for concurrent
 // use; the fields may be read once the cell has ended.
 type History struct {
@@ -111,6 +119,7 @@
 	Sights   []Sight
 	Changes  []Change
 	Leaves   []Leave
+	Losses   []Loss
 }
 
 // NewHistory returns an empty history that starts now.
@@ -158,6 +167,13 @@
 	h.Leaves = append(h.Leaves, leave)
 }
 
+// AddLoss records that a VM was lost.
+func (h *History) AddLoss(node string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Losses = append(h.Losses, Loss{Node: node, At: h.Now()})
+}
+
 // FreezeRuns marks the runs that are under way at a backend server.
 func (h *History) FreezeRuns(server string) {
 	h.mu.Lock()
