--- a/router/acceptor/header.go
+++ b/router/acceptor/header.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"marigoldhill/kernel/messenger"
 )
 
@@ -83,11 +85,11 @@
 	case len(values) == 0:
 		return "", nil
 	case len(values) > 1:
-		return "", Error.New("%s is given %d times", messenger.HeaderIdempotency, len(values))
+		return "", errs.New("%s is given %d times", messenger.HeaderIdempotency, len(values))
 	case values[0] == "" || len(values[0]) > MaxIdempotency:
-		return "", Error.New("%s must have 1 to %d characters", messenger.HeaderIdempotency, MaxIdempotency)
+		return "", errs.New("%s must have 1 to %d characters", messenger.HeaderIdempotency, MaxIdempotency)
 	case strings.ContainsFunc(values[0], isNotVisible):
-		return "", Error.New("%s has other characters than visible ASCII", messenger.HeaderIdempotency)
+		return "", errs.New("%s has other characters than visible ASCII", messenger.HeaderIdempotency)
 	}
 	return values[0], nil
 }
@@ -105,14 +107,14 @@
 		return longest, nil
 	case 1:
 	default:
-		return 0, Error.New("%s is given %d times", messenger.HeaderTimeout, len(values))
+		return 0, errs.New("%s is given %d times", messenger.HeaderTimeout, len(values))
 	}
 	timeout, err := time.ParseDuration(values[0])
 	if err != nil {
-		return 0, Error.New("%s is no duration such as 2s or 500ms", messenger.HeaderTimeout)
+		return 0, errs.New("%s is no duration such as 2s or 500ms", messenger.HeaderTimeout)
 	}
 	if timeout <= 0 {
-		return 0, Error.New("%s is not positive", messenger.HeaderTimeout)
+		return 0, errs.New("%s is not positive", messenger.HeaderTimeout)
 	}
 	return min(timeout, longest), nil
 }
--- a/router/acceptor/path.go
+++ b/router/acceptor/path.go
@@ -4,6 +4,8 @@
 	"net/url"
 	"strings"
 	"unicode/utf8"
+
+	"github.com/zeebo/errs"
 )
 
 const (
@@ -25,15 +27,16 @@
 	route string
 }
 
-// parseTarget parses a raw, percent-encoded path.
+// parseTarget parses a raw, percent-encoded path. Its errors, like all on what a
+// caller did wrong, have no class, since callers read them.
 func parseTarget(path string) (target, error) {
 	rest, ok := strings.CutPrefix(path, pathPrefix)
 	if !ok {
-		return target{}, Error.New("path does not start with %s", pathPrefix)
+		return target{}, errs.New("path does not start with %s", pathPrefix)
 	}
 	service, rest, _ := strings.Cut(rest, "/")
 	if !isServiceName(service) {
-		return target{}, Error.New("name of the service has other characters than a-z, 0-9 and hyphens, or a wrong length")
+		return target{}, errs.New("name of the service has other characters than a-z, 0-9 and hyphens, or a wrong length")
 	}
 	segment, rest, _ := strings.Cut(rest, "/")
 	key, err := parseKey(segment)
@@ -63,11 +66,11 @@
 	key, err := parseSegment(segment)
 	switch {
 	case err != nil:
-		return "", Error.New("key: %w", err)
+		return "", errs.New("key: %w", err)
 	case key == "":
-		return "", Error.New("key is empty")
+		return "", errs.New("key is empty")
 	case len(key) > MaxKey:
-		return "", Error.New("key is longer than %d bytes", MaxKey)
+		return "", errs.New("key is longer than %d bytes", MaxKey)
 	}
 	return key, nil
 }
@@ -82,10 +85,10 @@
 	for i, segment := range segments {
 		plain, err := parseSegment(segment)
 		if err != nil {
-			return "", Error.New("route: %w", err)
+			return "", errs.New("route: %w", err)
 		}
 		if plain == "" && i < len(segments)-1 {
-			return "", Error.New("route has an empty segment")
+			return "", errs.New("route has an empty segment")
 		}
 		segments[i] = url.PathEscape(plain)
 	}
@@ -98,17 +101,17 @@
 func parseSegment(segment string) (string, error) {
 	plain, err := url.PathUnescape(segment)
 	if err != nil {
-		return "", Error.New("%w", err)
+		return "", errs.New("%w", err)
 	}
 	if !utf8.ValidString(plain) {
-		return "", Error.New("segment is not UTF-8")
+		return "", errs.New("segment is not UTF-8")
 	}
 	if strings.ContainsFunc(plain, isControl) {
-		return "", Error.New("segment has a control character")
+		return "", errs.New("segment has a control character")
 	}
 	for part := range strings.FieldsFuncSeq(plain, isSlash) {
 		if part == "." || part == ".." {
-			return "", Error.New("segment is, or hides, a dot segment")
+			return "", errs.New("segment is, or hides, a dot segment")
 		}
 	}
 	return plain, nil
--- a/router/acceptor/problem.go
+++ b/router/acceptor/problem.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/router/forwarder"
 )
 
 // typePrefix starts the type of a problem, which ends with its reason.
@@ -51,8 +52,8 @@
 	header := w.Header()
 	setOutcome(header, response)
 	header.Set("Content-Type", "application/problem+json")
-	if response.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(wholeSeconds(response.RetryAfter)))
+	if after := comeBack(response, status); after > 0 {
+		header.Set("Retry-After", strconv.Itoa(wholeSeconds(after)))
 	}
 	problem := messenger.Problem{
 		Type:   typePrefix + string(response.Reason),
@@ -86,6 +87,20 @@
 	return "the request was not run"
 }
 
+// comeBack says when the caller should come back, 0 when that is no use. The
+// owner knows best; otherwise a refusal that is expected to pass gets a default.
+func comeBack(response *messenger.Response, status int) time.Duration {
+	switch {
+	case response.RetryAfter > 0:
+		return response.RetryAfter
+	case response.Reason.IsRetryable(), status == http.StatusTooManyRequests:
+		return forwarder.RetryAfter
+	case response.Reason == messenger.ReasonBudget, response.Reason == messenger.ReasonRunning:
+		return forwarder.RetryAfter
+	}
+	return 0
+}
+
 // wholeSeconds rounds up, since Retry-After has no smaller unit.
 func wholeSeconds(d time.Duration) int {
 	return int((d + time.Second - 1) / time.Second)
--- a/router/forwarder/inquire.go
+++ b/router/forwarder/inquire.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"context"
 	"io"
+	"strconv"
+	"strings"
 	"time"
 
 	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/timer"
 	"marigoldhill/router/executor"
 	"marigoldhill/router/locator"
 )
@@ -21,6 +24,8 @@
 	inquiryPause = 25 * time.Millisecond
 	// inquiryPauseMax bounds it.
 	inquiryPauseMax = 200 * time.Millisecond
+	// numberMark separates the number of a request from what renumber adds.
+	numberMark = "~"
 )
 
 // inquire asks the owner what became of a request whose answer was lost.
@@ -58,6 +63,7 @@
 		Service:     t.request.Service,
 		Key:         t.request.Key,
 		Idempotency: t.request.Idempotency,
+		Age:         timer.Now().Since(t.sent),
 	}
 	return linker.Call[messenger.OutcomeQuery, messenger.OutcomeAnswer](
 		ctx, t.forwarder.options.Opener, place.Owner.Address, messenger.KindOutcome, query)
@@ -66,6 +72,9 @@
 // settle turns what the owner knows into the answer.
 func (t *trip) settle(outcome *messenger.OutcomeAnswer) executor.Answer {
 	switch {
+	case outcome.Outcome == messenger.OutcomeRefused && outcome.Reason == messenger.ReasonStale:
+		t.renumber()
+		return refuse(t.request, messenger.ReasonUnreachable)
 	case outcome.Outcome == messenger.OutcomeRefused:
 		return refuse(t.request, outcome.Reason)
 	case outcome.Outcome == messenger.OutcomeDone && outcome.Response != nil:
@@ -77,3 +86,10 @@
 	}
 	return doubt(t.request, messenger.ReasonLost)
 }
+
+// renumber gives the request another number, since the owner refuses the old one
+// for good. What was sent under it never runs.
+func (t *trip) renumber() {
+	base, _, _ := strings.Cut(t.request.Number, numberMark)
+	t.request.Number = base + numberMark + strconv.Itoa(t.request.Attempt)
+}
--- a/router/forwarder/send.go
+++ b/router/forwarder/send.go
@@ -7,6 +7,7 @@
 
 	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/timer"
 	"marigoldhill/router/executor"
 	"marigoldhill/router/locator"
 )
@@ -20,6 +21,7 @@
 	if err != nil {
 		return t.unsent(ctx)
 	}
+	t.sent = timer.Now()
 	exchange := &exchange{stream: stream, request: t.request, body: t.body}
 	answer, err := exchange.run()
 	if err == nil {
--- a/router/forwarder/trip.go
+++ b/router/forwarder/trip.go
@@ -24,6 +24,8 @@
 	// doubted is the reason of an earlier send whose outcome stayed unknown:
 	// from then on the request as a whole cannot be called refused.
 	doubted messenger.Reason
+	// sent is when the request was last sent to another router.
+	sent timer.Instant
 	// heldSince is when the request was held first; zero before that.
 	heldSince timer.Instant
 }
--- a/router/retrier/decision.go
+++ b/router/retrier/decision.go
@@ -88,7 +88,11 @@
 // isPassing reports whether the cause of an unknown outcome may be gone at the
 // next send. A crash is none: the request itself may have caused it.
 func isPassing(reason messenger.Reason) bool {
-	return reason == messenger.ReasonLost || reason == messenger.ReasonTruncated
+	switch reason {
+	case messenger.ReasonLost, messenger.ReasonTruncated, messenger.ReasonLarge:
+		return true
+	}
+	return false
 }
 
 // IsCorrection reports whether a refusal says only that the key has no serving
