--- a/router/assembler/steward.go
+++ b/router/assembler/steward.go
@@ -35,7 +35,7 @@
 	reporter *reporter.Reporter
 	log      *logger.Log
 
-	rows     []messenger.ShardRow
+	holdings holdings
 	server   *messenger.ServerRow
 	reported timer.Instant
 
@@ -61,7 +61,7 @@
 	s.reportQueue(now, heartbeat)
 	if view.Row != s.server {
 		s.server = view.Row
-		s.granter.Follow(s.server, s.rows)
+		s.granter.Follow(s.server, s.holdings.list())
 	}
 }
 
@@ -95,35 +95,23 @@
 	if err := s.locator.Apply(delta); err != nil {
 		return Error.New("applying the routing table: %w", err)
 	}
-	s.follow(session)
+	if s.holdings.apply(session, s.locator.Load(), delta) {
+		s.follow()
+	}
+	s.recorder.Follow(s.holdings.list())
 	return nil
 }
 
 // Lapsed implements [keeper.Steward].
 func (s *steward) Lapsed(uint64) {
-	s.follow(0)
+	s.holdings = holdings{}
+	s.follow()
 }
 
-// follow hands the shards of a session to those who give them back.
-func (s *steward) follow(session uint64) {
-	s.rows = nil
-	if session != 0 {
-		s.rows = ownRows(s.locator.Load(), session)
-	}
-	s.held.Store(int64(len(s.rows)))
-	s.drainer.Follow(s.rows)
-	s.granter.Follow(s.server, s.rows)
-}
-
-// ownRows lists the shards that a session owns.
-func ownRows(table *locator.Table, session uint64) []messenger.ShardRow {
-	var rows []messenger.ShardRow
-	for service := range table.Services() {
-		for row := range table.Shards(service.Name) {
-			if row.Owner == session {
-				rows = append(rows, row)
-			}
-		}
-	}
-	return rows
+// follow hands the shards of the session to those who act on them.
+func (s *steward) follow() {
+	rows := s.holdings.list()
+	s.held.Store(int64(len(rows)))
+	s.drainer.Follow(rows)
+	s.granter.Follow(s.server, rows)
 }
--- a/router/executor/harness_test.go
+++ b/router/executor/harness_test.go
@@ -61,17 +61,11 @@
 type server struct {
 	view   atomic.Pointer[prober.View]
 	broken atomic.Int64
-	mu     sync.Mutex
-	seen   []prober.Evidence
 }
 
 func (s *server) View() *prober.View { return s.view.Load() }
 
-func (s *server) See(evidence prober.Evidence) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.seen = append(s.seen, evidence)
-}
+func (s *server) See(prober.Evidence) {}
 
 func (s *server) Broken(*messenger.ServerRow) { s.broken.Add(1) }
 
@@ -84,11 +78,15 @@
 	run    func(ctx context.Context, order *dispatcher.Order) dispatcher.Result
 	mu     sync.Mutex
 	orders []*dispatcher.Order
+	// silent notes no orders.
+	silent bool
 }
 
 func (b *backend) Send(ctx context.Context, order *dispatcher.Order) dispatcher.Result {
 	b.mu.Lock()
-	b.orders = append(b.orders, order)
+	if !b.silent {
+		b.orders = append(b.orders, order)
+	}
 	b.mu.Unlock()
 	return b.run(ctx, order)
 }
@@ -126,34 +124,7 @@
 // and a ready server of two slots.
 func onStage(t *testing.T, test func(t *testing.T, s *stage)) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &stage{tracker: drainer.NewTracker(), gate: isolator.New()}
-		set := metrics.NewSet()
-		s.locator = locator.New(set)
-		s.drain = drainer.New(s.tracker)
-		s.leaser.renew(timer.Now())
-		s.server.set(messenger.ServerReady, true)
-		s.backend.run = takes(10 * time.Millisecond)
-		admission := admitter.New(set)
-		admission.Serve(*s.server.View().Row)
-		records := recorder.New(recorder.Options{Locator: s.locator, Leaser: &s.leaser, Log: logger.Discard(), Metrics: set})
-		s.Executor = New(Options{
-			Locator: s.locator, Leaser: &s.leaser, Server: &s.server, Backend: &s.backend, Tracker: s.tracker,
-			Recorder: records, Numbers: recorder.NewNumbers(), Admitter: admission, Gate: s.gate,
-			Detector: &s.server, Tally: tallier.New(), Metrics: set,
-		})
-		s.row = messenger.ShardRow{Service: service, Phase: messenger.PhaseOwned, Owner: session, Fence: 9}
-		s.delta = messenger.TableDelta{
-			Full:     true,
-			Sessions: []messenger.SessionRow{{Session: session}},
-			Services: []messenger.Service{{
-				Name: service, Shards: 1, Retention: time.Minute,
-				Routes: []messenger.Route{{Profile: "read"}, {Prefix: "issue", Profile: "issue"}},
-			}},
-			Profiles: []messenger.Profile{
-				{Name: "read", Class: messenger.ClassInteractive, Idempotent: true, Deadline: 3 * time.Second, Queue: 10, Share: 1, Weight: 1},
-				{Name: "issue", Class: messenger.ClassInteractive, Deadline: 3 * time.Second, Queue: 10, Share: 1, Weight: 1},
-			},
-		}
+		s := newStage()
 		s.publish(t)
 		// Lets everything that still runs end.
 		defer time.Sleep(time.Hour)
@@ -161,6 +132,39 @@
 	})
 }
 
+// newStage makes a stage with a lease, a ready server and a table to publish.
+func newStage() *stage {
+	s := &stage{tracker: drainer.NewTracker(), gate: isolator.New()}
+	set := metrics.NewSet()
+	s.locator = locator.New(set)
+	s.drain = drainer.New(s.tracker)
+	s.leaser.renew(timer.Now())
+	s.server.set(messenger.ServerReady, true)
+	s.backend.run = takes(10 * time.Millisecond)
+	admission := admitter.New(set)
+	admission.Serve(*s.server.View().Row)
+	records := recorder.New(recorder.Options{Locator: s.locator, Leaser: &s.leaser, Log: logger.Discard(), Metrics: set})
+	s.Executor = New(Options{
+		Locator: s.locator, Leaser: &s.leaser, Server: &s.server, Backend: &s.backend, Tracker: s.tracker,
+		Recorder: records, Numbers: recorder.NewNumbers(), Admitter: admission, Gate: s.gate,
+		Detector: &s.server, Tally: tallier.New(), Metrics: set,
+	})
+	s.row = messenger.ShardRow{Service: service, Phase: messenger.PhaseOwned, Owner: session, Fence: 9}
+	s.delta = messenger.TableDelta{
+		Full:     true,
+		Sessions: []messenger.SessionRow{{Session: session}},
+		Services: []messenger.Service{{
+			Name: service, Shards: 1, Retention: time.Minute,
+			Routes: []messenger.Route{{Profile: "read"}, {Prefix: "issue", Profile: "issue"}},
+		}},
+		Profiles: []messenger.Profile{
+			{Name: "read", Class: messenger.ClassInteractive, Idempotent: true, Deadline: 3 * time.Second, Queue: 10, Share: 1, Weight: 1},
+			{Name: "issue", Class: messenger.ClassInteractive, Deadline: 3 * time.Second, Queue: 10, Share: 1, Weight: 1},
+		},
+	}
+	return s
+}
+
 // publish makes the row and the delta of the stage the newest table.
 func (s *stage) publish(t *testing.T) {
 	s.revision++
--- a/router/prober/prober.go
+++ b/router/prober/prober.go
@@ -154,6 +154,9 @@
 	}
 	view := &View{State: state, Row: p.row}
 	p.view.Store(view)
+	if p.row != nil && !isSameRow(before.Row, p.row) {
+		p.options.Log.Emit(logger.ServerAnnounced, "server", p.row.Name, "service", p.row.Service, "slots", p.row.Slots)
+	}
 	if before.State != state {
 		p.options.Log.Emit(logger.ServerChanged, "from", before.State, "to", state)
 		p.options.Metrics.GetOrCreateCounter(
--- a/router/recorder/harness_test.go
+++ b/router/recorder/harness_test.go
@@ -146,9 +146,21 @@
 	}
 	for _, n := range f.nodes {
 		qt.Assert(f.t, n.locator.Apply(delta), qt.IsNil)
+		n.records.Follow(f.ownRows(n.session))
 	}
 }
 
+// ownRows lists the rows of a session.
+func (f *fleet) ownRows(session uint64) []messenger.ShardRow {
+	var rows []messenger.ShardRow
+	for _, row := range f.rows {
+		if row.Owner == session {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
 // work is a request at the node that the node's own table grants it.
 func (f *fleet) work(n *node, key, print string) Work {
 	row, _ := n.locator.Load().Shard(f.service.Name, n.locator.Load().ShardOf(f.service.Name, key))
--- a/router/recorder/recorder.go
+++ b/router/recorder/recorder.go
@@ -17,6 +17,7 @@
 //
 //	records := recorder.New(recorder.Options{Locator: locator, Leaser: keeper, Opener: pool, Metrics: set})
 //	go records.Run(ctx)
+//	records.Follow(rows) // each new routing table
 //
 //	verdict := records.Begin(ctx, work)
 //	if verdict.Run == nil { ... } // answer with verdict
@@ -87,6 +88,9 @@
 type Recorder struct {
 	options Options
 	attempt atomic.Uint64
+	// pending are the rows of this router whose records are elsewhere.
+	pending atomic.Pointer[[]messenger.ShardRow]
+	wake    chan struct{}
 
 	mu sync.Mutex
 	// own are the records of this router, peers those of other owners by
@@ -119,8 +123,9 @@
 	if options.Changed == nil {
 		options.Changed = func() {}
 	}
-	return &Recorder{
+	recorder := &Recorder{
 		options:   options,
+		wake:      make(chan struct{}, 1),
 		own:       newBook(),
 		peers:     make(map[uint64]*book),
 		seals:     make(map[shard]uint64),
@@ -129,6 +134,23 @@
 		copied:    make(map[uint64]struct{}),
 		failed:    make(map[uint64]int),
 	}
+	recorder.pending.Store(new([]messenger.ShardRow))
+	return recorder
+}
+
+// Follow takes the rows that the router owns in a new routing table.
+func (r *Recorder) Follow(rows []messenger.ShardRow) {
+	var pending []messenger.ShardRow
+	for i := range rows {
+		if IsRecovering(&rows[i]) {
+			pending = append(pending, rows[i])
+		}
+	}
+	r.pending.Store(&pending)
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Opened notes a session of this process.
@@ -172,10 +194,9 @@
 	ticker := time.NewTicker(workInterval)
 	defer ticker.Stop()
 	for {
-		changed := r.options.Locator.Changed()
 		r.work(ctx)
 		select {
-		case <-changed:
+		case <-r.wake:
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
--- a/router/recorder/recover.go
+++ b/router/recorder/recover.go
@@ -30,7 +30,7 @@
 
 // recoverAll reads the records of all shards that were granted with survivors.
 func (r *Recorder) recoverAll(ctx context.Context, table *locator.Table, session uint64) {
-	pending := pendingRows(table, session)
+	pending := pendingRows(table, session, *r.pending.Load())
 	var tasks sync.WaitGroup
 	for _, source := range sourcesOf(r.unrecovered(pending)) {
 		for rows := range slices.Chunk(source.rows, recoverBatch) {
@@ -42,17 +42,16 @@
 	tasks.Wait()
 }
 
-// pendingRows lists the rows of a session whose records are elsewhere.
-func pendingRows(table *locator.Table, session uint64) []messenger.ShardRow {
-	var rows []messenger.ShardRow
-	for service := range table.Services() {
-		for row := range table.Shards(service.Name) {
-			if row.Owner == session && IsRecovering(&row) {
-				rows = append(rows, row)
-			}
+// pendingRows keeps the rows that a session holds under the same fence still.
+func pendingRows(table *locator.Table, session uint64, rows []messenger.ShardRow) []messenger.ShardRow {
+	var pending []messenger.ShardRow
+	for _, row := range rows {
+		now, ok := table.Shard(row.Service, row.Shard)
+		if ok && now.Owner == session && now.Fence == row.Fence && IsRecovering(&now) {
+			pending = append(pending, now)
 		}
 	}
-	return rows
+	return pending
 }
 
 // unrecovered drops what was recovered already, and forgets reports that the
