--- a/control/supervisor/chaos_test.go
+++ b/control/supervisor/chaos_test.go
@@ -124,6 +124,9 @@
 	if after.ForgottenUntil > before.ForgottenUntil {
 		c.checkForgotten(before, comment)
 	}
+	for _, number := range after.Survivors {
+		qt.Assert(t, c.shadow.Session(number), qt.IsNotNil, comment)
+	}
 	if after.Owner == before.Owner {
 		return
 	}
--- a/control/supervisor/supervisor_test.go
+++ b/control/supervisor/supervisor_test.go
@@ -124,3 +124,18 @@
 	h.commit()
 	qt.Assert(t, router.send(), qt.Equals, messenger.HeartbeatAlive)
 }
+
+func TestSessionIsRenewedOnlyByItsInstanceWhileOpen(t *testing.T) {
+	h := newHarness(t)
+	router := newRouter(h, 1, "findings")
+	h.run(3*time.Second, router)
+	router.beat.Instance++
+	qt.Assert(t, router.send(), qt.Equals, messenger.HeartbeatExpired)
+	router.beat.Instance--
+	qt.Assert(t, router.send(), qt.Equals, messenger.HeartbeatAlive)
+	for len(h.waiting) == 0 {
+		h.pass()
+	}
+	// The closing is proposed and not committed.
+	qt.Assert(t, router.send(), qt.Equals, messenger.HeartbeatExpired)
+}
--- a/kernel/messenger/messenger_test.go
+++ b/kernel/messenger/messenger_test.go
@@ -69,3 +69,21 @@
 	qt.Assert(t, read, qt.DeepEquals, service)
 	qt.Assert(t, json.Unmarshal([]byte(`{"retention":"soon"}`), &read), qt.IsNotNil)
 }
+
+func TestLargeDeltasArePacked(t *testing.T) {
+	delta := messenger.TableDelta{Full: true, To: 1 << 20}
+	for shard := range uint32(10_000) {
+		delta.Shards = append(delta.Shards, messenger.ShardRow{
+			Service: "findings", Shard: shard, Phase: messenger.PhaseOwned, Owner: uint64(shard % 900), Fence: 1 << 20,
+		})
+	}
+	data, err := msgpack.Marshal(&delta)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(data) < 100_000, qt.IsTrue, qt.Commentf("%d bytes", len(data)))
+	var got messenger.TableDelta
+	qt.Assert(t, msgpack.Unmarshal(data, &got), qt.IsNil)
+	qt.Assert(t, got, qt.DeepEquals, delta)
+	for _, cut := range []int{0, 1, 4, 6, len(data) / 2, len(data) - 1} {
+		qt.Check(t, msgpack.Unmarshal(data[:cut], &got), qt.IsNotNil, qt.Commentf("cut at %d", cut))
+	}
+}
