Bound callers that send or read nothing, and the bytes of held requests

Cause: a caller that sent a part of a body, or read nothing of an answer, held its request for ever, past the deadline, without an outcome; 1,024 held requests could take 256 MiB.

Change: reading and writing end shortly after the deadline; held bodies are bounded to 32 MiB in all.

--- a/router/acceptor/acceptor.go
+++ b/router/acceptor/acceptor.go
@@ -48,6 +48,12 @@
 	DefaultMaxBody = 64 << 20
 	// HeaderTime bounds the reading of a header.
 	HeaderTime = 10 * time.Second
+	// ReadGrace is how long after its deadline a request's body may still be
+	// waited for.
+	ReadGrace = 50 * time.Millisecond
+	// WriteGrace is how long after the deadline a caller may take to read the
+	// answer.
+	WriteGrace = 2 * time.Second
 	// IdleTime is how long an idle connection is kept.
 	IdleTime = 2 * time.Minute
 )
--- a/router/acceptor/acceptor_test.go
+++ b/router/acceptor/acceptor_test.go
@@ -285,6 +285,39 @@
 	qt.Assert(t, <-ended, qt.ErrorIs, context.Canceled)
 }
 
+// TestStalledBody sends a part of a body and then nothing.
+func TestStalledBody(t *testing.T) {
+	r := newRig(t, true)
+	got := r.send(t, "POST /v1/findings/a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nMarigold-Timeout: 50ms\r\n\r\nhi")
+	qt.Assert(t, got.status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, r.forwarder.failed, qt.IsNotNil)
+}
+
+// TestUnreadAnswer asks for a large answer and reads nothing of it.
+func TestUnreadAnswer(t *testing.T) {
+	r := newRig(t, true)
+	closed := make(chan struct{})
+	r.forwarder.answer = func(context.Context, *messenger.Request) executor.Answer {
+		answer := doneWith("", nil)
+		answer.Response.Length = -1
+		answer.Body = &endless{closed: closed}
+		return answer
+	}
+	conn, err := net.Dial("tcp", r.acceptor.Address())
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /v1/findings/a HTTP/1.1\r\nHost: x\r\nMarigold-Timeout: 50ms\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	<-closed
+	qt.Assert(t, r.metrics.GetOrCreateCounter("marigold_answers_aborted_total").Get(), qt.Equals, uint64(1))
+}
+
+// endless is a body without an end.
+type endless struct{ closed chan struct{} }
+
+func (e *endless) Read(data []byte) (int, error) { return len(data), nil }
+func (e *endless) Close() error                  { close(e.closed); return nil }
+
 func TestStopFinishesWhatIsInFlight(t *testing.T) {
 	r := newRig(t, true)
 	started, finish := make(chan struct{}), make(chan struct{})
--- a/router/acceptor/handle.go
+++ b/router/acceptor/handle.go
@@ -107,6 +107,9 @@
 	// The owner may answer before it has read the whole body. A connection
 	// that does not support it reads the body first.
 	_ = control.EnableFullDuplex()
+	bound(ctx, control)
+	// net/http itself moves the read deadline for the next request.
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	body := newBounded(r, a.settings.MaxBody)
 	answer := a.options.Forwarder.Forward(ctx, call.request, call.profile, body)
 	defer a.release(control, body)
@@ -118,6 +121,15 @@
 	a.answerDone(w, answer)
 }
 
+// bound keeps a caller that sends or reads nothing from holding a request for
+// longer than its deadline. The reading ends a little later, so that it does not
+// pass for a caller who went away.
+func bound(ctx context.Context, control *http.ResponseController) {
+	deadline, _ := ctx.Deadline()
+	_ = control.SetReadDeadline(deadline.Add(ReadGrace))
+	_ = control.SetWriteDeadline(deadline.Add(WriteGrace))
+}
+
 // release ends the reading of a body that the answer came before.
 func (a *Acceptor) release(control *http.ResponseController, body *bounded) {
 	if body.isRead() {
--- a/router/forwarder/forwarder.go
+++ b/router/forwarder/forwarder.go
@@ -51,6 +51,8 @@
 	BufferSize = 256 << 10
 	// DefaultHolds is how many requests are held at once.
 	DefaultHolds = 1024
+	// DefaultHoldBytes is how many bytes of bodies are held at once.
+	DefaultHoldBytes = 32 << 20
 	// DefaultHoldTime bounds how long one request is held in all.
 	DefaultHoldTime = 5 * time.Second
 	// RetryAfter is when callers should come back after a refusal that is
@@ -70,6 +72,8 @@
 type Settings struct {
 	// Holds is how many requests are held at once.
 	Holds int
+	// HoldBytes is how many bytes of bodies are held at once.
+	HoldBytes int64
 	// HoldTime bounds how long one request is held.
 	HoldTime time.Duration
 	// Seed makes the jitter of waits.
@@ -94,7 +98,7 @@
 	options  Options
 	retrier  *retrier.Retrier
 	counters counters
-	holds    chan struct{}
+	holds    holds
 }
 
 // New returns a Forwarder.
@@ -102,6 +106,9 @@
 	if settings.Holds == 0 {
 		settings.Holds = DefaultHolds
 	}
+	if settings.HoldBytes == 0 {
+		settings.HoldBytes = DefaultHoldBytes
+	}
 	if settings.HoldTime == 0 {
 		settings.HoldTime = DefaultHoldTime
 	}
@@ -110,7 +117,7 @@
 		options:  options,
 		retrier:  retrier.New(settings.Seed, options.Metrics),
 		counters: newCounters(options.Metrics),
-		holds:    make(chan struct{}, settings.Holds),
+		holds:    holds{most: settings.Holds, mostBytes: settings.HoldBytes},
 	}
 }
 
--- a/router/forwarder/hold.go
+++ b/router/forwarder/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"marigoldhill/kernel/messenger"
@@ -9,6 +10,35 @@
 	"marigoldhill/router/retrier"
 )
 
+// holds bounds the requests that are held at once, in number and in bytes of
+// their bodies.
+type holds struct {
+	most      int
+	mostBytes int64
+
+	mu     sync.Mutex
+	number int
+	bytes  int64
+}
+
+func (h *holds) enter(size int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.number >= h.most || h.bytes+size > h.mostBytes {
+		return false
+	}
+	h.number++
+	h.bytes += size
+	return true
+}
+
+func (h *holds) leave(size int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.number--
+	h.bytes -= size
+}
+
 // pause waits before the next send. It reports false when the answer of the
 // last send must stand instead.
 func (t *trip) pause(ctx context.Context, decision retrier.Decision) bool {
@@ -24,13 +54,12 @@
 // requests are held at once.
 func (t *trip) hold(ctx context.Context, wait time.Duration) bool {
 	f := t.forwarder
-	select {
-	case f.holds <- struct{}{}:
-	default:
+	size := int64(len(t.body.prefix))
+	if !f.holds.enter(size) {
 		f.counters.crowded.Inc()
 		return false
 	}
-	defer func() { <-f.holds }()
+	defer f.holds.leave(size)
 	if t.heldSince.IsZero() {
 		t.heldSince = timer.Now()
 		f.counters.held.Inc()
--- a/router/forwarder/hold_test.go
+++ b/router/forwarder/hold_test.go
@@ -59,6 +59,7 @@
 		{name: "after the hold time", settings: forwarder.Settings{HoldTime: time.Second}, want: "refused/moving", took: time.Second + 400*time.Millisecond},
 		{name: "with the deadline", want: "refused/moving", took: patience},
 		{name: "at once when too many are held", settings: forwarder.Settings{Holds: 1}, holders: 1, want: "refused/moving"},
+		{name: "at once when too much is held", settings: forwarder.Settings{HoldBytes: 9}, holders: 1, want: "refused/moving"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -66,7 +67,7 @@
 				r := newRig(t, test.settings)
 				r.place(t, 2, messenger.PhaseMoving, otherSession)
 				for range test.holders {
-					go r.forward(t.Context(), request("n0"), messenger.Profile{}, "")
+					go r.forward(t.Context(), request("n0"), messenger.Profile{}, "hinge")
 				}
 				synctest.Wait()
 				start := time.Now()
@@ -75,7 +76,11 @@
 				qt.Assert(t, got.response.RetryAfter > 0, qt.IsTrue)
 				qt.Assert(t, time.Since(start) <= test.took, qt.IsTrue, qt.Commentf("took %v", time.Since(start)))
 				qt.Assert(t, r.local.count("n1")+r.remote.count("n1"), qt.Equals, 0)
+				// Once the others have left, there is room again.
 				time.Sleep(patience)
+				start = time.Now()
+				r.forward(t.Context(), request("n2"), messenger.Profile{}, "hinge")
+				qt.Assert(t, time.Since(start) > 0, qt.IsTrue)
 			})
 		})
 	}
