Fit lines to benchmarks and measure what an idle node costs

Change: marigold-bench fit reads the output of make bench; BenchmarkIdle runs 8 to 64 routers without load over loopback.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -45,8 +45,10 @@
 run: build
 	$(BIN)/marigold-bench playground
 
+# Benchmarks at several sizes, with a line fitted to each series. Not in CI.
 bench: build
-	go test -run '^$$' -bench . -benchmem $(addprefix ./,$(addsuffix /...,$(MODULES)))
+	go test -run '^$$' -bench . -benchmem -timeout 60m $(addprefix ./,$(addsuffix /...,$(MODULES))) | tee $(BIN)/bench.txt
+	$(BIN)/marigold-bench fit < $(BIN)/bench.txt
 
 fuzz:
 	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) ./kernel/framer
--- a/bench/main.go
+++ b/bench/main.go
@@ -29,7 +29,7 @@
 
 // commands lists the subcommands in the order of the help text.
 func commands() []command {
-	return []command{cmdPlayground(), cmdServe(), cmdLoad(), cmdExperiment()}
+	return []command{cmdPlayground(), cmdServe(), cmdLoad(), cmdExperiment(), cmdFit()}
 }
 
 func main() {
