Hold whole sessions of the control group in golden files

Cause: the users ask for golden files of whole sessions, event by event. Change: start, change of a profile by two racing operators with a resend, drain, takeover, poison request and isolated leader, run by the supervisor's harness and rendered as text; go test ./control/supervisor -update writes them anew. Ruled out: golden files from the whole cluster in its bubble; the order of sessions and moves there follows from the random election, and 5 of 5 runs differed. The fault matrix judges the whole cluster instead. Conclusion: a change of what operators see shows up in review as text.

--- a/control/assigner/result.go
+++ b/control/assigner/result.go
@@ -53,3 +53,22 @@
 func absent(reason string) Result {
 	return Result{Verdict: VerdictAbsent, Reason: reason}
 }
+
+// String names the verdict.
+func (v Verdict) String() string {
+	switch v {
+	case VerdictApplied:
+		return "applied"
+	case VerdictVoid:
+		return "void"
+	case VerdictConflict:
+		return "conflict"
+	case VerdictInvalid:
+		return "invalid"
+	case VerdictAbsent:
+		return "absent"
+	case VerdictMismatch:
+		return "mismatch"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/control/supervisor/golden_test.go
@@ -0,0 +1,203 @@
+package supervisor_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/control/assigner"
+	"marigoldhill/control/supervisor"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/profiler"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// transcript is a whole session as text: what operators do, how heartbeats are
+// taken, and each event of the control group.
+type transcript struct {
+	h       *harness
+	routers []*fakeRouter
+	silent  map[string]bool
+	status  map[string]messenger.HeartbeatStatus
+	seen    uint64
+	start   time.Duration
+	text    strings.Builder
+}
+
+func newTranscript(t *testing.T) *transcript {
+	h := newHarness(t)
+	s := &transcript{h: h, silent: make(map[string]bool), status: make(map[string]messenger.HeartbeatStatus), start: h.now.Wall}
+	h.observe = func(uint64, []byte, assigner.Result) { s.events() }
+	for _, profile := range profiler.DefaultProfiles() {
+		h.propose(assigner.Command{PutProfile: &assigner.PutProfile{Profile: profile}})
+	}
+	service := profiler.DefaultService("findings")
+	service.Shards = 16
+	h.propose(assigner.Command{PutService: &assigner.PutService{Service: service}})
+	for n := range 4 {
+		s.routers = append(s.routers, newRouter(h, n+1, "findings"))
+	}
+	s.run(12 * time.Second)
+	return s
+}
+
+func (s *transcript) line(format string, values ...any) {
+	fmt.Fprintf(&s.text, "%7d ms  ", (s.h.now.Wall - s.start).Milliseconds())
+	fmt.Fprintf(&s.text, format+"\n", values...)
+}
+
+// events adds the events that were not there yet.
+func (s *transcript) events() {
+	events := s.h.ask(supervisor.EventsQuestion{After: s.seen}).([]messenger.ClusterEvent)
+	for _, event := range events {
+		s.line("  log %3d: event %d  %s  %s", event.Revision, event.Number, event.Subject, event.Text)
+		s.seen = event.Revision
+	}
+}
+
+// run lets the routers do for a while what control asks of them.
+func (s *transcript) run(span time.Duration) {
+	for n := 0; time.Duration(n)*step < span; n++ {
+		s.h.pass()
+		for place, router := range s.routers {
+			if n%12 == 3*place && !s.silent[router.beat.Router] {
+				s.beat(router)
+			}
+		}
+	}
+	s.h.commit()
+}
+
+// beat sends a heartbeat and tells when it is taken otherwise than before.
+func (s *transcript) beat(router *fakeRouter) {
+	status := router.send()
+	if name := router.beat.Router; status != s.status[name] {
+		s.line("%s: heartbeat %s", name, status)
+		s.status[name] = status
+	}
+	if status == messenger.HeartbeatExpired {
+		router.beat.Session, router.beat.Revision = 0, 0
+	}
+	router.beat.Released, router.beat.Recovered = nil, nil
+	for _, ref := range router.owned() {
+		row := router.rows[messenger.ShardRef{Service: ref.Service, Shard: ref.Shard}]
+		if row.Phase == messenger.PhaseMoving {
+			router.beat.Released = append(router.beat.Released, ref)
+		} else if len(row.Survivors) > 0 || row.Previous != 0 {
+			router.beat.Recovered = append(router.beat.Recovered, ref)
+		}
+	}
+	row := router.sessions[router.beat.Session]
+	router.beat.Copied = slices.Clone(row.Joining)
+}
+
+// operate makes a change as an operator would.
+func (s *transcript) operate(what string, command assigner.Command) {
+	s.line("operator: %s", what)
+	result := s.h.propose(command)
+	s.line("  %v at %d", result.Verdict, result.Revision)
+}
+
+// TestGolden compares whole sessions with golden files, which are reviewed as
+// text.
+func TestGolden(t *testing.T) {
+	tests := []struct {
+		name   string
+		script func(s *transcript)
+	}{
+		{name: "start", script: func(*transcript) {}},
+		{name: "profile", script: scriptProfile},
+		{name: "drain", script: scriptDrain},
+		{name: "takeover", script: scriptTakeover},
+		{name: "poison", script: scriptPoison},
+		{name: "isolated", script: scriptIsolated},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTranscript(t)
+			test.script(s)
+			path := filepath.Join("testdata", test.name+".txt")
+			if *update {
+				qt.Assert(t, os.MkdirAll("testdata", 0o755), qt.IsNil)
+				qt.Assert(t, os.WriteFile(path, []byte(s.text.String()), 0o644), qt.IsNil)
+			}
+			want, err := os.ReadFile(path)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, s.text.String(), qt.Equals, string(want))
+		})
+	}
+}
+
+// scriptProfile lets two operators change one profile from the same revision,
+// and the first one send its change again.
+func scriptProfile(s *transcript) {
+	profile := messenger.Profile{Name: "archive", Class: messenger.ClassBackground, Deadline: time.Hour, Share: 0.5, Weight: 1}
+	put := func(number string, match uint64, queue int) assigner.Command {
+		profile.Queue = queue
+		condition := assigner.Condition{Idempotency: number, Revision: match}
+		return assigner.Command{PutProfile: &assigner.PutProfile{Condition: condition, Profile: profile}}
+	}
+	s.operate("create archive", put("a", 0, 1))
+	s.run(time.Second)
+	from := s.seen
+	s.operate("first: archive with queue 2", put("b", from, 2))
+	s.operate("second: archive with queue 3, from the same revision", put("c", from, 3))
+	s.operate("first again, after its answer was lost", put("b", from, 2))
+	s.run(time.Second)
+}
+
+func scriptDrain(s *transcript) {
+	s.operate("drain s1", assigner.Command{Drain: &assigner.Drain{Server: "s1", On: true}})
+	s.run(10 * time.Second)
+	s.operate("undrain s1", assigner.Command{Drain: &assigner.Drain{Server: "s1"}})
+	s.run(10 * time.Second)
+}
+
+func scriptTakeover(s *transcript) {
+	s.line("r2 falls silent")
+	s.silent["r2"] = true
+	s.run(5 * time.Second)
+	s.line("r2 returns")
+	s.silent["r2"] = false
+	s.run(10 * time.Second)
+}
+
+// scriptPoison reports two deaths of backend servers with one request in flight
+// at both, beside another that was there once.
+func scriptPoison(s *transcript) {
+	row := func(print, key string) messenger.QuarantineRow {
+		return messenger.QuarantineRow{Fingerprint: print, Service: "findings", Key: key, Route: "new"}
+	}
+	die := func(n int, rows ...messenger.QuarantineRow) {
+		s.line("backend server of r%d dies", n+1)
+		taken := s.h.ask(&messenger.Report{Session: s.routers[n].beat.Session, Number: 1, Death: rows})
+		s.h.apply(taken.(*supervisor.ReportTaken).Command)
+		s.run(time.Second)
+	}
+	die(0, row("00000000000000aa", "door-1"), row("00000000000000bb", "door-2"))
+	die(1, row("00000000000000aa", "door-1"), row("00000000000000cc", "door-3"))
+	s.operate("lift 00000000000000aa", assigner.Command{Lift: &assigner.Lift{Fingerprint: "00000000000000aa"}})
+	s.run(time.Second)
+}
+
+// scriptIsolated takes the leader's majority away for longer than a lease, and
+// then lets it be elected anew.
+func scriptIsolated(s *transcript) {
+	s.line("the leader is isolated")
+	s.h.standing.Confirmed = false
+	s.run(4 * time.Second)
+	s.line("it is elected anew; r3 is gone for good")
+	s.silent["r3"] = true
+	s.h.standing.Confirmed = true
+	s.h.standing.Since = s.h.now
+	s.h.standing.Term++
+	s.run(5 * time.Second)
+}
