--- a/GNUmakefile
+++ b/GNUmakefile
@@ -54,6 +54,7 @@
 	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) ./kernel/framer
 	go test -run '^$$' -fuzz FuzzBytes -fuzztime $(FUZZTIME) ./kernel/parser
 	go test -run '^$$' -fuzz FuzzReceive -fuzztime $(FUZZTIME) ./kernel/linker
+	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) ./control/journaler
 
 ci: lint test race matrix
 
--- a/control/elector/change.go
+++ b/control/elector/change.go
@@ -36,7 +36,20 @@
 	return nil
 }
 
+// defers keeps an event for the end of a change that the leader started itself,
+// since nobody who asks for a change knows of that one.
+func (e *Elector) defers(event Event) bool {
+	if !e.Leading() || e.change == nil || e.change.id != 0 {
+		return false
+	}
+	e.deferred = append(e.deferred, event)
+	return true
+}
+
 func (e *Elector) addMember(event AddMember) {
+	if e.defers(event) {
+		return
+	}
 	err := e.mayChange()
 	if err == nil && e.group().Has(event.Member.Name) {
 		err = ErrMember
@@ -51,6 +64,9 @@
 }
 
 func (e *Elector) removeMember(event RemoveMember) {
+	if e.defers(event) {
+		return
+	}
 	err := e.mayChange()
 	if err == nil && (!e.group().Has(event.Name) || event.Name == e.config.Name) {
 		err = ErrMember
@@ -111,10 +127,22 @@
 	e.syncPeers()
 }
 
-// endChange ends a change whose entry is committed.
+// endChange ends a change whose entry is committed, and takes what waited.
 func (e *Elector) endChange() {
-	if e.change != nil && e.change.index != 0 && e.change.index <= e.commit {
-		e.change = nil
+	if e.change == nil || e.change.index == 0 || e.change.index > e.commit {
+		return
+	}
+	e.change = nil
+	e.takeDeferred()
+}
+
+// takeDeferred takes the events that waited; those that still may not start are
+// rejected.
+func (e *Elector) takeDeferred() {
+	events := e.deferred
+	e.deferred = nil
+	for _, event := range events {
+		e.take(event)
 	}
 }
 
--- a/control/elector/elector.go
+++ b/control/elector/elector.go
@@ -132,6 +132,8 @@
 	beat     time.Duration
 	change   *change
 	transfer *transfer
+	// deferred waits for the end of a change that the leader started itself.
+	deferred []Event
 
 	now timer.Instant
 	out *Effects
@@ -186,6 +188,11 @@
 func (e *Elector) Step(now timer.Instant, event Event) Effects {
 	e.now = now
 	e.out = &Effects{}
+	e.take(event)
+	return e.finish()
+}
+
+func (e *Elector) take(event Event) {
 	switch event := event.(type) {
 	case Tick:
 		e.tick()
@@ -204,7 +211,6 @@
 	case Transfer:
 		e.startTransfer(event)
 	}
-	return e.finish()
 }
 
 // finish numbers the write of this step and collects the committed entries.
--- a/control/elector/leader.go
+++ b/control/elector/leader.go
@@ -16,8 +16,6 @@
 	e.ready = false
 	e.votes = nil
 	e.peers = make(map[string]*peer)
-	e.change = nil
-	e.transfer = nil
 	e.syncPeers()
 	e.appendOwn(EntryEmpty, nil)
 	e.beat = e.now.Mono + messenger.ReplicaInterval
@@ -36,6 +34,7 @@
 	e.change = nil
 	e.transfer = nil
 	e.ready = false
+	e.takeDeferred()
 }
 
 // syncPeers makes the peers those of the group in force and the member that is
--- /dev/null
+++ b/control/elector/simulation_test.go
@@ -0,0 +1,435 @@
+package elector_test
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"marigoldhill/control/elector"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/timer"
+)
+
+const (
+	// step is the resolution of simulated time.
+	step = time.Millisecond
+	// tickTime is the time between two ticks of an elector.
+	tickTime = 25 * time.Millisecond
+	// compactEvery is how many entries are applied between two snapshots.
+	compactEvery = 40
+)
+
+// stored is what lasts on the disk of a node.
+type stored struct {
+	hard     elector.HardState
+	snapshot *elector.Snapshot
+	entries  []elector.Entry
+}
+
+// write is a write that is not synced yet, with the messages that wait for it.
+type write struct {
+	effects elector.Effects
+	due     time.Duration
+}
+
+// node is one VM with an elector and a machine that chains checksums.
+type node struct {
+	sim         *simulation
+	name        string
+	incarnation uint64
+	join        bool
+	core        *elector.Elector
+	up          bool
+	frozen      time.Duration // frozen until then, in real time
+	suspended   bool          // the monotonic clock stops while frozen
+	clock       timer.Instant
+	rate        float64 // of its clocks, 1 is exact
+	nextTick    time.Duration
+	disk        stored
+	writes      []write
+	applied     uint64
+	chain       uint64
+	sinceSnap   int
+	syncTime    time.Duration
+	// fatal takes an expected fatal error.
+	fatal func(error)
+}
+
+// flight is a message on its way.
+type flight struct {
+	due     time.Duration
+	message elector.Message
+}
+
+// committed is what the group has agreed on at one index.
+type committed struct {
+	term  uint64
+	chain uint64
+}
+
+// simulation drives electors over a network, disks and clocks that fail. It
+// checks the promises of the consensus after each step.
+type simulation struct {
+	t        testing.TB
+	seed     uint64
+	random   *rand.Rand
+	now      time.Duration
+	nodes    []*node
+	founders elector.Group
+	flights  []flight
+	cut      map[[2]string]bool
+	loss     float64 // part of messages lost, doubled or delayed long
+	log      []committed
+	leaders  map[uint64]string
+	faults   []string
+	proposed uint64
+	padding  int // of snapshots, in bytes
+	// hold says which messages are kept in held.
+	hold func(elector.Message) bool
+	held []elector.Message
+}
+
+func newSimulation(t testing.TB, seed uint64, size int) *simulation {
+	s := &simulation{
+		t:       t,
+		seed:    seed,
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		cut:     make(map[[2]string]bool),
+		leaders: make(map[uint64]string),
+		log:     []committed{{}},
+	}
+	var members []messenger.Member
+	for i := range size {
+		members = append(members, messenger.Member{Name: fmt.Sprintf("n%d", i+1)})
+	}
+	s.founders = elector.Founders(members)
+	for _, member := range members {
+		s.boot(s.addNode(member.Name, false))
+	}
+	return s
+}
+
+func (s *simulation) addNode(name string, join bool) *node {
+	n := &node{
+		sim:         s,
+		name:        name,
+		incarnation: s.random.Uint64() | 1,
+		join:        join,
+		rate:        1 + (s.random.Float64()-0.5)/50,
+		syncTime:    2 * time.Millisecond,
+	}
+	s.nodes = append(s.nodes, n)
+	return n
+}
+
+// boot starts a node from what is on its disk.
+func (s *simulation) boot(n *node) {
+	start := elector.Stored{Hard: n.disk.hard, Snapshot: n.disk.snapshot, Entries: slices.Clone(n.disk.entries)}
+	if !n.join {
+		start.Founders = s.founders
+	}
+	n.up = true
+	n.frozen = 0
+	n.clock = timer.Instant{Wall: s.now}
+	n.nextTick = 0
+	n.applied, n.chain, n.sinceSnap = 0, 0, 0
+	if n.disk.snapshot != nil {
+		n.restore(*n.disk.snapshot)
+	}
+	n.core = elector.New(elector.Config{
+		Name:        n.name,
+		Incarnation: n.incarnation,
+		Join:        n.join,
+		Tail:        5,
+		Rand:        rand.New(rand.NewPCG(s.random.Uint64(), 2)),
+	}, start, n.clock)
+}
+
+func (s *simulation) fail(format string, arguments ...any) {
+	s.t.Helper()
+	s.t.Fatalf("seed %d at %v: %s\nfaults: %v", s.seed, s.now, fmt.Sprintf(format, arguments...), s.faults)
+}
+
+func (s *simulation) find(name string) *node {
+	i := slices.IndexFunc(s.nodes, func(n *node) bool { return n.name == name })
+	return s.nodes[i]
+}
+
+// crash loses what was not synced, but for a random first part of it.
+func (s *simulation) crash(n *node) {
+	kept := s.random.IntN(len(n.writes) + 1)
+	for _, w := range n.writes[:kept] {
+		n.disk.store(w.effects)
+	}
+	n.writes = nil
+	n.up = false
+}
+
+// run lets time pass and checks the promises all along.
+func (s *simulation) run(span time.Duration) {
+	for end := s.now + span; s.now < end; {
+		s.now += step
+		s.deliver()
+		for _, n := range s.nodes {
+			n.advance()
+		}
+		s.checkConfirmed()
+	}
+}
+
+// deliver hands over the messages that are due, in random order.
+func (s *simulation) deliver() {
+	var due []flight
+	s.flights = slices.DeleteFunc(s.flights, func(f flight) bool {
+		if f.due > s.now {
+			return false
+		}
+		due = append(due, f)
+		return true
+	})
+	slices.SortStableFunc(due, func(a, b flight) int { return cmp.Compare(a.due, b.due) })
+	for _, f := range due {
+		to := s.find(f.message.To)
+		switch {
+		case !to.up:
+		case to.frozen > s.now:
+			f.due = to.frozen + time.Duration(s.random.IntN(40))*time.Millisecond
+			s.flights = append(s.flights, f)
+		default:
+			to.step(elector.Received{Message: f.message})
+		}
+	}
+}
+
+// post puts a message on its way, or loses, doubles or delays it.
+func (s *simulation) post(message elector.Message) {
+	if s.hold != nil && s.hold(message) {
+		s.held = append(s.held, message)
+		return
+	}
+	if s.cut[[2]string{message.From, message.To}] {
+		return
+	}
+	copies := 1
+	if s.random.Float64() < s.loss {
+		copies = s.random.IntN(3)
+	}
+	for range copies {
+		delay := time.Duration(s.random.IntN(4)) * time.Millisecond
+		if s.random.Float64() < s.loss {
+			delay = time.Duration(s.random.IntN(1500)) * time.Millisecond
+		}
+		s.flights = append(s.flights, flight{due: s.now + delay, message: message})
+	}
+}
+
+// checkConfirmed checks that no two replicas hold themselves confirmed at once.
+func (s *simulation) checkConfirmed() {
+	confirmed := ""
+	for _, n := range s.nodes {
+		if !n.up || n.frozen > s.now || !n.core.Confirmed(n.clock) {
+			continue
+		}
+		if confirmed != "" {
+			s.fail("%s and %s are both confirmed", confirmed, n.name)
+		}
+		confirmed = n.name
+	}
+}
+
+// advance moves the clocks of a node, finishes its writes and ticks it.
+func (n *node) advance() {
+	if !n.up {
+		return
+	}
+	passed := time.Duration(float64(step) * n.rate)
+	n.clock.Wall += passed
+	if n.frozen > n.sim.now {
+		if !n.suspended {
+			n.clock.Mono += passed
+		}
+		return
+	}
+	n.clock.Mono += passed
+	n.sync()
+	if n.clock.Mono >= n.nextTick {
+		n.nextTick = n.clock.Mono + tickTime
+		n.step(elector.Tick{})
+	}
+}
+
+// sync finishes the writes that are due.
+func (n *node) sync() {
+	for n.up && len(n.writes) > 0 && n.writes[0].due <= n.sim.now {
+		w := n.writes[0]
+		n.writes = n.writes[1:]
+		n.disk.store(w.effects)
+		n.post(w.effects.After)
+		n.step(elector.Synced{Write: w.effects.Write})
+	}
+}
+
+// step steps the elector and carries out the effects.
+func (n *node) step(event elector.Event) {
+	effects := n.core.Step(n.clock, event)
+	if effects.Fatal != nil && n.fatal != nil {
+		n.fatal(effects.Fatal)
+		return
+	}
+	if effects.Fatal != nil {
+		n.sim.fail("%s: %v", n.name, effects.Fatal)
+	}
+	n.checkLeader()
+	n.checkCommitTerm(effects)
+	n.post(effects.Before)
+	switch {
+	case effects.Save != nil || effects.Snapshot != nil || len(effects.Append) > 0,
+		len(n.writes) > 0 && len(effects.After) > 0:
+		n.writes = append(n.writes, write{effects: effects, due: n.sim.now + n.syncTime})
+	default:
+		n.post(effects.After)
+	}
+	if effects.Install {
+		n.restore(*effects.Snapshot)
+	}
+	for _, entry := range effects.Committed {
+		n.apply(entry)
+	}
+	n.compactIfDue()
+}
+
+// post sends messages, after a check that a vote given is on the disk.
+func (n *node) post(messages []elector.Message) {
+	for _, message := range messages {
+		if a := message.VoteAnswer; a != nil && a.Granted && !a.Pre {
+			hard := n.disk.hard
+			if hard.Term < a.Term || (hard.Term == a.Term && hard.Vote != message.To) {
+				n.sim.fail("%s gave a vote in term %d that is not on its disk", n.name, a.Term)
+			}
+		}
+		n.sim.post(message)
+	}
+}
+
+// checkLeader checks that each term has one leader.
+func (n *node) checkLeader() {
+	view := n.core.View()
+	if view.Role != elector.Leader {
+		return
+	}
+	if other, ok := n.sim.leaders[view.Term]; ok && other != n.name {
+		n.sim.fail("%s and %s both lead term %d", other, n.name, view.Term)
+	}
+	n.sim.leaders[view.Term] = n.name
+}
+
+// checkCommitTerm checks that a leader commits up to an entry of its own term:
+// older ones alone may be overwritten though a majority has them.
+func (n *node) checkCommitTerm(effects elector.Effects) {
+	view := n.core.View()
+	if count := len(effects.Committed); count > 0 && view.Role == elector.Leader {
+		if last := effects.Committed[count-1]; last.Term != view.Term {
+			n.sim.fail("%s commits an entry of term %d in term %d", n.name, last.Term, view.Term)
+		}
+	}
+}
+
+// apply applies an entry and compares it with what others applied there.
+func (n *node) apply(entry elector.Entry) {
+	if entry.Index != n.applied+1 {
+		n.sim.fail("%s applies %d after %d", n.name, entry.Index, n.applied)
+	}
+	n.applied = entry.Index
+	n.chain = link(n.chain, entry)
+	n.sinceSnap++
+	agreed := committed{term: entry.Term, chain: n.chain}
+	if entry.Index == uint64(len(n.sim.log)) {
+		n.sim.log = append(n.sim.log, agreed)
+		n.checkSynced(entry)
+		return
+	}
+	if n.sim.log[entry.Index] != agreed {
+		n.sim.fail("%s applies another entry at %d", n.name, entry.Index)
+	}
+}
+
+// checkSynced checks that a majority has an entry on its disk when it is first
+// committed.
+func (n *node) checkSynced(entry elector.Entry) {
+	group := n.core.View().Group
+	synced := 0
+	for _, other := range n.sim.nodes {
+		if group.Has(other.name) && other.disk.has(entry) {
+			synced++
+		}
+	}
+	if synced < group.Majority() {
+		n.sim.fail("%s commits %d, which %d of %d have synced", n.name, entry.Index, synced, len(group.Members))
+	}
+}
+
+func link(chain uint64, entry elector.Entry) uint64 {
+	data := binary.BigEndian.AppendUint64(nil, chain)
+	data = binary.BigEndian.AppendUint64(data, entry.Index)
+	return xxhash.Sum64(append(data, entry.Data...))
+}
+
+// compactIfDue takes a snapshot of the machine: its chain.
+func (n *node) compactIfDue() {
+	if n.sinceSnap < compactEvery {
+		return
+	}
+	n.sinceSnap = 0
+	n.step(elector.Compact{Index: n.applied, Data: n.snapshot()})
+}
+
+// snapshot is the chain, with padding.
+func (n *node) snapshot() []byte {
+	data := binary.BigEndian.AppendUint64(nil, n.chain)
+	return append(data, make([]byte, n.sim.padding)...)
+}
+
+func (n *node) restore(snapshot elector.Snapshot) {
+	if snapshot.Index < n.applied {
+		n.sim.fail("%s goes back from %d to %d", n.name, n.applied, snapshot.Index)
+	}
+	n.applied = snapshot.Index
+	n.chain = binary.BigEndian.Uint64(snapshot.Data)
+	n.sinceSnap = 0
+	if n.sim.log[n.applied].chain != n.chain {
+		n.sim.fail("%s has another state at %d", n.name, n.applied)
+	}
+}
+
+// store is what a synced write leaves on the disk.
+func (d *stored) store(effects elector.Effects) {
+	if effects.Snapshot != nil {
+		d.snapshot = effects.Snapshot
+		d.entries = slices.Clone(effects.Tail)
+	}
+	if effects.Save != nil {
+		d.hard = *effects.Save
+	}
+	for _, entry := range effects.Append {
+		if len(d.entries) > 0 {
+			d.entries = d.entries[:entry.Index-d.entries[0].Index]
+		}
+		d.entries = append(d.entries, entry)
+	}
+}
+
+// has reports whether an entry is on the disk, in the log or in a snapshot.
+func (d *stored) has(entry elector.Entry) bool {
+	if d.snapshot != nil && entry.Index <= d.snapshot.Index {
+		return true
+	}
+	return slices.ContainsFunc(d.entries, func(e elector.Entry) bool {
+		return e.Index == entry.Index && e.Term == entry.Term
+	})
+}
--- a/control/elector/transfer.go
+++ b/control/elector/transfer.go
@@ -16,6 +16,9 @@
 }
 
 func (e *Elector) startTransfer(event Transfer) {
+	if e.defers(event) {
+		return
+	}
 	err := e.mayChange()
 	if err == nil && (!e.group().Has(event.Name) || event.Name == e.config.Name) {
 		err = ErrMember
--- /dev/null
+++ b/control/journaler/journaler_test.go
@@ -0,0 +1,262 @@
+package journaler_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/control/elector"
+	"marigoldhill/control/journaler"
+	"marigoldhill/kernel/messenger"
+)
+
+const (
+	folder  = "data"
+	logPath = "data/log-00000000000000000001"
+)
+
+var identity = journaler.Identity{
+	Cluster:     "test",
+	Name:        "a",
+	Incarnation: 7,
+	Founders:    []messenger.Member{{Name: "a"}},
+}
+
+func open(t testing.TB, disk journaler.Disk) (*journaler.Journal, *journaler.Stored) {
+	t.Helper()
+	journal, stored, err := journaler.Open(disk, folder, identity)
+	qt.Assert(t, err, qt.IsNil)
+	return journal, stored
+}
+
+func entry(index, term uint64) elector.Entry {
+	return elector.Entry{Index: index, Term: term, Kind: elector.EntryCommand, Data: fmt.Appendf(nil, "%d", index)}
+}
+
+func entries(first, last, term uint64) []elector.Entry {
+	var list []elector.Entry
+	for index := first; index <= last; index++ {
+		list = append(list, entry(index, term))
+	}
+	return list
+}
+
+// session is a sequence of writes with, after each, the last entry that must
+// be there, its term, and the index of the snapshot.
+var session = []struct {
+	write    journaler.Write
+	last     uint64
+	lastTerm uint64
+	snapshot uint64
+}{
+	{journaler.Write{Save: &elector.HardState{Term: 1, Vote: "b"}}, 0, 0, 0},
+	{journaler.Write{Entries: entries(1, 5, 1)}, 5, 1, 0},
+	{journaler.Write{Save: &elector.HardState{Term: 2}, Entries: entries(4, 8, 2)}, 8, 2, 0},
+	{journaler.Write{Snapshot: &elector.Snapshot{Index: 6, Term: 2, Data: []byte("six")}, Tail: entries(5, 8, 2)}, 8, 2, 6},
+	{journaler.Write{Entries: entries(9, 10, 2)}, 10, 2, 6},
+	{journaler.Write{Snapshot: &elector.Snapshot{Index: 20, Term: 3}, Install: true}, 20, 3, 20},
+	{journaler.Write{Save: &elector.HardState{Term: 4}, Entries: entries(21, 22, 4)}, 22, 4, 20},
+}
+
+// check compares what is stored with what a write of the session left.
+func check(t *testing.T, stored *journaler.Stored, done int, note string) {
+	t.Helper()
+	want := session[done]
+	last, term := uint64(0), uint64(0)
+	snapshot := uint64(0)
+	if stored.Snapshot != nil {
+		snapshot = stored.Snapshot.Index
+		last, term = snapshot, stored.Snapshot.Term
+	}
+	if n := len(stored.Entries); n > 0 {
+		last, term = stored.Entries[n-1].Index, stored.Entries[n-1].Term
+	}
+	got := []uint64{last, term, snapshot}
+	qt.Assert(t, got, qt.DeepEquals, []uint64{want.last, want.lastTerm, want.snapshot}, qt.Commentf("%s", note))
+	for i, e := range stored.Entries {
+		qt.Assert(t, string(e.Data), qt.Equals, fmt.Sprint(e.Index), qt.Commentf("%s", note))
+		qt.Assert(t, e.Index, qt.Equals, stored.Entries[0].Index+uint64(i), qt.Commentf("%s", note))
+	}
+}
+
+func TestReopenAfterEachWrite(t *testing.T) {
+	disk := newMemoryDisk()
+	for i, s := range session {
+		journal, _ := open(t, disk)
+		qt.Assert(t, journal.Write(s.write), qt.IsNil)
+		disk.crash(0)
+		other := identity
+		other.Incarnation = 8
+		reopened, stored, err := journaler.Open(disk, folder, other)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, stored.Identity, qt.DeepEquals, identity)
+		check(t, stored, i, fmt.Sprint("write ", i))
+		qt.Assert(t, reopened.Close(), qt.IsNil)
+	}
+}
+
+// TestFailureAtEachOperation makes the disk fail at each operation in turn, then
+// crash with different lengths of torn writes. What was acknowledged must be
+// there; of the write that failed all or nothing.
+func TestFailureAtEachOperation(t *testing.T) {
+	for _, torn := range []int{0, 1, 20, 40, 1 << 20} {
+		for failAt := 1; ; failAt++ {
+			note := fmt.Sprintf("operation %d, %d torn bytes", failAt, torn)
+			disk := newMemoryDisk()
+			disk.failAt = failAt
+			done, opened, err := write(disk)
+			if err == nil {
+				break
+			}
+			qt.Assert(t, errors.Is(err, errFull), qt.IsTrue, qt.Commentf("%s: %v", note, err))
+			disk.crash(torn)
+			journal, stored := open(t, disk)
+			if !opened || done < 0 {
+				continue
+			}
+			if n := next(stored); n > done {
+				check(t, stored, n, note)
+			} else {
+				check(t, stored, done, note)
+			}
+			qt.Assert(t, journal.Write(journaler.Write{Save: &elector.HardState{Term: 9}}), qt.IsNil)
+		}
+	}
+}
+
+// write writes the session and returns the last write that was acknowledged.
+func write(disk *memoryDisk) (done int, opened bool, err error) {
+	done = -1
+	journal, _, err := journaler.Open(disk, folder, identity)
+	if err != nil {
+		return done, false, err
+	}
+	for i, s := range session {
+		if err := journal.Write(s.write); err != nil {
+			return done, true, err
+		}
+		done = i
+	}
+	return done, true, nil
+}
+
+// next is the last write of the session whose effects are stored.
+func next(stored *journaler.Stored) int {
+	last, snapshot := uint64(0), uint64(0)
+	if stored.Snapshot != nil {
+		snapshot = stored.Snapshot.Index
+		last = snapshot
+	}
+	if n := len(stored.Entries); n > 0 {
+		last = stored.Entries[n-1].Index
+	}
+	for i := len(session) - 1; i >= 0; i-- {
+		if session[i].last == last && session[i].snapshot == snapshot {
+			return i
+		}
+	}
+	return -1
+}
+
+func TestFailedSyncEndsTheJournal(t *testing.T) {
+	disk := newMemoryDisk()
+	journal, _ := open(t, disk)
+	disk.failAt = disk.steps + 2 // the write works, its sync fails
+	err := journal.Write(session[1].write)
+	qt.Assert(t, errors.Is(err, journaler.ErrWrite), qt.IsTrue)
+	qt.Assert(t, err, qt.ErrorMatches, ".*data/log-0*1 .nothing that was acknowledged is lost; free space.*")
+	disk.failAt = 0
+	err = journal.Write(session[1].write)
+	qt.Assert(t, errors.Is(err, journaler.ErrClosed), qt.IsTrue)
+}
+
+// TestDamage flips each byte of a log file in turn. In a record that others
+// follow it is an error; the last record is cut like a torn one.
+func TestDamage(t *testing.T) {
+	disk := newMemoryDisk()
+	journal, _ := open(t, disk)
+	qt.Assert(t, journal.Write(session[0].write), qt.IsNil)
+	qt.Assert(t, journal.Write(session[1].write), qt.IsNil)
+	middle := len(disk.names[logPath].data)
+	qt.Assert(t, journal.Write(session[2].write), qt.IsNil)
+	good := disk.names[logPath].data
+	for at := range good {
+		data := append([]byte(nil), good...)
+		data[at] ^= 0x55
+		disk.names[logPath].data = data
+		disk.locked = false
+		_, stored, err := journaler.Open(disk, folder, identity)
+		if at < middle {
+			qt.Assert(t, errors.Is(err, journaler.ErrCorrupt), qt.IsTrue, qt.Commentf("byte %d: %v", at, err))
+			continue
+		}
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("byte %d", at))
+		qt.Assert(t, stored.Cut, qt.Equals, len(good)-middle)
+		check(t, stored, 1, fmt.Sprint("byte ", at))
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	stranger := identity
+	stranger.Name = "b"
+	tests := []struct {
+		name     string
+		prepare  func(*memoryDisk)
+		identity journaler.Identity
+		want     error
+	}{
+		{"another replica", func(*memoryDisk) {}, stranger, journaler.ErrIdentity},
+		{"locked", func(d *memoryDisk) { d.locked = true }, identity, journaler.ErrLocked},
+		{"identity lost", func(d *memoryDisk) { delete(d.names, "data/identity") }, identity, journaler.ErrCorrupt},
+		{"identity damaged", func(d *memoryDisk) { d.names["data/identity"].data[40] ^= 1 }, identity, journaler.ErrCorrupt},
+		{"log lost", func(d *memoryDisk) { delete(d.names, "data/log-00000000000000000003") }, identity, journaler.ErrCorrupt},
+		{"snapshot lost", func(d *memoryDisk) { delete(d.names, "data/snapshot-00000000000000000020") }, identity, journaler.ErrCorrupt},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			disk := newMemoryDisk()
+			_, _, err := write(disk)
+			qt.Assert(t, err, qt.IsNil)
+			disk.locked = false
+			test.prepare(disk)
+			_, _, err = journaler.Open(disk, folder, test.identity)
+			qt.Assert(t, errors.Is(err, test.want), qt.IsTrue, qt.Commentf("got %v", err))
+		})
+	}
+}
+
+func TestOSLocksTheFolder(t *testing.T) {
+	path := t.TempDir()
+	journal, _, err := journaler.Open(journaler.OS{}, path, identity)
+	qt.Assert(t, err, qt.IsNil)
+	_, _, err = journaler.Open(journaler.OS{}, path, identity)
+	qt.Check(t, errors.Is(err, journaler.ErrLocked), qt.IsTrue)
+	qt.Assert(t, journal.Close(), qt.IsNil)
+	journal, _, err = journaler.Open(journaler.OS{}, path, identity)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, journal.Close(), qt.IsNil)
+}
+
+func FuzzRead(f *testing.F) {
+	disk := newMemoryDisk()
+	journal, _ := open(f, disk)
+	for _, s := range session[:3] {
+		qt.Assert(f, journal.Write(s.write), qt.IsNil)
+	}
+	good := disk.names[logPath].data
+	f.Add(good)
+	f.Add(good[:len(good)-3])
+	f.Add(append([]byte("MHR1"), good...))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		log, err := journaler.ReadLog(data)
+		if err != nil {
+			qt.Assert(t, errors.Is(err, journaler.ErrCorrupt), qt.IsTrue)
+			return
+		}
+		again, err := journaler.ReadLog(data[:log.Length])
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, again, qt.DeepEquals, log)
+	})
+}
--- /dev/null
+++ b/control/journaler/memory_test.go
@@ -0,0 +1,155 @@
+package journaler_test
+
+import (
+	"errors"
+	"io"
+	"maps"
+	"path/filepath"
+
+	"marigoldhill/control/journaler"
+)
+
+var (
+	errFull    = errors.New("no space left on device")
+	errMissing = errors.New("no such file")
+	errLocked  = errors.New("locked")
+)
+
+// memoryFile is a file of which the first synced bytes last.
+type memoryFile struct {
+	disk   *memoryDisk
+	data   []byte
+	synced int
+}
+
+// memoryDisk is a disk in memory, which keeps only what was synced when it
+// crashes. From the operation failAt on all changes fail; 0 means never.
+type memoryDisk struct {
+	names   map[string]*memoryFile
+	lasting map[string]*memoryFile
+	locked  bool
+	steps   int
+	failAt  int
+}
+
+var _ journaler.Disk = (*memoryDisk)(nil)
+
+func newMemoryDisk() *memoryDisk {
+	return &memoryDisk{names: make(map[string]*memoryFile), lasting: make(map[string]*memoryFile)}
+}
+
+// crash loses what was not synced, but for the first torn bytes of each file.
+func (d *memoryDisk) crash(torn int) {
+	d.names = make(map[string]*memoryFile)
+	for name, file := range d.lasting {
+		kept := min(len(file.data), file.synced+torn)
+		d.names[name] = &memoryFile{disk: d, data: file.data[:kept:kept], synced: kept}
+	}
+	d.lasting = maps.Clone(d.names)
+	d.locked = false
+	d.failAt = 0
+}
+
+// change counts an operation and reports whether it fails.
+func (d *memoryDisk) change() error {
+	d.steps++
+	if d.failAt > 0 && d.steps >= d.failAt {
+		return errFull
+	}
+	return nil
+}
+
+func (d *memoryDisk) List(string) ([]string, error) {
+	var names []string
+	for path := range d.names {
+		names = append(names, filepath.Base(path))
+	}
+	return names, nil
+}
+
+func (d *memoryDisk) Read(path string) ([]byte, error) {
+	file, ok := d.names[path]
+	if !ok {
+		return nil, errMissing
+	}
+	return file.data, nil
+}
+
+func (d *memoryDisk) Create(path string) (journaler.File, error) {
+	if err := d.change(); err != nil {
+		return nil, err
+	}
+	d.names[path] = &memoryFile{disk: d}
+	return d.names[path], nil
+}
+
+func (d *memoryDisk) Append(path string) (journaler.File, error) {
+	return d.names[path], d.change()
+}
+
+func (d *memoryDisk) Truncate(path string, size int64) error {
+	file := d.names[path]
+	file.data = file.data[:size]
+	file.synced = int(size)
+	return d.change()
+}
+
+func (d *memoryDisk) Rename(from, to string) error {
+	if err := d.change(); err != nil {
+		return err
+	}
+	d.names[to] = d.names[from]
+	delete(d.names, from)
+	return nil
+}
+
+func (d *memoryDisk) Remove(path string) error {
+	if err := d.change(); err != nil {
+		return err
+	}
+	delete(d.names, path)
+	return nil
+}
+
+func (d *memoryDisk) SyncFolder(string) error {
+	if err := d.change(); err != nil {
+		return err
+	}
+	d.lasting = maps.Clone(d.names)
+	return nil
+}
+
+// Lock implements journaler.Disk. The lock is no file that could be listed.
+func (d *memoryDisk) Lock(string) (io.Closer, error) {
+	if d.locked {
+		return nil, errLocked
+	}
+	d.locked = true
+	return d, nil
+}
+
+// Close unlocks the disk.
+func (d *memoryDisk) Close() error {
+	d.locked = false
+	return nil
+}
+
+// Write implements io.Writer. A failing write leaves half of it behind.
+func (f *memoryFile) Write(data []byte) (int, error) {
+	if err := f.disk.change(); err != nil {
+		f.data = append(f.data, data[:len(data)/2]...)
+		return len(data) / 2, err
+	}
+	f.data = append(f.data, data...)
+	return len(data), nil
+}
+
+func (f *memoryFile) Sync() error {
+	if err := f.disk.change(); err != nil {
+		return err
+	}
+	f.synced = len(f.data)
+	return nil
+}
+
+func (f *memoryFile) Close() error { return nil }
--- a/control/replicator/replica_test.go
+++ b/control/replicator/replica_test.go
@@ -59,6 +59,7 @@
 	journal *journaler.Journal
 	pool    *linker.Pool
 	server  *linker.Server
+	disk    *brokenDisk
 }
 
 // group is a control group over an in-memory network.
@@ -94,7 +95,7 @@
 
 // start starts a replica on its data folder, which is made if need be.
 func (g *group) start(name string, join bool) *host {
-	h := &host{name: name, folder: filepath.Join(g.folder, name), ledger: &ledger{}}
+	h := &host{name: name, folder: filepath.Join(g.folder, name), ledger: &ledger{}, disk: &brokenDisk{}}
 	qt.Assert(g.t, os.MkdirAll(h.folder, 0o700), qt.IsNil)
 	identity := journaler.Identity{Cluster: "test", Name: name, Incarnation: uint64(time.Now().UnixNano()), Join: join}
 	if !join {
@@ -102,7 +103,7 @@
 	}
 	var stored *journaler.Stored
 	var err error
-	h.journal, stored, err = journaler.Open(journaler.OS{}, h.folder, identity)
+	h.journal, stored, err = journaler.Open(h.disk, h.folder, identity)
 	qt.Assert(g.t, err, qt.IsNil)
 	hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleControl, Name: name}
 	h.pool = linker.NewPool(g.world.Node(name), linker.Options{Hello: hello})
