--- a/control/elector/change.go
+++ b/control/elector/change.go
@@ -17,6 +17,7 @@
 	index uint64
 	// match and deadline bound the time without progress while catching up.
 	match    uint64
+	offset   int
 	deadline time.Duration
 }
 
@@ -99,10 +100,7 @@
 	if !e.change.catchesUp(name) {
 		return
 	}
-	if p.match > e.change.match {
-		e.change.match = p.match
-		e.change.deadline = e.now.Mono + CatchUpTime
-	}
+	e.notice(p)
 	if p.match+caughtUp < e.log.last() || p.match < e.snapshotIndex() || p.match == 0 {
 		return
 	}
@@ -110,6 +108,15 @@
 	e.appendGroup(Group{Members: append(slices.Clone(e.group().Members), joiner)})
 }
 
+// notice extends the time of a new member that makes progress.
+func (e *Elector) notice(p *peer) {
+	if p.match > e.change.match || p.offset > e.change.offset {
+		e.change.deadline = e.now.Mono + CatchUpTime
+	}
+	e.change.match = p.match
+	e.change.offset = p.offset
+}
+
 func (e *Elector) snapshotIndex() uint64 {
 	if e.snapshot == nil {
 		return 0
--- a/control/elector/promise_test.go
+++ b/control/elector/promise_test.go
@@ -1,6 +1,7 @@
 package elector_test
 
 import (
+	"errors"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -56,6 +57,9 @@
 			s.boot(followers[1])
 			s.run(time.Duration(50+s.random.IntN(100)) * time.Millisecond)
 		}
+		if len(s.leaders) > 1 {
+			s.fail("a rival was elected: %v", s.leaders)
+		}
 	}
 }
 
@@ -106,6 +110,58 @@
 	}
 }
 
+// TestTransferringLeader transfers leadership and then hears nothing: it must not
+// hold itself confirmed while the target takes over.
+func TestTransferringLeader(t *testing.T) {
+	for i := range uint64(*seeds) {
+		s := newSimulation(t, *firstSeed+i, 3)
+		s.run(2 * time.Second)
+		leader := s.leader()
+		target := s.nodes[0]
+		if target == leader {
+			target = s.nodes[1]
+		}
+		leader.step(elector.Transfer{ID: 1, Name: target.name})
+		for _, n := range s.nodes {
+			s.cut[[2]string{n.name, leader.name}] = true
+		}
+		s.run(100 * time.Millisecond)
+		if s.leader() != target {
+			s.fail("%s did not take over", target.name)
+		}
+	}
+}
+
+// TestLeaderWithoutMajorityStepsDown isolates the leader.
+func TestLeaderWithoutMajorityStepsDown(t *testing.T) {
+	s := newSimulation(t, *firstSeed, 3)
+	s.run(2 * time.Second)
+	leader := s.leader()
+	s.isolate(leader)
+	s.run(messenger.ElectionTimeMax + 2*tickTime)
+	if leader.core.View().Role == elector.Leader {
+		s.fail("%s still leads", leader.name)
+	}
+}
+
+// TestNoChangeBeforeCommit asks a new leader to remove a member before it has
+// committed an entry of its term.
+func TestNoChangeBeforeCommit(t *testing.T) {
+	s := newSimulation(t, *firstSeed, 3)
+	for len(s.leaders) == 0 {
+		s.run(step)
+	}
+	for _, n := range s.nodes {
+		if n.core.View().Role != elector.Leader {
+			continue
+		}
+		effects := n.core.Step(n.clock, elector.RemoveMember{ID: 1, Name: "n1"})
+		qt.Assert(t, effects.Proposed, qt.HasLen, 1)
+		qt.Check(t, errors.Is(effects.Proposed[0].Err, elector.ErrNotLeader), qt.IsTrue)
+		qt.Check(t, effects.Append, qt.HasLen, 0)
+	}
+}
+
 // lone returns the elector of one of three members, which has stored entries.
 func lone(entries []elector.Entry, founders elector.Group) *elector.Elector {
 	return elector.New(elector.Config{
--- a/control/elector/simulation_test.go
+++ b/control/elector/simulation_test.go
@@ -327,6 +327,9 @@
 		n.sim.fail("%s and %s both lead term %d", other, n.name, view.Term)
 	}
 	n.sim.leaders[view.Term] = n.name
+	if own := (elector.HardState{Term: view.Term, Vote: n.name}); n.disk.hard != own {
+		n.sim.fail("%s leads term %d without its own vote on its disk", n.name, view.Term)
+	}
 }
 
 // checkCommitTerm checks that a leader commits up to an entry of its own term:
--- a/control/elector/snapshot.go
+++ b/control/elector/snapshot.go
@@ -132,5 +132,8 @@
 	}
 	p.offset = min(answer.Offset, len(p.sending.Data))
 	p.waiting = false
+	if e.change.catchesUp(message.From) {
+		e.notice(p)
+	}
 	e.sendTo(message.From, p, false)
 }
