Make the bench's HTTP clients in one place

Cause: four packages built the same HTTP client over a network, and the fences of a stand-in server had a set that nothing read. Change: package transporter; fences has one way to learn.

--- a/bench/baseliner/baseliner.go
+++ b/bench/baseliner/baseliner.go
@@ -12,7 +12,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -20,6 +19,7 @@
 
 	"github.com/zeebo/errs"
 
+	"marigoldhill/bench/transporter"
 	"marigoldhill/kernel/hasher"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
@@ -56,14 +56,7 @@
 
 // New returns a Baseline that is not started.
 func New(settings Settings, network networker.Network) *Baseline {
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return network.Dial(ctx, address)
-		},
-		MaxIdleConnsPerHost: idleMax,
-		DisableCompression:  true,
-	}
-	return &Baseline{settings: settings, network: network, client: &http.Client{Transport: transport}}
+	return &Baseline{settings: settings, network: network, client: transporter.New(network, idleMax)}
 }
 
 // Start serves callers.
--- a/bench/launcher/configure.go
+++ b/bench/launcher/configure.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
 	"marigoldhill/kernel/messenger"
-	"marigoldhill/kernel/networker"
 	"marigoldhill/operator/requester"
 )
 
@@ -15,6 +13,8 @@
 	// requestTimeout bounds one call of the operator interface.
 	requestTimeout = 20 * time.Second
 	pollInterval   = 50 * time.Millisecond
+	// clientIdle is the most unused connections to each address.
+	clientIdle = 16
 	// callerNode is the VM that callers and operators of the bench are on.
 	callerNode = "bench"
 )
@@ -22,17 +22,6 @@
 // Client returns the HTTP client of callers and operators, on a VM of its own.
 func (c *Cluster) Client() *http.Client { return c.client }
 
-// newClient returns an HTTP client that dials over network.
-func newClient(network networker.Network) *http.Client {
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return network.Dial(ctx, address)
-		},
-		MaxIdleConnsPerHost: 16,
-	}
-	return &http.Client{Transport: transport}
-}
-
 // Requester returns a client of the operator interface.
 func (c *Cluster) Requester() *requester.Requester {
 	var bases []string
--- a/bench/launcher/launcher.go
+++ b/bench/launcher/launcher.go
@@ -24,6 +24,7 @@
 	"github.com/zeebo/errs"
 
 	"marigoldhill/bench/responder"
+	"marigoldhill/bench/transporter"
 	control "marigoldhill/control/assembler"
 	"marigoldhill/control/journaler"
 	"marigoldhill/kernel/logger"
@@ -94,7 +95,7 @@
 	if count := settings.serverCount(); count < 1 || count > maxRouters {
 		return nil, Error.New("the number of routers must be 1 to %d", maxRouters)
 	}
-	cluster := &Cluster{settings: settings, client: newClient(settings.Network(callerNode))}
+	cluster := &Cluster{settings: settings, client: transporter.New(settings.Network(callerNode), clientIdle)}
 	for i := range settings.Controls {
 		cluster.Controls = append(cluster.Controls, settings.newControl(i))
 	}
--- a/bench/loader/caller.go
+++ b/bench/loader/caller.go
@@ -5,16 +5,14 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/zeebo/errs"
-
 	"marigoldhill/bench/responder"
+	"marigoldhill/bench/transporter"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
 )
@@ -35,9 +33,6 @@
 	answerGrace = 2 * time.Second
 )
 
-// errDial says that no connection was made, so nothing was sent.
-var errDial = errs.New("no connection")
-
 // result is what became of one arrival.
 type result struct {
 	kind    int
@@ -58,18 +53,7 @@
 }
 
 func newCaller(settings Settings, network networker.Network) caller {
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			conn, err := network.Dial(ctx, address)
-			if err != nil {
-				return nil, Error.New("%w: %w", errDial, err)
-			}
-			return conn, nil
-		},
-		MaxIdleConnsPerHost: settings.Flight,
-		DisableCompression:  true,
-	}
-	return caller{settings: settings, client: &http.Client{Transport: transport}}
+	return caller{settings: settings, client: transporter.New(network, settings.Flight)}
 }
 
 // call sends an arrival, and sends it again while its outcome is unknown.
@@ -131,13 +115,13 @@
 		}
 		answer, err := c.client.Do(request)
 		isLast := skipped == len(routers)-1
-		if errors.Is(err, errDial) || (err == nil && isElsewhere(answer) && !isLast) {
+		if errors.Is(err, transporter.ErrDial) || (err == nil && isElsewhere(answer) && !isLast) {
 			closeAnswer(answer)
 			continue
 		}
 		return answer, err
 	}
-	return nil, errDial
+	return nil, transporter.ErrDial
 }
 
 // isElsewhere reports whether another router may serve what this one refused for
--- a/bench/responder/announcer.go
+++ b/bench/responder/announcer.go
@@ -13,7 +13,9 @@
 const (
 	announceInterval = time.Second
 	announceTimeout  = 2 * time.Second
-	leaveInterval    = 100 * time.Millisecond
+	// announceIdle is the most unused connections to the router.
+	announceIdle  = 2
+	leaveInterval = 100 * time.Millisecond
 	// leaveFailures is how many announcements of the end may fail.
 	leaveFailures = 10
 	headerTimeout = 10 * time.Second
--- a/bench/responder/fences.go
+++ b/bench/responder/fences.go
@@ -16,32 +16,19 @@
 type fences struct {
 	mutex   sync.Mutex
 	highest map[shardKey]uint64
-	held    map[shardKey]bool
 }
 
 func newFences() *fences {
-	return &fences{highest: make(map[shardKey]uint64), held: make(map[shardKey]bool)}
+	return &fences{highest: make(map[shardKey]uint64)}
 }
 
-// grant takes in the fences of granted shards.
-func (f *fences) grant(list messenger.ShardList) {
+// learn takes in the fences of shards that are granted or revoked.
+func (f *fences) learn(list messenger.ShardList) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, shard := range list.Shards {
 		key := shardKey{service: shard.Service, shard: shard.Shard}
 		f.highest[key] = max(f.highest[key], shard.Fence)
-		f.held[key] = true
-	}
-}
-
-// revoke drops shards from those held; their fences stay known.
-func (f *fences) revoke(list messenger.ShardList) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	for _, shard := range list.Shards {
-		key := shardKey{service: shard.Service, shard: shard.Shard}
-		f.highest[key] = max(f.highest[key], shard.Fence)
-		delete(f.held, key)
 	}
 }
 
--- a/bench/responder/responder.go
+++ b/bench/responder/responder.go
@@ -18,7 +18,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -26,6 +25,7 @@
 
 	"github.com/zeebo/errs"
 
+	"marigoldhill/bench/transporter"
 	"marigoldhill/kernel/networker"
 )
 
@@ -67,26 +67,17 @@
 
 // New returns a server that is not started.
 func New(settings Settings, network networker.Network, ledger *Ledger) *Server {
+	client := transporter.New(network, announceIdle)
+	client.Timeout = announceTimeout
 	return &Server{
 		settings: settings,
 		network:  network,
 		ledger:   ledger,
 		gate:     newGate(),
-		client:   newClient(network),
+		client:   client,
 	}
 }
 
-// newClient returns an HTTP client that dials over network.
-func newClient(network networker.Network) *http.Client {
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return network.Dial(ctx, address)
-		},
-		MaxIdleConnsPerHost: 2,
-	}
-	return &http.Client{Transport: transport, Timeout: announceTimeout}
-}
-
 // Name returns the name of the server.
 func (s *Server) Name() string { return s.settings.Name }
 
--- a/bench/responder/routes.go
+++ b/bench/responder/routes.go
@@ -31,7 +31,7 @@
 
 	frozen := router.Group("", s.gateMiddleware)
 	frozen.POST(messenger.PathGrants, life.serveGrants)
-	frozen.POST(messenger.PathRevokes, life.serveRevokes)
+	frozen.POST(messenger.PathRevokes, life.serveShards)
 	frozen.GET(messenger.PathHealth, life.serveHealth)
 	frozen.GET(messenger.PathLoad, life.serveLoad)
 	frozen.POST(messenger.PathDrain, life.serveDrain)
@@ -72,19 +72,16 @@
 func (l *life) serveGrants(c echo.Context) error {
 	// A grant ends an earlier drain.
 	l.draining.Store(l.leaving.Load())
-	return l.serveShards(c, l.fences.grant)
+	return l.serveShards(c)
 }
 
-func (l *life) serveRevokes(c echo.Context) error {
-	return l.serveShards(c, l.fences.revoke)
-}
-
-func (l *life) serveShards(c echo.Context, take func(messenger.ShardList)) error {
+// serveShards learns the fences of shards that are granted or revoked.
+func (l *life) serveShards(c echo.Context) error {
 	var list messenger.ShardList
 	if err := c.Bind(&list); err != nil {
 		return err
 	}
-	take(list)
+	l.fences.learn(list)
 	return c.NoContent(http.StatusOK)
 }
 
