--- a/bench/experimenter/callers.go
+++ b/bench/experimenter/callers.go
@@ -15,21 +15,30 @@
 	network networker.Network
 }
 
-// seedStep keeps the seeds of services and parts apart.
+// phase is a part of a run. It is added to the seed, so that no part sends the
+// requests of another one again.
+type phase uint64
+
+// The phases of a run, in order.
+const (
+	phaseWarmup phase = iota
+	phaseAlone
+	phaseBeside
+)
+
+// seedStep keeps the seeds of services apart.
 const seedStep = 1000
 
 // send sends the load of one part to all services at once and returns a report
 // for each, in the order of the plan.
-func (t *trial) send(ctx context.Context, beside bool, length time.Duration) ([]loader.Report, error) {
+func (t *trial) send(ctx context.Context, phase phase, length time.Duration) ([]loader.Report, error) {
 	plan := t.deployment.Plan
 	reports := make([]loader.Report, len(plan.Servers))
 	failures := make([]error, len(plan.Servers))
 	var sending sync.WaitGroup
 	for i, row := range plan.Servers {
-		seed := t.settings.Seed + uint64(i)*seedStep
-		if beside {
-			seed++
-		}
+		seed := t.settings.Seed + uint64(i)*seedStep + uint64(phase)
+		beside := phase == phaseBeside
 		settings := t.deployment.load(row, beside, length, seed)
 		settings.Routers = t.stage.callers()
 		if t.scenario.Hot && beside && i == 0 {
@@ -43,7 +52,7 @@
 	if err := errors.Join(failures...); err != nil {
 		return nil, Error.New("sending load: %w", err)
 	}
-	if beside {
+	if phase == phaseBeside {
 		t.countRuns(reports)
 	}
 	return reports, nil
--- a/bench/experimenter/experimenter.go
+++ b/bench/experimenter/experimenter.go
@@ -1,8 +1,8 @@
 // Package experimenter compares the policy of the project with baselines, under
 // the load of a deployment and under faults.
 //
-// Each run has two parts: interactive work alone, and then interactive beside
-// background work with the fault of the scenario. The network is in memory with
+// Each run has two parts after a short warm-up: interactive work alone, and then
+// interactive beside background work with the fault of the scenario. The network is in memory with
 // the distances of the deployment; the time is real.
 //
 // # Usage
@@ -29,6 +29,9 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("experimenter")
 
+// warmupPart is the length of a run, as a multiple of that of its warm-up.
+const warmupPart = 6
+
 // Settings choose what is run.
 type Settings struct {
 	// Length is that of the part with background work; the part before it takes
@@ -144,7 +147,11 @@
 			return nil, err
 		}
 	}
-	alone, err := t.send(ctx, false, t.settings.Length/2)
+	// What is sent first opens connections and is not measured.
+	if _, err := t.send(ctx, phaseWarmup, t.settings.Length/warmupPart); err != nil {
+		return nil, err
+	}
+	alone, err := t.send(ctx, phaseAlone, t.settings.Length/2)
 	if err != nil {
 		return nil, err
 	}
@@ -155,7 +162,7 @@
 	if t.scenario.Hot {
 		faults.Go(func() { promoted = t.awaitAlone(ctx) })
 	}
-	beside, err := t.send(ctx, true, t.settings.Length)
+	beside, err := t.send(ctx, phaseBeside, t.settings.Length)
 	faults.Wait()
 	if err := errors.Join(err, failure); err != nil {
 		return nil, err
