--- a/kernel/logger/router.go
+++ b/kernel/logger/router.go
@@ -6,6 +6,7 @@
 var (
 	LeaseGained      = Event{300, hclog.Info, "router gained its lease"}
 	LeaseLost        = Event{301, hclog.Warn, "router lost its lease"}
+	LeaseEnded       = Event{302, hclog.Info, "router gave its lease back"}
 	ServerAnnounced  = Event{310, hclog.Info, "backend server announced itself"}
 	ServerChanged    = Event{311, hclog.Warn, "backend server changed its state"}
 	ServerCrashed    = Event{312, hclog.Warn, "backend server ended with requests in flight"}
@@ -16,7 +17,7 @@
 
 func routerEvents() []Event {
 	return []Event{
-		LeaseGained, LeaseLost, ServerAnnounced, ServerChanged, ServerCrashed,
+		LeaseGained, LeaseLost, LeaseEnded, ServerAnnounced, ServerChanged, ServerCrashed,
 		RecordsRecovered, RecordsCopied, RequestStalled,
 	}
 }
--- a/router/assembler/services.go
+++ b/router/assembler/services.go
@@ -13,11 +13,6 @@
 )
 
 const (
-	// drainTime is how long a stopping process waits for its shards to move
-	// before it gives them back without a new owner.
-	drainTime = 10 * time.Second
-	// drainPoll is the time between two looks at what is left.
-	drainPoll = 20 * time.Millisecond
 	// closeTime bounds the end of the session.
 	closeTime = 2 * time.Second
 )
@@ -118,31 +113,3 @@
 func (p *Process) stopOperator(ctx context.Context) error {
 	return p.operator.Stop(ctx)
 }
-
-// drain gives the shards away and waits until nothing is in flight.
-func (p *Process) drain(ctx context.Context) error {
-	p.steward.leaving.Store(true)
-	p.keeper.Nudge()
-	p.awaitMoves(ctx)
-	select {
-	case <-p.tracker.Idle():
-		return nil
-	case <-ctx.Done():
-		return Error.New("%d requests are in flight: %w", p.tracker.Total(), ctx.Err())
-	}
-}
-
-// awaitMoves waits until all shards have another owner, for a bounded time.
-func (p *Process) awaitMoves(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, drainTime)
-	defer cancel()
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for p.steward.held.Load() > 0 {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/router/executor/watch.go
+++ b/router/executor/watch.go
@@ -100,9 +100,11 @@
 	if outcome == messenger.OutcomeRefused {
 		return w.refusal()
 	}
+	// The server stopped serving, but nothing says that the request is to blame:
+	// an idempotent one may be sent to the next owner.
 	switch cause := w.cause(); {
 	case errors.Is(cause, errServer):
-		return messenger.ReasonCrashed
+		return messenger.ReasonLost
 	case errors.Is(cause, errLapsed), errors.Is(cause, errDeadline), errors.Is(cause, context.DeadlineExceeded):
 		return messenger.ReasonExpired
 	}
--- a/router/keeper/finish.go
+++ b/router/keeper/finish.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
 )
@@ -25,6 +26,7 @@
 // first, whether the control group hears of it or not.
 func (k *Keeper) finish(ctx context.Context) {
 	session := k.core.session
+	k.ending = logger.LeaseEnded
 	k.publish(0, timer.Instant{})
 	if session == 0 {
 		return
--- a/router/keeper/keeper.go
+++ b/router/keeper/keeper.go
@@ -76,10 +76,12 @@
 	instance uint64
 	core     core
 	lease    atomic.Pointer[Lease]
-	results  chan result
-	nudge    chan struct{}
-	closing  chan struct{}
-	done     chan struct{}
+	// ending is the event for the end of a lease.
+	ending  logger.Event
+	results chan result
+	nudge   chan struct{}
+	closing chan struct{}
+	done    chan struct{}
 }
 
 // result is what became of one heartbeat.
@@ -96,6 +98,7 @@
 		options:  options,
 		instance: rand.Uint64(),
 		core:     newCore(settings.Control),
+		ending:   logger.LeaseLost,
 		results:  make(chan result, 1),
 		nudge:    make(chan struct{}, 1),
 		closing:  make(chan struct{}, 1),
@@ -205,7 +208,7 @@
 	}
 	if !before.Sent.IsZero() {
 		close(before.done)
-		k.options.Log.Emit(logger.LeaseLost, "session", before.Session)
+		k.options.Log.Emit(k.ending, "session", before.Session)
 	}
 	if !next.Sent.IsZero() {
 		k.options.Log.Emit(logger.LeaseGained, "session", next.Session)
--- a/router/recorder/begin.go
+++ b/router/recorder/begin.go
@@ -72,9 +72,6 @@
 		}
 		if reason := r.replicate(ctx, &work, verdict.Run.entry); reason != messenger.ReasonNone {
 			verdict.Run.Finish(Ended{State: messenger.RecordRefused})
-			if ctx.Err() != nil {
-				reason = messenger.ReasonDeadline
-			}
 			return refuse(reason)
 		}
 		return verdict
--- a/router/recorder/recorder.go
+++ b/router/recorder/recorder.go
@@ -91,6 +91,8 @@
 	// pending are the rows of this router whose records are elsewhere.
 	pending atomic.Pointer[[]messenger.ShardRow]
 	wake    chan struct{}
+	// unstored is when a recorder last failed to store a record, or nil.
+	unstored atomic.Pointer[timer.Instant]
 
 	mu sync.Mutex
 	// own are the records of this router, peers those of other owners by
--- a/router/recorder/recorder_test.go
+++ b/router/recorder/recorder_test.go
@@ -126,6 +126,37 @@
 	})
 }
 
+// TestLostRecorderIsReplaced has a request wait while a lost recorder is taken
+// out of the set and another one joins.
+func TestLostRecorderIsReplaced(t *testing.T) {
+	inFleet(t, 4, func(t *testing.T, f *fleet) {
+		f.kill(3)
+		n := f.nodes[1]
+		work := f.work(n, "door", "p")
+		verdicts := make(chan Verdict, 1)
+		go func() { verdicts <- n.records.Begin(t.Context(), work) }()
+		for _, set := range [][2][]uint64{{{2}, nil}, {{2}, {4}}, {{2, 4}, nil}} {
+			time.Sleep(500 * time.Millisecond)
+			qt.Assert(t, len(verdicts), qt.Equals, 0)
+			delete(f.sessions, 3)
+			f.recorders(1, set[0], set[1])
+			f.publish()
+		}
+		qt.Assert(t, (<-verdicts).Run != nil, qt.IsTrue)
+		qt.Assert(t, f.nodes[4].records.Size(), qt.Equals, 1)
+	})
+}
+
+func TestLostRecorderIsWaitedForABoundedTime(t *testing.T) {
+	inFleet(t, 3, func(t *testing.T, f *fleet) {
+		f.kill(3)
+		begun := time.Now()
+		verdict := f.nodes[1].records.Begin(t.Context(), f.work(f.nodes[1], "door", "p"))
+		assertRefused(t, verdict, messenger.ReasonRecorders)
+		qt.Assert(t, time.Since(begun), qt.Equals, repairTime)
+	})
+}
+
 func TestScarce(t *testing.T) {
 	tests := []struct {
 		scarce string
--- a/router/recorder/replicate.go
+++ b/router/recorder/replicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/messenger"
@@ -41,24 +42,71 @@
 	return list, complete
 }
 
-// replicate has all recorders store a new record. The peers are looked up after
-// the entry was made, so that one that joins meanwhile gets it from here or with
-// the copy.
+const (
+	// repairTime is how long a request waits for another recorder when one was
+	// lost: until its session has lapsed and the records were copied.
+	repairTime = 2500 * time.Millisecond
+	// repairPoll is the time between two tries.
+	repairPoll = 100 * time.Millisecond
+)
+
+// replicate has all recorders store a new record. When one fails, it is tried
+// again until that one is back or was replaced, for a bounded time.
 func (r *Recorder) replicate(ctx context.Context, work *Work, e *entry) messenger.Reason {
+	ctx, cancel := context.WithTimeout(ctx, repairTime)
+	defer cancel()
+	ticker := time.NewTicker(repairPoll)
+	defer ticker.Stop()
+	for {
+		reason, passing := r.replicateOnce(ctx, work, e)
+		if reason != messenger.ReasonRecorders || !passing {
+			return reason
+		}
+		select {
+		case <-ticker.C:
+			r.count("retried", 1)
+		case <-ctx.Done():
+			return reason
+		}
+	}
+}
+
+// replicateOnce tries once. The peers are looked up after the entry was made, so
+// that one that joins meanwhile gets it from here or with the copy. A refusal is
+// passing unless the service has too few recorders and none joins.
+func (r *Recorder) replicateOnce(ctx context.Context, work *Work, e *entry) (reason messenger.Reason, passing bool) {
 	list, complete := targets(r.options.Locator.Load(), work.Row.Owner)
 	if !complete || !isEnough(work.Service, list) {
 		r.count("scarce", 1)
-		return messenger.ReasonRecorders
+		return messenger.ReasonRecorders, !complete || r.isRepairing(list)
 	}
 	if len(list) == 0 {
-		return messenger.ReasonNone
+		return messenger.ReasonNone, false
 	}
 	record := messenger.Record{
 		Owner:   work.Row.Owner,
-		Shard:   messenger.ShardRef{Service: work.Row.Service, Shard: work.Row.Shard, Fence: work.Row.Fence},
+		Shard:   refOf(work.Row),
 		Entries: []messenger.RecordEntry{e.message(timer.Now())},
 	}
-	return r.storeAll(ctx, list, record)
+	return r.storeAll(ctx, list, record), true
+}
+
+// isRepairing reports whether a lost recorder is being replaced.
+func (r *Recorder) isRepairing(list []target) bool {
+	for _, target := range list {
+		if target.joining {
+			return true
+		}
+	}
+	return timer.Now().Since(r.failing()) < repairTime
+}
+
+// failing is when a recorder last failed to store a record.
+func (r *Recorder) failing() timer.Instant {
+	if last := r.unstored.Load(); last != nil {
+		return *last
+	}
+	return timer.Instant{}
 }
 
 // isEnough reports whether a service has the recorders that it asks for.
@@ -106,6 +154,8 @@
 		r.count("fenced", 1)
 		return messenger.ReasonFence
 	}
+	now := timer.Now()
+	r.unstored.Store(&now)
 	r.count("unstored", 1)
 	return messenger.ReasonRecorders
 }
