Take each input that was received

Cause: the loop that takes inputs in batches ended after 512 with one more received and dropped, so its proposer waited for ever. Change: the loop takes as many as wait, and none beyond.

--- a/control/replicator/change_test.go
+++ b/control/replicator/change_test.go
@@ -196,3 +196,22 @@
 		qt.Check(t, second.ledger.lines[0], qt.Equals, "kept")
 	})
 }
+
+// TestManyProposersAtOnce has more proposals wait than are taken in one go: each
+// is answered.
+func TestManyProposersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, "a", "b", "c")
+		defer g.stopAll()
+		leader := g.leader()
+		const proposers = 3000
+		failures := make(chan error, proposers)
+		for i := range proposers {
+			go func() { failures <- g.propose(leader, fmt.Sprint(i)) }()
+		}
+		for range proposers {
+			qt.Assert(t, <-failures, qt.IsNil)
+		}
+		g.settle(proposers)
+	})
+}
--- a/control/replicator/replica.go
+++ b/control/replicator/replica.go
@@ -223,15 +223,10 @@
 
 // takeBatch takes an input and what else waits, so that proposals share one
 // write.
-func (r *Replica) takeBatch(next input) {
-	for range maxBatch {
-		r.take(next)
-		select {
-		case next = <-r.inputs:
-			continue
-		default:
-		}
-		break
+func (r *Replica) takeBatch(first input) {
+	r.take(first)
+	for range min(len(r.inputs), maxBatch) {
+		r.take(<-r.inputs)
 	}
 	r.flushCommands()
 }
