--- a/control/commander/cmd_run.go
+++ b/control/commander/cmd_run.go
@@ -32,6 +32,8 @@
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, cancel)
 	log := logger.New(out.errors, settings.Log, "control", settings.Name)
 	process, err := assembler.New(*settings, assembler.Options{Log: log})
 	if err != nil {
