--- a/router/acceptor/acceptor_test.go
+++ b/router/acceptor/acceptor_test.go
@@ -293,6 +293,24 @@
 	qt.Assert(t, r.forwarder.failed, qt.IsNotNil)
 }
 
+// TestRefusedBeforeTheBody answers while the caller still sends a large body.
+func TestRefusedBeforeTheBody(t *testing.T) {
+	r := newRig(t, true)
+	r.forwarder.early = true
+	r.forwarder.answer = func(context.Context, *messenger.Request) executor.Answer {
+		return answerOf(messenger.OutcomeRefused, messenger.ReasonQueue)
+	}
+	const head = "POST /v1/findings/a HTTP/1.1\r\nHost: x\r\n"
+	for _, raw := range []string{
+		head + "Content-Length: 1000000\r\n\r\n" + strings.Repeat("x", 1000000),
+		head + "Transfer-Encoding: chunked\r\n\r\nf4240\r\n" + strings.Repeat("x", 1000000),
+	} {
+		got := r.send(t, raw)
+		qt.Assert(t, got.status, qt.Equals, http.StatusTooManyRequests)
+		qt.Assert(t, got.header.Get(messenger.HeaderReason), qt.Equals, "queue")
+	}
+}
+
 // TestUnreadAnswer asks for a large answer and reads nothing of it.
 func TestUnreadAnswer(t *testing.T) {
 	r := newRig(t, true)
--- a/router/acceptor/harness_test.go
+++ b/router/acceptor/harness_test.go
@@ -35,12 +35,17 @@
 	left   time.Duration
 	body   string
 	failed error
+	// early answers without reading the body.
+	early bool
 	answer func(ctx context.Context, request *messenger.Request) executor.Answer
 }
 
 func (f *fakeForwarder) Forward(ctx context.Context, request *messenger.Request, _ *messenger.Profile, body io.Reader) executor.Answer {
 	deadline, _ := ctx.Deadline()
 	f.got, f.left = request, time.Until(deadline)
+	if f.early {
+		return f.answer(ctx, request)
+	}
 	data, err := io.ReadAll(body)
 	f.body, f.failed = string(data), err
 	if err != nil {
