Keep a canceled context from breaking a shared connection

Cause: a stream began to watch its context before its open frame was queued. When the context had ended already, the reset could be queued first; the peer took it for a breach of the protocol and closed the connection with all its streams. Ruled out: frames out of order on the wire; the sequence was right. Change: a stream watches its context once its open frame is queued. Before: TestOpenAfterCancel failed (2 of 2 runs seen, race detector on); after: 3 of 3 runs pass.

--- a/kernel/linker/link.go
+++ b/kernel/linker/link.go
@@ -98,11 +98,13 @@
 		return nil, Error.New("opening a stream: %w", context.Cause(l.ctx))
 	}
 	l.last++
-	stream := newOpened(ctx, l, l.last, kind)
+	stream := newStream(l, l.last, kind)
+	stream.ctx = ctx
 	l.streams[stream.number] = stream
 	l.pulse.start()
 	// Sent under the lock, so that numbers reach the peer in order.
 	l.send(framer.Frame{Type: framer.TypeOpen, Stream: stream.number, Payload: []byte{byte(kind)}})
+	stream.watch(ctx)
 	return stream, nil
 }
 
--- a/kernel/linker/linker_test.go
+++ b/kernel/linker/linker_test.go
@@ -88,6 +88,28 @@
 	qt.Assert(t, errors.Is(err, context.Canceled), qt.IsTrue, qt.Commentf("got %v", err))
 }
 
+// TestOpenAfterCancel opens streams whose context has ended: none may harm the
+// link that others share.
+func TestOpenAfterCancel(t *testing.T) {
+	server, pool := listen(t)
+	kept, err := pool.Open(t.Context(), server.Address(), messenger.KindForward)
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 2000 {
+		if stream, err := pool.Open(ctx, server.Address(), messenger.KindForward); err == nil {
+			stream.Close()
+		}
+	}
+	go func() {
+		_, _ = kept.Write([]byte("door-17"))
+		_ = kept.CloseWrite()
+	}()
+	got, err := io.ReadAll(kept)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(got), qt.Equals, "door-17")
+}
+
 func TestStrangersAreRefused(t *testing.T) {
 	set := metrics.NewSet()
 	server, err := linker.Listen(networker.TCP{}, "127.0.0.1:0", linker.Options{Hello: hello, Handler: echo, Metrics: set})
--- a/kernel/linker/stream.go
+++ b/kernel/linker/stream.go
@@ -59,14 +59,14 @@
 	return stream
 }
 
-// newOpened returns a stream that this side opens; the end of ctx resets it.
-func newOpened(ctx context.Context, link *Link, number uint64, kind messenger.Kind) *Stream {
-	stream := newStream(link, number, kind)
-	stream.ctx = ctx
-	stream.unhook = context.AfterFunc(ctx, func() {
-		stream.reset(Error.New("stream: %w", context.Cause(ctx)))
+// watch resets a stream that was opened here when ctx ends. The peer must know
+// of the stream by then.
+func (s *Stream) watch(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unhook = context.AfterFunc(ctx, func() {
+		s.reset(Error.New("stream: %w", context.Cause(ctx)))
 	})
-	return stream
 }
 
 // newAccepted returns a stream that the peer opened. The link aborts it when it
@@ -227,16 +227,16 @@
 
 // abort ends the stream here with a cause.
 func (s *Stream) abort(cause error) {
-	if s.unhook != nil {
-		s.unhook()
-	}
 	s.mu.Lock()
 	if s.failure == nil {
 		s.failure = cause
 	}
 	s.changed.Broadcast()
-	cancel := s.cancel
+	cancel, unhook := s.cancel, s.unhook
 	s.mu.Unlock()
+	if unhook != nil {
+		unhook()
+	}
 	if cancel != nil {
 		cancel(cause)
 	}
--- a/router/acceptor/harness_test.go
+++ b/router/acceptor/harness_test.go
@@ -36,7 +36,7 @@
 	body   string
 	failed error
 	// early answers without reading the body.
-	early bool
+	early  bool
 	answer func(ctx context.Context, request *messenger.Request) executor.Answer
 }
 
