Do not hold a move up for a lost recorder, test announcements and the tally

Cause: a request that waits for a lost recorder held its grant for up to 2.5 s while the shard was to move; announcements and the tally of work had no tests.

Change: the wait ends when the grant is given back.

--- /dev/null
+++ b/router/announcer/announcer_test.go
@@ -0,0 +1,48 @@
+package announcer_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/router/announcer"
+)
+
+func TestAnnounce(t *testing.T) {
+	const right = `{"name":"d1","service":"findings","url":"http://127.0.0.1:9001","slots":6}`
+	tests := []struct {
+		name   string
+		body   string
+		state  messenger.ServerState
+		status int
+	}{
+		{"right", right, messenger.ServerReady, http.StatusOK},
+		{"no JSON", `name`, messenger.ServerReady, http.StatusBadRequest},
+		{"no name", strings.Replace(right, "d1", "", 1), messenger.ServerReady, http.StatusBadRequest},
+		{"no slots", strings.Replace(right, "6", "0", 1), messenger.ServerReady, http.StatusBadRequest},
+		{"path in URL", strings.Replace(right, "9001", "9001/x", 1), messenger.ServerReady, http.StatusBadRequest},
+		{"too long", strings.Replace(right, "findings", strings.Repeat("f", 5000), 1), messenger.ServerReady, http.StatusBadRequest},
+		{"another server", strings.Replace(right, "d1", "d2", 1), messenger.ServerReady, http.StatusConflict},
+		{"successor", strings.Replace(right, "d1", "d2", 1), messenger.ServerDown, http.StatusOK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var rows []messenger.ServerRow
+			handler := announcer.New("r1", announcer.Hooks{
+				Announced: func(row messenger.ServerRow) { rows = append(rows, row) },
+				Status:    func() announcer.Status { return announcer.Status{State: test.state, Shards: 3} },
+			}).Handler()
+			var answer *httptest.ResponseRecorder
+			for _, body := range []string{right, test.body} {
+				answer = httptest.NewRecorder()
+				handler.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, messenger.PathAnnounce, strings.NewReader(body)))
+			}
+			qt.Assert(t, answer.Code, qt.Equals, test.status)
+			qt.Assert(t, len(rows) == 2, qt.Equals, test.status == http.StatusOK)
+		})
+	}
+}
--- a/router/executor/run.go
+++ b/router/executor/run.go
@@ -121,7 +121,7 @@
 	if r.options.Locator.Load().Quarantined(r.print) {
 		return refuse(messenger.ReasonQuarantine, 0)
 	}
-	if answer, known := r.remember(watch.run); known {
+	if answer, known := r.remember(watch); known {
 		return answer
 	}
 	answer := r.admit(watch)
@@ -147,11 +147,11 @@
 
 // remember records a non-idempotent request with an Idempotency-Key, or finds
 // what became of an earlier send.
-func (r *run) remember(ctx context.Context) (Answer, bool) {
+func (r *run) remember(watch *watch) (Answer, bool) {
 	if r.profile.Idempotent || r.request.Idempotency == "" {
 		return Answer{}, false
 	}
-	verdict := r.options.Recorder.Begin(ctx, recorder.Work{
+	verdict := r.options.Recorder.Begin(watch.run, watch.wait, recorder.Work{
 		Service:     r.place.Service,
 		Key:         r.request.Key,
 		Idempotency: r.request.Idempotency,
@@ -162,6 +162,9 @@
 		r.record = verdict.Run
 		return Answer{}, false
 	}
+	if verdict.Reason == messenger.ReasonRecorders && watch.wait.Err() != nil {
+		return refuse(watch.refusal(), 0), true
+	}
 	if verdict.Outcome != messenger.OutcomeDone {
 		return failed(verdict.Outcome, verdict.Reason), true
 	}
--- a/router/recorder/begin.go
+++ b/router/recorder/begin.go
@@ -55,8 +55,9 @@
 }
 
 // Begin records a request and has its peers store the record, or finds what
-// became of an earlier send. It waits for a run in progress until ctx ends.
-func (r *Recorder) Begin(ctx context.Context, work Work) Verdict {
+// became of an earlier send. It waits for a run in progress until ctx ends, and
+// for its peers until start ends, which must end with ctx.
+func (r *Recorder) Begin(ctx, start context.Context, work Work) Verdict {
 	for {
 		verdict, running := r.claim(timer.Now(), &work)
 		if running != nil {
@@ -70,7 +71,7 @@
 		if verdict.Run == nil {
 			return verdict
 		}
-		if reason := r.replicate(ctx, &work, verdict.Run.entry); reason != messenger.ReasonNone {
+		if reason := r.replicate(start, &work, verdict.Run.entry); reason != messenger.ReasonNone {
 			verdict.Run.Finish(Ended{State: messenger.RecordRefused})
 			return refuse(reason)
 		}
--- a/router/recorder/harness_test.go
+++ b/router/recorder/harness_test.go
@@ -178,7 +178,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	n := f.nodes[session]
-	return n.records.Begin(ctx, f.work(n, key, print))
+	return n.records.Begin(ctx, ctx, f.work(n, key, print))
 }
 
 // finish ends a run with a short answer.
--- /dev/null
+++ b/router/recorder/numbers_test.go
@@ -0,0 +1,60 @@
+package recorder
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/timer"
+)
+
+func TestNumbers(t *testing.T) {
+	now := timer.Instant{}.Add(time.Hour)
+	done := messenger.OutcomeAnswer{Outcome: messenger.OutcomeDone, Body: []byte("answer")}
+	refused := messenger.OutcomeAnswer{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonShed}
+	t.Run("late arrival", func(t *testing.T) {
+		n := NewNumbers()
+		qt.Assert(t, n.Query(now, "a", 0).Reason, qt.Equals, messenger.ReasonStale)
+		qt.Assert(t, n.Begin(now.Add(NumberTime), "a", true), qt.IsFalse)
+		qt.Assert(t, n.Begin(now, "b", false), qt.IsTrue)
+	})
+	t.Run("running", func(t *testing.T) {
+		n := NewNumbers()
+		n.Begin(now, "a", false)
+		qt.Assert(t, n.Query(now, "a", 0).Outcome, qt.Equals, messenger.OutcomeRunning)
+		qt.Assert(t, n.Begin(now, "a", false), qt.IsFalse)
+	})
+	t.Run("done", func(t *testing.T) {
+		n := NewNumbers()
+		n.Begin(now, "a", false)
+		n.End(now, "a", done, false)
+		qt.Assert(t, n.Query(now, "a", 0), qt.DeepEquals, done)
+		qt.Assert(t, n.Begin(now, "a", false), qt.IsFalse)
+	})
+	t.Run("done and idempotent", func(t *testing.T) {
+		n := NewNumbers()
+		n.Begin(now, "a", true)
+		n.End(now, "a", done, true)
+		qt.Assert(t, n.Query(now, "a", 0).Reason, qt.Equals, messenger.ReasonLost)
+		qt.Assert(t, n.Begin(now, "a", true), qt.IsTrue)
+	})
+	t.Run("refused and sent again", func(t *testing.T) {
+		n := NewNumbers()
+		n.Begin(now, "a", false)
+		n.End(now, "a", refused, false)
+		qt.Assert(t, n.Query(now, "a", 0), qt.DeepEquals, refused)
+		qt.Assert(t, n.Begin(now, "a", false), qt.IsTrue)
+	})
+	t.Run("asked too late", func(t *testing.T) {
+		n := NewNumbers()
+		n.Begin(now, "a", false)
+		n.End(now, "a", done, false)
+		later := now.Add(NumberTime)
+		n.Begin(later, "b", false)
+		n.Begin(later.Add(NumberTime), "c", false)
+		answer := n.Query(later.Add(NumberTime), "a", 2*NumberTime)
+		qt.Assert(t, answer.Outcome, qt.Equals, messenger.OutcomeUnknown)
+	})
+}
--- a/router/recorder/recorder.go
+++ b/router/recorder/recorder.go
@@ -19,7 +19,7 @@
 //	go records.Run(ctx)
 //	records.Follow(rows) // each new routing table
 //
-//	verdict := records.Begin(ctx, work)
+//	verdict := records.Begin(ctx, ctx, work)
 //	if verdict.Run == nil { ... } // answer with verdict
 //	verdict.Run.Finish(recorder.Ended{State: messenger.RecordDone, ...})
 //
