Keep the cause of each shard, and move nothing for lack of measurements

Cause: an explanation lost its reason when the history of owners was full; a takeover filled the list of events with one for each router; a new leader, and a service at night, saw no load and moved shards by their number alone. Change: each shard keeps the cause of its owner; more than 8 routers in one grant are one event; loads count only after a new leader has measured for 40 s; until then, and without work, only a server with hardly any shards is filled. Before and after: TestNewLeaderMovesNothingForLackOfMeasurements fails without either rule and passes with both. Conclusion: shards move for measured load, or to fill an empty server.

--- a/control/assigner/assigner.go
+++ b/control/assigner/assigner.go
@@ -40,7 +40,7 @@
 	// MaxSuspects is how many fingerprints that were at one death are kept.
 	MaxSuspects = 4096
 	// MaxHistory is how many changes of owner are kept for explanations.
-	MaxHistory = 512
+	MaxHistory = 256
 	// DeltaRows is the number of shard rows after which a delta is cut.
 	DeltaRows = 16384
 )
--- a/control/assigner/assigner_test.go
+++ b/control/assigner/assigner_test.go
@@ -235,3 +235,41 @@
 		qt.Assert(t, state.Revision(), qt.Equals, uint64(0))
 	}
 }
+
+func TestCauseOutlivesHistory(t *testing.T) {
+	l := newLog(t)
+	l.grant(3, 0, 1)
+	l.move(4, 1)
+	l.release(3, 1)
+	for range assigner.MaxHistory {
+		l.grant(5, 2)
+		l.release(5, 2)
+	}
+	qt.Assert(t, l.state.History("findings", 1, 9), qt.HasLen, 0)
+	data, err := l.state.Snapshot()
+	qt.Assert(t, err, qt.IsNil)
+	restored := assigner.New()
+	qt.Assert(t, restored.Restore(data), qt.IsNil)
+	for shard, want := range []assigner.Cause{assigner.CausePlaced, assigner.CauseMoved} {
+		qt.Check(t, restored.Table("findings").Ownership(uint32(shard)).Cause, qt.Equals, want)
+	}
+	qt.Check(t, restored.Table("findings").Row(1), qt.DeepEquals, l.row(1))
+}
+
+func TestLargeGrantIsOneEvent(t *testing.T) {
+	for sessions, want := range map[int]int{2: 2, 8: 8, 9: 1} {
+		l := newLog(t)
+		photos := l.state.Table("findings").Service
+		photos.Name = "photos"
+		photos.Shards = 16
+		l.apply(assigner.Command{PutService: &assigner.PutService{Service: photos}})
+		grant := &assigner.Grant{Service: "photos", Why: "test"}
+		for shard := range uint32(sessions) {
+			open := &assigner.Open{Router: fmt.Sprintf("x%d", shard), Server: &messenger.ServerRow{Service: "photos"}}
+			l.apply(assigner.Command{Open: open})
+			grant.Placements = append(grant.Placements, place(l.index, []uint32{shard})...)
+		}
+		qt.Assert(t, l.apply(assigner.Command{Grant: grant}).Count, qt.Equals, sessions)
+		qt.Check(t, l.state.Events(l.index-1), qt.HasLen, want)
+	}
+}
--- a/control/assigner/event.go
+++ b/control/assigner/event.go
@@ -7,6 +7,9 @@
 	"marigoldhill/kernel/messenger"
 )
 
+// maxGrantEvents is the most sessions of one command that get an event each.
+const maxGrantEvents = 8
+
 // OwnerPart is the part of a change of owner that concerns one session.
 type OwnerPart struct {
 	Session uint64
@@ -64,7 +67,6 @@
 		return
 	}
 	part := OwnerPart{Session: session.Row.Session, Router: session.Row.Router, Shards: NewShardSet(shards)}
-	s.event(logger.ShardsGranted, session.Row.Router, fmt.Sprintf("%d shards of %s: %s", len(shards), t.Service.Name, why))
 	if last := len(s.history.values) - 1; last >= 0 {
 		change := &s.history.values[last]
 		if change.Revision == s.applied && change.Service == t.Service.Name && change.Why == why {
@@ -81,6 +83,32 @@
 	})
 }
 
+// tellGrants records the events of the shards that changed their owner by the
+// command being applied: one for each session, or one in all when they are many.
+func (s *State) tellGrants() {
+	first := len(s.history.values)
+	for first > 0 && s.history.values[first-1].Revision == s.applied {
+		first--
+	}
+	for n := range s.history.values[first:] {
+		s.tellGrant(&s.history.values[first+n])
+	}
+}
+
+func (s *State) tellGrant(change *OwnerChange) {
+	total := 0
+	for _, part := range change.Parts {
+		count := part.Shards.Len()
+		total += count
+		if len(change.Parts) <= maxGrantEvents {
+			s.event(logger.ShardsGranted, part.Router, fmt.Sprintf("%d shards of %s: %s", count, change.Service, change.Why))
+		}
+	}
+	if len(change.Parts) > maxGrantEvents {
+		s.event(logger.ShardsGranted, change.Service, fmt.Sprintf("%d shards to %d routers: %s", total, len(change.Parts), change.Why))
+	}
+}
+
 // rememberMoves keeps that shards moved from one session to others as planned.
 func (s *State) rememberMoves(from *Session, moved map[shardOwner][]uint32) {
 	for _, t := range s.Tables() {
--- a/control/assigner/grant.go
+++ b/control/assigner/grant.go
@@ -25,6 +25,7 @@
 	if total == 0 {
 		return void()
 	}
+	s.tellGrants()
 	return applied(s.applied, total)
 }
 
@@ -32,7 +33,7 @@
 	var granted []uint32
 	shards.Each(func(number uint32) bool {
 		if number < t.Size() && t.InUse(number) && t.shards[number].phase == messenger.PhaseFree {
-			s.own(t, number, session)
+			s.own(t, number, session, CausePlaced)
 			granted = append(granted, number)
 		}
 		return true
@@ -42,11 +43,12 @@
 }
 
 // own makes a session the owner of a shard under a new fence.
-func (s *State) own(t *Table, number uint32, session *Session) {
+func (s *State) own(t *Table, number uint32, session *Session, cause Cause) {
 	cell := &t.shards[number]
 	s.measureGrant(t, cell, session)
 	cell.fence = s.applied
 	cell.last = session.Row.Session
+	cell.cause = cause
 	s.setShard(t, number, session.Row.Session, messenger.PhaseOwned)
 	session.Granted = true
 }
@@ -124,6 +126,7 @@
 		return void()
 	}
 	s.rememberMoves(session, moved)
+	s.tellGrants()
 	return applied(s.applied, total)
 }
 
@@ -142,7 +145,7 @@
 		s.setShard(t, number, 0, messenger.PhaseFree)
 		return nil
 	}
-	s.own(t, number, target)
+	s.own(t, number, target, CauseMoved)
 	return target
 }
 
--- a/control/assigner/key.go
+++ b/control/assigner/key.go
@@ -34,7 +34,7 @@
 	if pending := t.recoveries[base]; pending != nil {
 		t.recoveries[number] = &recovery{ForgottenUntil: pending.ForgottenUntil}
 	}
-	s.own(t, number, owner)
+	s.own(t, number, owner, CausePromoted)
 	s.event(logger.KeyPromoted, command.Service, fmt.Sprintf("key %q is shard %d", command.Key, number))
 	return applied(s.applied, 1)
 }
--- a/control/assigner/snapshot.go
+++ b/control/assigner/snapshot.go
@@ -116,7 +116,7 @@
 const runFields = 8
 
 func appendRun(data []byte, cell *shard, next uint64, run uint32) []byte {
-	flags := uint64(cell.phase) << 1
+	flags := uint64(cell.cause)<<8 | uint64(cell.phase)<<1
 	if cell.used {
 		flags |= 1
 	}
@@ -238,7 +238,8 @@
 
 func (t *Table) setDecoded(number uint32, fields *[runFields]uint64) {
 	t.shards[number] = shard{
-		phase:   messenger.Phase(fields[1] >> 1),
+		phase:   messenger.Phase(fields[1] >> 1 & 0x7f),
+		cause:   Cause(fields[1] >> 8),
 		used:    fields[1]&1 != 0,
 		owner:   fields[2],
 		fence:   fields[3],
--- a/control/assigner/table.go
+++ b/control/assigner/table.go
@@ -18,6 +18,7 @@
 	// serving owner.
 	since int64
 	phase messenger.Phase
+	cause Cause
 	// used says that an earlier owner may have accepted non-idempotent work.
 	used bool
 }
@@ -146,6 +147,8 @@
 	Phase messenger.Phase
 	// Since is when it got its owner, in milliseconds.
 	Since int64
+	// Cause says what gave it to its owner.
+	Cause Cause
 	// Recovering says that its owner has not read the records of earlier owners
 	// yet.
 	Recovering bool
@@ -154,7 +157,7 @@
 // Ownership returns the ownership of a shard.
 func (t *Table) Ownership(number uint32) Ownership {
 	cell := &t.shards[number]
-	return Ownership{Owner: cell.owner, Phase: cell.phase, Since: cell.since, Recovering: t.recoveries[number].isOpen()}
+	return Ownership{Owner: cell.owner, Phase: cell.phase, Since: cell.since, Cause: cell.cause, Recovering: t.recoveries[number].isOpen()}
 }
 
 // FreeShards returns up to limit free shards.
--- a/control/balancer/balancer_test.go
+++ b/control/balancer/balancer_test.go
@@ -70,6 +70,8 @@
 		{name: "does not start there", weights: derwent, skew: balancer.Skew{Mean: 1, Excess: 0.2}},
 		{name: "churn weighs more", weights: kgotso, skew: balancer.Skew{Mean: 1, Excess: 1.5}},
 		{name: "empty server is filled all the same", weights: kgotso, skew: balancer.Skew{Mean: 1, Deficit: 1}, want: true},
+		{name: "uneven by number without work", weights: derwent, skew: balancer.Skew{Mean: 1, Excess: 0.8, Deficit: 0.8, Idle: true}},
+		{name: "empty server without work", weights: derwent, skew: balancer.Skew{Mean: 1, Deficit: 0.95, Idle: true}, want: true},
 		{name: "imbalance without weight", weights: unweighed, skew: balancer.Skew{Mean: 1, Excess: 9}},
 	}
 	for _, test := range tests {
--- a/control/balancer/plan.go
+++ b/control/balancer/plan.go
@@ -51,6 +51,7 @@
 	servers []ServerLoad
 	// base is the work that each shard counts as having, besides its own.
 	base float64
+	idle bool
 }
 
 // NewLoads weighs servers.
@@ -65,7 +66,7 @@
 	if shards > 0 {
 		base = max(basePart*load, idleLoad*float64(slots)) / float64(shards)
 	}
-	return &Loads{servers: slices.Clone(servers), base: base}
+	return &Loads{servers: slices.Clone(servers), base: base, idle: load < idleLoad*float64(slots)}
 }
 
 // utilization is the weighed work of a server for each of its slots.
@@ -97,6 +98,7 @@
 		Mean:    mean,
 		Excess:  l.utilization(most)/mean - 1,
 		Deficit: 1 - l.utilization(least)/mean,
+		Idle:    l.idle,
 		Noise:   l.noise(most),
 	}
 }
--- a/control/balancer/weight.go
+++ b/control/balancer/weight.go
@@ -44,13 +44,21 @@
 	Excess float64
 	// Deficit is 1 less the smallest utilization to the mean.
 	Deficit float64
+	// Idle says that there is next to no work, so that only the number of shards
+	// tells servers apart.
+	Idle bool
 	// Noise is the part of Excess and Deficit that may be chance.
 	Noise float64
 }
 
 // IsActive decides with hysteresis whether to move shards: moves start above
-// the threshold and go on until half of it is reached.
+// the threshold and go on until half of it is reached. Without work only servers
+// with hardly any shards are filled, since shards that are even by their work are
+// seldom even by their number.
 func (w Weights) IsActive(skew Skew, active bool) bool {
+	if skew.Idle {
+		return skew.Deficit > limitOf(active)
+	}
 	threshold := w.Threshold()
 	if active {
 		threshold /= 2
--- a/control/supervisor/balance.go
+++ b/control/supervisor/balance.go
@@ -12,6 +12,9 @@
 const (
 	// holdTime is how long an imbalance must last before shards are moved.
 	holdTime = 5 * time.Second
+	// warmTime is how long a new leader measures loads before they count. Until
+	// then it only fills servers with hardly any shards.
+	warmTime = 2 * loadWindow
 	// movingPart bounds the shards of a service that move at a time, as a part
 	// of all; minMoving is the least bound.
 	movingPart = 64
@@ -57,14 +60,20 @@
 
 func (s *Supervisor) balanceTable(now timer.Instant, t *assigner.Table, batch *batch) {
 	known := s.service(t)
-	loads := balancer.NewLoads(s.serverLoads(t))
+	servers := s.serverLoads(t)
+	listShards := s.shardLister(t, s.service(t).load)
+	if now.Since(s.calm) < warmTime {
+		dropLoads(servers)
+		listShards = s.shardLister(t, make([]float64, t.Size()))
+	}
+	loads := balancer.NewLoads(servers)
 	weights := weightsOf(&t.Service)
 	if !known.isUneven(now, weights, loads.Skew()) || t.Free() > 0 || batch.has("move/"+t.Service.Name) {
 		return
 	}
 	shards := int(t.Service.Shards)
 	limit := min(known.moves.left(now, shards), max(shards/movingPart, minMoving)-t.Moving())
-	moves := loads.Plan(weights, limit, s.shardLister(t))
+	moves := loads.Plan(weights, limit, listShards)
 	if len(moves) == 0 {
 		return
 	}
@@ -72,6 +81,13 @@
 	s.proposeMoves(t, moves, "move/"+t.Service.Name, "balance", batch)
 }
 
+// dropLoads leaves only the number of shards to tell servers apart.
+func dropLoads(servers []balancer.ServerLoad) {
+	for n := range servers {
+		servers[n].Load = 0
+	}
+}
+
 // isUneven decides whether shards are to be moved: an imbalance must have lasted
 // for holdTime before moves start.
 func (k *service) isUneven(now timer.Instant, weights balancer.Weights, skew balancer.Skew) bool {
@@ -122,17 +138,16 @@
 }
 
 // shardLister returns a function that lists the shards of a session that can be
-// moved. It reads the table once.
-func (s *Supervisor) shardLister(t *assigner.Table) func(session uint64) []balancer.ShardLoad {
+// moved, with their loads. It reads the table once.
+func (s *Supervisor) shardLister(t *assigner.Table, loads []float64) func(session uint64) []balancer.ShardLoad {
 	var owned map[uint64][]balancer.ShardLoad
-	known := s.service(t)
 	return func(session uint64) []balancer.ShardLoad {
 		if owned == nil {
 			owned = make(map[uint64][]balancer.ShardLoad)
 			for number := range t.Size() {
 				cell := t.Ownership(number)
 				if cell.Phase == messenger.PhaseOwned && !cell.Recovering {
-					owned[cell.Owner] = append(owned[cell.Owner], balancer.ShardLoad{Shard: number, Load: known.load[number]})
+					owned[cell.Owner] = append(owned[cell.Owner], balancer.ShardLoad{Shard: number, Load: loads[number]})
 				}
 			}
 		}
--- a/control/supervisor/explain.go
+++ b/control/supervisor/explain.go
@@ -31,6 +31,7 @@
 		Phase:   phaseNames[row.Phase],
 		Fence:   row.Fence,
 		Since:   t.Ownership(number).Since,
+		Why:     t.Ownership(number).Cause.String(),
 		History: s.historyOf(question.Service, number),
 	}
 	if len(explanation.History) > 0 {
--- a/control/supervisor/policy_test.go
+++ b/control/supervisor/policy_test.go
@@ -188,6 +188,20 @@
 	t.Logf("%.2f of a mean server's work with %d of 1024 shards", part, len(joined.owned()))
 }
 
+func TestNewLeaderMovesNothingForLackOfMeasurements(t *testing.T) {
+	c := newCrowd(t, service(256, 60, 30, 10), 4, 8)
+	c.join()
+	c.serve(3 * time.Minute)
+	settled := c.index
+	c.standing.Term++
+	c.standing.Since = c.now
+	c.serve(3 * time.Minute)
+	qt.Assert(t, c.moves(settled), qt.Equals, 0)
+	clear(c.work)
+	c.serve(4 * time.Minute)
+	qt.Assert(t, c.moves(settled), qt.Equals, 0, qt.Commentf("without load"))
+}
+
 func TestDrainedServerGetsNoNewWork(t *testing.T) {
 	c := newCrowd(t, service(1024, 50, 50, 50), 4, 2)
 	leaving := c.routers[1]
