Replace a leader and a router that hear nothing within the bound

A leader that was cut off for what it receives steps down after 0.7 s, but its followers heard it until then and waited for their election time-outs on top. A router cut off the same way went on renewing its session, over the connection that it could still write to, for up to 1 s although it held no lease. Ruled out: a shorter lease, which would make pauses of VMs cost keys. Change: a leader that steps down tells its followers (Resign), with a turn for each so that votes do not split; a heartbeat says how many went unanswered, and from the second on it renews nothing until an answer was heard (status unheard).

--- a/control/elector/leader.go
+++ b/control/elector/leader.go
@@ -80,7 +80,7 @@
 // tickLeader sends heartbeats and steps down without a majority.
 func (e *Elector) tickLeader() {
 	if e.silence(e.now, monotonic) >= messenger.ElectionTimeMax {
-		e.follow(e.hard.Term, "")
+		e.resign()
 		return
 	}
 	if e.transfer != nil && e.now.Mono >= e.transfer.deadline {
--- a/control/elector/message.go
+++ b/control/elector/message.go
@@ -20,6 +20,7 @@
 	Chunk        *Chunk        `msgpack:",omitempty"`
 	ChunkAnswer  *ChunkAnswer  `msgpack:",omitempty"`
 	Campaign     *Campaign     `msgpack:",omitempty"`
+	Resign       *Resign       `msgpack:",omitempty"`
 	Stranger     *Stranger     `msgpack:",omitempty"`
 }
 
@@ -91,5 +92,12 @@
 // Campaign tells a follower to take over leadership at once.
 type Campaign struct{}
 
+// Resign tells the followers that the leader of the term has stepped down, so
+// they need not wait before they elect another.
+type Resign struct {
+	// Rank is the receiver's turn to be a candidate, from 0.
+	Rank int
+}
+
 // Stranger tells a replica that the group knows it under another identity.
 type Stranger struct{}
--- a/control/elector/receive.go
+++ b/control/elector/receive.go
@@ -33,6 +33,8 @@
 		e.receiveAppendAnswer(message, *message.AppendAnswer)
 	case message.ChunkAnswer != nil:
 		e.receiveChunkAnswer(message, *message.ChunkAnswer)
+	case message.Resign != nil:
+		e.receiveResign(message)
 	case message.Campaign != nil:
 		e.receiveCampaign(message)
 	}
--- a/control/supervisor/counters.go
+++ b/control/supervisor/counters.go
@@ -24,11 +24,7 @@
 		sessions:   set.GetOrCreateGauge("marigold_control_sessions", nil),
 		heartbeats: make(map[messenger.HeartbeatStatus]*metrics.Counter),
 	}
-	statuses := []messenger.HeartbeatStatus{
-		messenger.HeartbeatAlive, messenger.HeartbeatRedirect, messenger.HeartbeatUnconfirmed,
-		messenger.HeartbeatExpired, messenger.HeartbeatWait,
-	}
-	for _, status := range statuses {
+	for _, status := range messenger.HeartbeatStatuses() {
 		c.heartbeats[status] = set.GetOrCreateCounter(`marigold_control_heartbeats_total{reason="` + string(status) + `"}`)
 	}
 	return c
--- a/control/supervisor/heartbeat.go
+++ b/control/supervisor/heartbeat.go
@@ -35,6 +35,9 @@
 	if known.closing {
 		return messenger.HeartbeatExpired
 	}
+	if beat.Unanswered > messenger.UnansweredMax {
+		return messenger.HeartbeatUnheard
+	}
 	known.heard = now
 	if known.take(beat) {
 		s.takeLoads(known, beat)
--- a/kernel/messenger/session.go
+++ b/kernel/messenger/session.go
@@ -15,6 +15,9 @@
 	ElectionTimeMin = 450 * time.Millisecond
 	// ElectionTimeMax is the longest election time-out.
 	ElectionTimeMax = 700 * time.Millisecond
+	// UnansweredMax is how many heartbeats in a row may go without an answer
+	// before the next one renews nothing.
+	UnansweredMax = 1
 	// ReplicaInterval is the time between two heartbeats of a control leader.
 	ReplicaInterval = 75 * time.Millisecond
 )
@@ -95,6 +98,8 @@
 	// Stalled is the number of background requests waiting longer than half
 	// their deadline.
 	Stalled int
+	// Unanswered is how many heartbeats went out since an answer came in.
+	Unanswered int
 	// Leaving says that the process is shutting down and wants to give its
 	// shards away.
 	Leaving bool
@@ -113,6 +118,10 @@
 	HeartbeatRedirect HeartbeatStatus = "redirect"
 	// HeartbeatUnconfirmed means that the leader cannot confirm that it leads.
 	HeartbeatUnconfirmed HeartbeatStatus = "unconfirmed"
+	// HeartbeatUnheard means that the answers before were lost, so the lease is
+	// not renewed until the router has heard one: a router that can be heard
+	// but hears nothing must not keep its shards.
+	HeartbeatUnheard HeartbeatStatus = "unheard"
 	// HeartbeatExpired means that the session is closed; open a new one.
 	HeartbeatExpired HeartbeatStatus = "expired"
 	// HeartbeatWait means that the session of an earlier instance must lapse
@@ -120,6 +129,13 @@
 	HeartbeatWait HeartbeatStatus = "wait"
 )
 
+// HeartbeatStatuses lists all ways, for counters.
+func HeartbeatStatuses() []HeartbeatStatus {
+	return []HeartbeatStatus{
+		HeartbeatAlive, HeartbeatRedirect, HeartbeatUnconfirmed, HeartbeatUnheard, HeartbeatExpired, HeartbeatWait,
+	}
+}
+
 // HeartbeatAnswer answers a Heartbeat. The router extends its lease only after
 // it applied Delta, and only when Status is alive.
 type HeartbeatAnswer struct {
--- a/router/keeper/core.go
+++ b/router/keeper/core.go
@@ -26,6 +26,8 @@
 
 	sequence uint64
 	pending  *attempt
+	// unanswered is how many heartbeats went out since an answer came in.
+	unanswered int
 }
 
 // attempt is a heartbeat that was sent and not answered yet.
@@ -62,6 +64,7 @@
 	if address == "" {
 		address = c.members[c.target%len(c.members)]
 	}
+	c.unanswered++
 	c.pending = &attempt{sequence: c.sequence, session: c.session, sent: now, address: address}
 	return *c.pending
 }
@@ -138,6 +141,7 @@
 		before.reason = "late"
 		return before
 	}
+	c.unanswered = 0
 	pending := *c.pending
 	if before.lapsed != 0 || pending.session != c.session {
 		c.pending = nil
@@ -183,6 +187,9 @@
 	case messenger.HeartbeatUnconfirmed:
 		before.reason = "unconfirmed"
 		c.rotate()
+	case messenger.HeartbeatUnheard:
+		before.reason = "unheard"
+		before.send = c.tries <= len(c.members)
 	case messenger.HeartbeatWait:
 		before.reason = "wait"
 	case messenger.HeartbeatExpired:
--- a/router/keeper/keeper.go
+++ b/router/keeper/keeper.go
@@ -226,6 +226,7 @@
 		Region:   k.settings.Region,
 	}
 	k.options.Steward.Report(timer.Now(), k.core.session, heartbeat)
+	heartbeat.Unanswered = k.core.unanswered
 	attempt := k.core.begin(timer.Now())
 	heartbeat.Sequence = attempt.sequence
 	k.count("sent")
