Refuse a data folder whose log was lost

Cause: a folder that held only its identity was taken for one whose first start was cut short, so a replica without its log and its vote rejoined under its old identity. Change: the first log file is written before the identity, so an identity without a log is damage. The simulation's test is split in two files. Before and after: opened with an empty log before; ErrCorrupt with the path now.

--- /dev/null
+++ b/control/elector/node_test.go
@@ -0,0 +1,242 @@
+package elector_test
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"marigoldhill/control/elector"
+	"marigoldhill/kernel/timer"
+)
+
+// stored is what lasts on the disk of a node.
+type stored struct {
+	hard     elector.HardState
+	snapshot *elector.Snapshot
+	entries  []elector.Entry
+}
+
+// write is a write that is not synced yet, with the messages that wait for it.
+type write struct {
+	effects elector.Effects
+	due     time.Duration
+}
+
+// node is one VM with an elector and a machine that chains checksums.
+type node struct {
+	sim         *simulation
+	name        string
+	incarnation uint64
+	join        bool
+	core        *elector.Elector
+	up          bool
+	frozen      time.Duration // frozen until then, in real time
+	suspended   bool          // the monotonic clock stops while frozen
+	clock       timer.Instant
+	rate        float64 // of its clocks, 1 is exact
+	nextTick    time.Duration
+	disk        stored
+	writes      []write
+	applied     uint64
+	chain       uint64
+	sinceSnap   int
+	syncTime    time.Duration
+	// fatal takes an expected fatal error.
+	fatal func(error)
+}
+
+// advance moves the clocks of a node, finishes its writes and ticks it.
+func (n *node) advance() {
+	if !n.up {
+		return
+	}
+	passed := time.Duration(float64(step) * n.rate)
+	n.clock.Wall += passed
+	if n.frozen > n.sim.now {
+		if !n.suspended {
+			n.clock.Mono += passed
+		}
+		return
+	}
+	n.clock.Mono += passed
+	n.sync()
+	if n.clock.Mono >= n.nextTick {
+		n.nextTick = n.clock.Mono + tickTime
+		n.step(elector.Tick{})
+	}
+}
+
+// sync finishes the writes that are due.
+func (n *node) sync() {
+	for n.up && len(n.writes) > 0 && n.writes[0].due <= n.sim.now {
+		w := n.writes[0]
+		n.writes = n.writes[1:]
+		n.disk.store(w.effects)
+		n.post(w.effects.After)
+		n.step(elector.Synced{Write: w.effects.Write})
+	}
+}
+
+// step steps the elector and carries out the effects.
+func (n *node) step(event elector.Event) {
+	effects := n.core.Step(n.clock, event)
+	if effects.Fatal != nil && n.fatal != nil {
+		n.fatal(effects.Fatal)
+		return
+	}
+	if effects.Fatal != nil {
+		n.sim.fail("%s: %v", n.name, effects.Fatal)
+	}
+	n.checkLeader()
+	n.checkCommitTerm(effects)
+	n.post(effects.Before)
+	switch {
+	case effects.Save != nil || effects.Snapshot != nil || len(effects.Append) > 0,
+		len(n.writes) > 0 && len(effects.After) > 0:
+		n.writes = append(n.writes, write{effects: effects, due: n.sim.now + n.syncTime})
+	default:
+		n.post(effects.After)
+	}
+	if effects.Install {
+		n.restore(*effects.Snapshot)
+	}
+	for _, entry := range effects.Committed {
+		n.apply(entry)
+	}
+	n.compactIfDue()
+}
+
+// post sends messages, after a check that a vote given is on the disk.
+func (n *node) post(messages []elector.Message) {
+	for _, message := range messages {
+		if a := message.VoteAnswer; a != nil && a.Granted && !a.Pre {
+			hard := n.disk.hard
+			if hard.Term < a.Term || (hard.Term == a.Term && hard.Vote != message.To) {
+				n.sim.fail("%s gave a vote in term %d that is not on its disk", n.name, a.Term)
+			}
+		}
+		n.sim.post(message)
+	}
+}
+
+// checkLeader checks that each term has one leader.
+func (n *node) checkLeader() {
+	view := n.core.View()
+	if view.Role != elector.Leader {
+		return
+	}
+	if other, ok := n.sim.leaders[view.Term]; ok && other != n.name {
+		n.sim.fail("%s and %s both lead term %d", other, n.name, view.Term)
+	}
+	n.sim.leaders[view.Term] = n.name
+	if own := (elector.HardState{Term: view.Term, Vote: n.name}); n.disk.hard != own {
+		n.sim.fail("%s leads term %d without its own vote on its disk", n.name, view.Term)
+	}
+}
+
+// checkCommitTerm checks that a leader commits up to an entry of its own term:
+// older ones alone may be overwritten though a majority has them.
+func (n *node) checkCommitTerm(effects elector.Effects) {
+	view := n.core.View()
+	if count := len(effects.Committed); count > 0 && view.Role == elector.Leader {
+		if last := effects.Committed[count-1]; last.Term != view.Term {
+			n.sim.fail("%s commits an entry of term %d in term %d", n.name, last.Term, view.Term)
+		}
+	}
+}
+
+// apply applies an entry and compares it with what others applied there.
+func (n *node) apply(entry elector.Entry) {
+	if entry.Index != n.applied+1 {
+		n.sim.fail("%s applies %d after %d", n.name, entry.Index, n.applied)
+	}
+	n.applied = entry.Index
+	n.chain = link(n.chain, entry)
+	n.sinceSnap++
+	agreed := committed{term: entry.Term, chain: n.chain}
+	if entry.Index == uint64(len(n.sim.log)) {
+		n.sim.log = append(n.sim.log, agreed)
+		n.checkSynced(entry)
+		return
+	}
+	if n.sim.log[entry.Index] != agreed {
+		n.sim.fail("%s applies another entry at %d", n.name, entry.Index)
+	}
+}
+
+// checkSynced checks that a majority has an entry on its disk when it is first
+// committed.
+func (n *node) checkSynced(entry elector.Entry) {
+	group := n.core.View().Group
+	synced := 0
+	for _, other := range n.sim.nodes {
+		if group.Has(other.name) && other.disk.has(entry) {
+			synced++
+		}
+	}
+	if synced < group.Majority() {
+		n.sim.fail("%s commits %d, which %d of %d have synced", n.name, entry.Index, synced, len(group.Members))
+	}
+}
+
+func link(chain uint64, entry elector.Entry) uint64 {
+	data := binary.BigEndian.AppendUint64(nil, chain)
+	data = binary.BigEndian.AppendUint64(data, entry.Index)
+	return xxhash.Sum64(append(data, entry.Data...))
+}
+
+// compactIfDue takes a snapshot of the machine: its chain.
+func (n *node) compactIfDue() {
+	if n.sinceSnap < compactEvery {
+		return
+	}
+	n.sinceSnap = 0
+	n.step(elector.Compact{Index: n.applied, Data: n.snapshot()})
+}
+
+// snapshot is the chain, with padding.
+func (n *node) snapshot() []byte {
+	data := binary.BigEndian.AppendUint64(nil, n.chain)
+	return append(data, make([]byte, n.sim.padding)...)
+}
+
+func (n *node) restore(snapshot elector.Snapshot) {
+	if snapshot.Index < n.applied {
+		n.sim.fail("%s goes back from %d to %d", n.name, n.applied, snapshot.Index)
+	}
+	n.applied = snapshot.Index
+	n.chain = binary.BigEndian.Uint64(snapshot.Data)
+	n.sinceSnap = 0
+	if n.sim.log[n.applied].chain != n.chain {
+		n.sim.fail("%s has another state at %d", n.name, n.applied)
+	}
+}
+
+// store is what a synced write leaves on the disk.
+func (d *stored) store(effects elector.Effects) {
+	if effects.Snapshot != nil {
+		d.snapshot = effects.Snapshot
+		d.entries = slices.Clone(effects.Tail)
+	}
+	if effects.Save != nil {
+		d.hard = *effects.Save
+	}
+	for _, entry := range effects.Append {
+		if len(d.entries) > 0 {
+			d.entries = d.entries[:entry.Index-d.entries[0].Index]
+		}
+		d.entries = append(d.entries, entry)
+	}
+}
+
+// has reports whether an entry is on the disk, in the log or in a snapshot.
+func (d *stored) has(entry elector.Entry) bool {
+	if d.snapshot != nil && entry.Index <= d.snapshot.Index {
+		return true
+	}
+	return slices.ContainsFunc(d.entries, func(e elector.Entry) bool {
+		return e.Index == entry.Index && e.Term == entry.Term
+	})
+}
--- a/control/journaler/files.go
+++ b/control/journaler/files.go
@@ -116,11 +116,10 @@
 		"and add it again as a new member): %w", path, err)
 }
 
-// loadLog reads the newest log file and opens it for appending, or starts the
-// first one.
+// loadLog reads the newest log file and opens it for appending.
 func (j *Journal) loadLog(found *files, stored *Stored) error {
 	if len(found.logs) == 0 {
-		return j.loadNoLog(stored)
+		return corrupt(j.folder, Error.New("%w: the log is missing", ErrCorrupt))
 	}
 	j.number = found.logs[len(found.logs)-1]
 	j.path = filepath.Join(j.folder, numbered(logPrefix, j.number))
@@ -142,14 +141,6 @@
 	return nil
 }
 
-// loadNoLog starts the first log file. A folder that has a snapshot had a log.
-func (j *Journal) loadNoLog(stored *Stored) error {
-	if stored.Snapshot != nil {
-		return corrupt(j.folder, Error.New("%w: the log is missing", ErrCorrupt))
-	}
-	return j.startLog(&Record{Save: &elector.HardState{}})
-}
-
 // reopen cuts a torn last record and opens the log file for appending.
 func (j *Journal) reopen(log *Log, size int) error {
 	if log.Length < size {
--- a/control/journaler/identity.go
+++ b/control/journaler/identity.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"marigoldhill/control/elector"
 	"marigoldhill/kernel/messenger"
 )
 
@@ -26,16 +27,52 @@
 	Join bool
 }
 
-// loadIdentity reads the identity, or writes the wanted one to an empty folder.
-func (j *Journal) loadIdentity(names []string, wanted Identity) (*Identity, error) {
-	path := filepath.Join(j.folder, identityName)
-	if !slices.Contains(names, identityName) {
-		if slices.ContainsFunc(names, isState) {
-			return nil, Error.New("%w: %s is missing, but the log is there "+
-				"(restore the whole folder, or empty it and join as a new member)", ErrCorrupt, path)
-		}
-		return &wanted, j.writeFile(identityName, &wanted)
+// found starts the log of a new replica and then gives the folder its identity.
+// In this order a folder with an identity always has a log, so that one whose log
+// was lost is never taken for a new one.
+func (j *Journal) found(names []string, wanted Identity) (*Stored, error) {
+	if slices.ContainsFunc(names, isState) && !j.isUnused(names) {
+		return nil, Error.New("%w: %s is missing, but the log is there "+
+			"(restore the whole folder, or empty it and join as a new member)",
+			ErrCorrupt, filepath.Join(j.folder, identityName))
+	}
+	if err := j.startLog(&Record{Save: &elector.HardState{}}); err != nil {
+		return nil, err
+	}
+	if err := j.writeFile(identityName, &wanted); err != nil {
+		return nil, err
+	}
+	return &Stored{Identity: wanted}, nil
+}
+
+// isUnused reports whether all that a folder holds is the first log file as it
+// was started, which a crash before the identity was written leaves behind.
+func (j *Journal) isUnused(names []string) bool {
+	first := numbered(logPrefix, 1)
+	other := func(name string) bool {
+		return isState(name) && name != first && name != first+unfinished
+	}
+	if slices.ContainsFunc(names, other) {
+		return false
 	}
+	if !slices.Contains(names, first) {
+		return true
+	}
+	data, err := j.disk.Read(filepath.Join(j.folder, first))
+	if err != nil {
+		return false
+	}
+	log, err := ReadLog(data)
+	if err != nil || len(log.Records) != 1 || log.Length != len(data) {
+		return false
+	}
+	record := log.Records[0]
+	return record.Save != nil && *record.Save == elector.HardState{} && len(record.Entries) == 0
+}
+
+// loadIdentity reads the identity.
+func (j *Journal) loadIdentity(wanted Identity) (*Identity, error) {
+	path := filepath.Join(j.folder, identityName)
 	data, err := j.disk.Read(path)
 	if err != nil {
 		return nil, Error.New("reading %s: %w", path, err)
--- a/control/journaler/journaler.go
+++ b/control/journaler/journaler.go
@@ -27,6 +27,7 @@
 import (
 	"io"
 	"path/filepath"
+	"slices"
 
 	"github.com/zeebo/errs"
 
@@ -113,7 +114,10 @@
 }
 
 func (j *Journal) load(names []string, wanted Identity) (*Stored, error) {
-	identity, err := j.loadIdentity(names, wanted)
+	if !slices.Contains(names, identityName) {
+		return j.found(names, wanted)
+	}
+	identity, err := j.loadIdentity(wanted)
 	if err != nil {
 		return nil, err
 	}
--- a/control/journaler/journaler_test.go
+++ b/control/journaler/journaler_test.go
@@ -211,6 +211,13 @@
 		{"locked", func(d *memoryDisk) { d.locked = true }, identity, journaler.ErrLocked},
 		{"identity lost", func(d *memoryDisk) { delete(d.names, "data/identity") }, identity, journaler.ErrCorrupt},
 		{"identity damaged", func(d *memoryDisk) { d.names["data/identity"].data[40] ^= 1 }, identity, journaler.ErrCorrupt},
+		{"only the identity is left", func(d *memoryDisk) {
+			for path := range d.names {
+				if path != "data/identity" {
+					delete(d.names, path)
+				}
+			}
+		}, identity, journaler.ErrCorrupt},
 		{"log lost", func(d *memoryDisk) { delete(d.names, "data/log-00000000000000000003") }, identity, journaler.ErrCorrupt},
 		{"snapshot lost", func(d *memoryDisk) { delete(d.names, "data/snapshot-00000000000000000020") }, identity, journaler.ErrCorrupt},
 	}
