--- a/control/elector/elector.go
+++ b/control/elector/elector.go
@@ -61,10 +61,13 @@
 	// CatchUpTime is how long a new member may take to catch up without any
 	// progress.
 	CatchUpTime = 5 * time.Second
-	// retryTimeMin and retryTimeMax bound the random wait before a candidate
-	// asks again.
-	retryTimeMin = 100 * time.Millisecond
-	retryTimeMax = 250 * time.Millisecond
+	// preRetryMin and preRetryMax bound the random wait before a candidate asks
+	// again whether it would get votes.
+	preRetryMin = 30 * time.Millisecond
+	preRetryMax = 120 * time.Millisecond
+	// retryMin and retryMax bound the random wait for votes.
+	retryMin = 100 * time.Millisecond
+	retryMax = 200 * time.Millisecond
 	// maxAppendBytes bounds the entries of one message, but for the first.
 	maxAppendBytes = 512 << 10
 	// maxInflight is how many entries may be sent ahead of their answers.
@@ -124,7 +127,11 @@
 
 	votes     map[string]bool
 	voteWrite uint64
-	forced    bool
+	// asked is when the votes were asked for, on the monotonic clock.
+	asked  time.Duration
+	forced bool
+	// attempts counts how often votes were asked for since a leader was heard.
+	attempts int
 
 	since    timer.Instant
 	ready    bool
@@ -245,12 +252,12 @@
 
 // waitForLeader starts a new randomised election time-out.
 func (e *Elector) waitForLeader() {
-	span := messenger.ElectionTimeMax - messenger.ElectionTimeMin
-	e.deadline = e.now.Mono + messenger.ElectionTimeMin + e.random(span)
+	e.deadline = e.now.Mono + e.between(messenger.ElectionTimeMin, messenger.ElectionTimeMax)
 }
 
-func (e *Elector) random(span time.Duration) time.Duration {
-	return time.Duration(e.config.Rand.Int64N(int64(span)))
+// between is a random time from shortest to longest.
+func (e *Elector) between(shortest, longest time.Duration) time.Duration {
+	return shortest + time.Duration(e.config.Rand.Int64N(int64(longest-shortest)))
 }
 
 // follow makes this replica a follower in term; leader may be empty.
--- a/control/elector/event.go
+++ b/control/elector/event.go
@@ -112,6 +112,7 @@
 	RefusalStaleTerm Refusal = "stale_term"
 	RefusalWithheld  Refusal = "vote_withheld"
 	RefusalVoted     Refusal = "voted"
+	RefusalRival     Refusal = "rival"
 	RefusalOldLog    Refusal = "old_log"
 	RefusalMismatch  Refusal = "log_mismatch"
 	RefusalSnapshot  Refusal = "snapshot"
--- a/control/elector/promise_test.go
+++ b/control/elector/promise_test.go
@@ -144,6 +144,19 @@
 	}
 }
 
+// TestSlowDisks elects a leader though each sync takes longer than a candidate
+// waits for votes over a fast disk.
+func TestSlowDisks(t *testing.T) {
+	s := newSimulation(t, *firstSeed, 5)
+	for _, n := range s.nodes {
+		n.syncTime = 600 * time.Millisecond
+	}
+	s.run(10 * time.Second)
+	if s.leader() == nil {
+		s.fail("no leader, terms %v", s.leaders)
+	}
+}
+
 // TestNoChangeBeforeCommit asks a new leader to remove a member before it has
 // committed an entry of its term.
 func TestNoChangeBeforeCommit(t *testing.T) {
--- a/control/elector/receive.go
+++ b/control/elector/receive.go
@@ -100,6 +100,7 @@
 func (e *Elector) followLeader(message Message) {
 	e.follow(message.Term, message.From)
 	e.heard = e.now
+	e.attempts = 0
 	e.waitForLeader()
 }
 
--- a/control/elector/vote.go
+++ b/control/elector/vote.go
@@ -7,10 +7,12 @@
 func (e *Elector) campaign(pre bool) {
 	e.leader = ""
 	e.votes = make(map[string]bool)
-	e.deadline = e.now.Mono + retryTimeMin + e.random(retryTimeMax-retryTimeMin)
+	e.asked = e.now.Mono
 	vote := Vote{Pre: pre, LastIndex: e.log.last(), LastTerm: e.log.lastTerm(), Forced: e.forced}
 	if pre {
 		e.role = PreCandidate
+		e.attempts++
+		e.deadline = e.now.Mono + e.between(preRetryMin, preRetryMax)
 		vote.Term = e.hard.Term + 1
 		e.askForVotes(vote, e.send)
 		e.countVote(e.config.Name, vote.Term)
@@ -34,11 +36,16 @@
 	}
 }
 
-// countOwnVote counts the vote of a candidate for itself, once it is synced.
+// countOwnVote counts the vote of a candidate for itself, once it is synced. The
+// others must sync theirs as well, so the wait for them grows with the time that
+// it took.
 func (e *Elector) countOwnVote(synced uint64) {
-	if synced >= e.voteWrite {
-		e.countVote(e.config.Name, e.hard.Term)
+	if synced < e.voteWrite || e.votes[e.config.Name] {
+		return
 	}
+	took := e.now.Mono - e.asked
+	e.deadline = e.now.Mono + 2*took + e.between(retryMin, retryMax)
+	e.countVote(e.config.Name, e.hard.Term)
 }
 
 // receiveVote answers a request for a vote.
@@ -52,6 +59,8 @@
 	}
 	answer.Granted = true
 	if vote.Pre {
+		// Gives the candidate time to be elected before a rival asks.
+		e.deadline = max(e.deadline, e.now.Mono+preRetryMin)
 		e.send(candidate, Message{VoteAnswer: &answer})
 		return
 	}
@@ -78,6 +87,9 @@
 	if vote.Term == e.hard.Term && e.role == Leader {
 		return RefusalVoted, false
 	}
+	if vote.Pre && e.precedes(candidate, vote) {
+		return RefusalRival, false
+	}
 	if vote.LastTerm < e.log.lastTerm() ||
 		(vote.LastTerm == e.log.lastTerm() && vote.LastIndex < e.log.last()) {
 		e.adoptTerm(vote)
@@ -86,6 +98,16 @@
 	return "", true
 }
 
+// precedes reports whether this replica asks for votes itself for the first time
+// since it heard a leader, and comes before candidate by name. Of two that ask at
+// once only one goes on, so that they do not split the votes. From the second
+// time on it gives way, since it may be cut off from voters that the other
+// reaches.
+func (e *Elector) precedes(candidate string, vote Vote) bool {
+	equal := vote.LastTerm == e.log.lastTerm() && vote.LastIndex == e.log.last()
+	return equal && e.role == PreCandidate && e.attempts == 1 && e.config.Name < candidate
+}
+
 // adoptTerm follows a newer term of a candidate that does not get the vote.
 func (e *Elector) adoptTerm(vote Vote) {
 	if !vote.Pre && vote.Term > e.hard.Term {
@@ -113,7 +135,7 @@
 	if message.Term > e.hard.Term && !answer.Granted {
 		deadline := e.deadline
 		e.follow(message.Term, "")
-		e.deadline = min(deadline, e.now.Mono+retryTimeMax)
+		e.deadline = min(deadline, e.now.Mono+preRetryMax)
 		return
 	}
 	if !answer.Granted || answer.Pre != (e.role == PreCandidate) {
