--- a/control/elector/fault_test.go
+++ b/control/elector/fault_test.go
@@ -279,6 +279,36 @@
 	}
 }
 
+// TestSnapshotPartsAreSentOnce counts the parts of a large snapshot: but for one
+// more at each heartbeat, each is sent once.
+func TestSnapshotPartsAreSentOnce(t *testing.T) {
+	const parts = 100
+	s := newSimulation(t, *firstSeed, 3)
+	s.padding = parts*elector.ChunkBytes - 8
+	s.run(2 * time.Second)
+	behind := s.nodes[0]
+	if behind == s.leader() {
+		behind = s.nodes[1]
+	}
+	s.isolate(behind)
+	for range 2 * compactEvery {
+		s.propose()
+		s.run(5 * time.Millisecond)
+	}
+	sent := 0
+	s.hold = func(message elector.Message) bool {
+		if message.Chunk != nil {
+			sent++
+		}
+		return false
+	}
+	clear(s.cut)
+	s.checkConverged()
+	if sent < parts || sent > parts*3/2 {
+		s.fail("%d parts were sent, the snapshot has %d", sent, parts)
+	}
+}
+
 // TestSnapshotInParts lets a follower catch up by a snapshot of several parts
 // over a network that loses some.
 func TestSnapshotInParts(t *testing.T) {
--- a/control/elector/peer.go
+++ b/control/elector/peer.go
@@ -20,6 +20,8 @@
 	// arrived.
 	sending *Snapshot
 	offset  int
+	// sent is when the newest part was sent.
+	sent timer.Instant
 }
 
 func newPeer(last uint64, now timer.Instant) *peer {
--- a/control/elector/snapshot.go
+++ b/control/elector/snapshot.go
@@ -55,6 +55,7 @@
 		return
 	}
 	p.waiting = true
+	p.sent = e.now
 	snapshot := p.sending
 	end := min(p.offset+ChunkBytes, len(snapshot.Data))
 	e.send(name, Message{Chunk: &Chunk{
@@ -130,6 +131,11 @@
 	if p.sending == nil || p.sending.Index != answer.Index || p.next > e.log.anchorIndex {
 		return
 	}
+	// A part that was sent again is answered twice. Only one answer may lead to
+	// the next part, or each heartbeat would start another sequence of parts.
+	if answer.Offset <= p.offset && answer.Sent != p.sent {
+		return
+	}
 	p.offset = min(answer.Offset, len(p.sending.Data))
 	p.waiting = false
 	if e.change.catchesUp(message.From) {
