Measure requests at several rates and heartbeats over a link

Cause: the capacity page needs the cost of a whole request and of a heartbeat with its transport; the benchmarks so far measure the parts. Change: BenchmarkRequests (processor time a second, p50 and p99 at four rates) and BenchmarkCall; the matrix can write its summary for docs/FAULTS.md.

--- a/bench/launcher/slope_test.go
+++ b/bench/launcher/slope_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"marigoldhill/bench/launcher"
+	"marigoldhill/bench/loader"
 	"marigoldhill/kernel/networker"
 )
 
@@ -110,3 +111,55 @@
 		})
 	}
 }
+
+// requestTime is how long requests are sent at one rate.
+const requestTime = 5 * time.Second
+
+// BenchmarkRequests is what requests cost at several rates, for entry, owner,
+// stand-in server and caller together in one process over loopback, and their
+// latency from when they were due.
+func BenchmarkRequests(b *testing.B) {
+	for _, rate := range []int{500, 1000, 2000, 4000} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			plan, err := launcher.Playground()
+			qt.Assert(b, err, qt.IsNil)
+			settings := launcher.Defaults(plan, b.TempDir())
+			settings.Port = slopePort
+			settings.Server.Work = 0
+			settings.Server.Slots = 64
+			cluster, err := launcher.New(settings)
+			qt.Assert(b, err, qt.IsNil)
+			qt.Assert(b, cluster.Start(b.Context()), qt.IsNil)
+			time.Sleep(idleTime / 2)
+			var routers []string
+			for _, node := range cluster.Routers {
+				routers = append(routers, node.Process().CallerURL())
+			}
+			load := loader.Settings{
+				Routers: routers, Service: "findings", Rate: float64(rate), Count: 1 << 20, Duration: requestTime,
+				Keys: 1000, Skew: 1.1, Kinds: []loader.Kind{{Name: "findings", Method: "GET", Route: "findings", Weight: 1}},
+				Flight: 256, Timeout: 5 * time.Second, Seed: 1,
+			}
+			var processor time.Duration
+			var last loader.Report
+			for b.Loop() {
+				before := processorTime()
+				report, err := loader.Run(b.Context(), load, networker.TCP{})
+				qt.Assert(b, err, qt.IsNil)
+				processor += processorTime() - before
+				last = report
+			}
+			b.ReportMetric(processor.Seconds()*1e3/(requestTime.Seconds()*float64(b.N)), "ms-processor/s")
+			reportLatency(b, last)
+			qt.Assert(b, cluster.Stop(context.WithoutCancel(b.Context())), qt.IsNil)
+		})
+	}
+}
+
+// reportLatency reports the latencies of all kinds together.
+func reportLatency(b *testing.B, report loader.Report) {
+	for _, latency := range report.Latencies {
+		b.ReportMetric(float64(latency.P50.Microseconds())/1e3, "p50-ms")
+		b.ReportMetric(float64(latency.P99.Microseconds())/1e3, "p99-ms")
+	}
+}
--- a/bench/matrix/matrix_test.go
+++ b/bench/matrix/matrix_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"flag"
+	"os"
 	"testing"
 	"testing/synctest"
 
@@ -11,6 +12,7 @@
 
 var (
 	every   = flag.Int("every", 24, "run each cell whose place is a multiple of this; 1 runs all")
+	report  = flag.String("report", "", "write a summary in Markdown to this file")
 	verbose = flag.Bool("log", false, "print the log lines of all processes of failing cells")
 )
 
@@ -32,6 +34,8 @@
 // TestMatrix runs every fault at every step. "make matrix" runs all cells, a
 // plain run a fixed part of them.
 func TestMatrix(t *testing.T) {
+	var summary Report
+	t.Cleanup(func() { writeReport(t, &summary) })
 	for i, cell := range Cells() {
 		if i%*every != 0 {
 			continue
@@ -39,6 +43,7 @@
 		t.Run(cell.Name(), func(t *testing.T) {
 			t.Parallel()
 			verdict := runCell(t, cell)
+			summary.Add(cell, verdict)
 			for _, violation := range verdict.Violations {
 				t.Errorf("seed %d, %+v: %s", cell.Seed(), verdict.Target, violation)
 			}
@@ -47,3 +52,14 @@
 		})
 	}
 }
+
+// writeReport writes the summary when it was asked for.
+func writeReport(t *testing.T, summary *Report) {
+	if *report == "" {
+		return
+	}
+	file, err := os.Create(*report)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, summary.Write(file), qt.IsNil)
+	qt.Check(t, file.Close(), qt.IsNil)
+}
--- a/control/receiver/receiver_test.go
+++ b/control/receiver/receiver_test.go
@@ -33,7 +33,7 @@
 }
 
 // dial serves replica on a loopback address and returns a pool that reaches it.
-func dial(t *testing.T, replica *fakeReplica) (*linker.Pool, string) {
+func dial(t testing.TB, replica *fakeReplica) (*linker.Pool, string) {
 	hello := func(role messenger.Role) messenger.Hello {
 		return messenger.Hello{Cluster: "test", Version: messenger.Version, Role: role, Name: "x"}
 	}
--- /dev/null
+++ b/control/receiver/slope_test.go
@@ -0,0 +1,39 @@
+package receiver_test
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/messenger"
+)
+
+// BenchmarkCall is a heartbeat with its loads over loopback, both ends in one
+// process, without the state machine.
+func BenchmarkCall(b *testing.B) {
+	for _, loads := range []int{0, 16, 32, 64} {
+		b.Run(fmt.Sprintf("loads=%d", loads), func(b *testing.B) {
+			pool, address := dial(b, &fakeReplica{answer: &messenger.HeartbeatAnswer{Status: messenger.HeartbeatAlive, Session: 5}})
+			beat := messenger.Heartbeat{Router: "r1", Session: 5, Address: "10.0.0.1:7201", Domain: "d1", Region: "one"}
+			for n := range loads {
+				beat.Loads = append(beat.Loads, messenger.ShardLoad{Service: "findings", Shard: uint32(n), Requests: 5, Busy: 1e6})
+			}
+			before := processorSeconds()
+			for b.Loop() {
+				_, err := linker.Call[messenger.Heartbeat, messenger.HeartbeatAnswer](
+					b.Context(), pool, address, messenger.KindHeartbeat, &beat)
+				qt.Assert(b, err, qt.IsNil)
+			}
+			b.ReportMetric((processorSeconds()-before)*1e6/float64(b.N), "us-processor/op")
+		})
+	}
+}
+
+func processorSeconds() float64 {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return float64(usage.Utime.Nano()+usage.Stime.Nano()) / 1e9
+}
