--- a/bench/matrix/arena.go
+++ b/bench/matrix/arena.go
@@ -261,6 +261,17 @@
 	}
 }
 
+// Part cuts a VM off from the others of its kind: a control replica from the
+// other replicas, while routers still reach it, or a router from other routers.
+func (a *Arena) Part(node string) {
+	a.History.AddLoss(node)
+	for _, other := range a.Nodes() {
+		if other != node && IsControl(other) == IsControl(node) {
+			a.World.CutBoth(node, other)
+		}
+	}
+}
+
 // Rejoin ends the isolation of a VM.
 func (a *Arena) Rejoin(node string) {
 	for _, other := range a.Nodes() {
--- a/bench/matrix/fault.go
+++ b/bench/matrix/fault.go
@@ -115,6 +115,9 @@
 		{Name: name + " cut one way, in", Strike: func(_ context.Context, a *Arena, t Target) {
 			a.Isolate(t.at(s), false, true)
 		}},
+		{Name: name + " cut off from its kind", Strike: func(_ context.Context, a *Arena, t Target) {
+			a.Part(t.at(s))
+		}},
 		{Name: name + " fails a sync", Disk: s, Strike: func(ctx context.Context, a *Arena, t Target) {
 			a.History.AddLoss(t.at(s))
 			a.disk(t.at(s)).FailSyncs(true)
