Name the sizes of all benchmarks so that lines can be fitted

Cause: five benchmarks named their size without what it counts, so the fit passed them over. Change: names only. Conclusion: done.

--- a/control/replicator/bench_test.go
+++ b/control/replicator/bench_test.go
@@ -113,7 +113,7 @@
 // so many proposers at once.
 func BenchmarkPropose(b *testing.B) {
 	for _, proposers := range []int{1, 8, 64, 512} {
-		b.Run(fmt.Sprint("proposers-", proposers), func(b *testing.B) {
+		b.Run(fmt.Sprintf("proposers=%d", proposers), func(b *testing.B) {
 			members := freeMembers(b, "a", "b", "c")
 			var replicas []*loopback
 			for _, m := range members {
@@ -148,7 +148,7 @@
 // BenchmarkCatchUp measures how long a new member takes to hold a snapshot.
 func BenchmarkCatchUp(b *testing.B) {
 	for _, megabytes := range []int{1, 4, 16, 64} {
-		b.Run(fmt.Sprintf("%dMB", megabytes), func(b *testing.B) {
+		b.Run(fmt.Sprintf("megabytes=%d", megabytes), func(b *testing.B) {
 			for range b.N {
 				b.StopTimer()
 				members := freeMembers(b, "a", "bb")
--- a/router/forwarder/bench_test.go
+++ b/router/forwarder/bench_test.go
@@ -38,7 +38,7 @@
 // process, so a processor's time is that of both.
 func BenchmarkForward(b *testing.B) {
 	for _, size := range []int{0, 1 << 10, 64 << 10} {
-		b.Run(fmt.Sprint(size), func(b *testing.B) { benchmarkForward(b, size) })
+		b.Run(fmt.Sprintf("body=%d", size), func(b *testing.B) { benchmarkForward(b, size) })
 	}
 }
 
--- a/router/locator/locator_test.go
+++ b/router/locator/locator_test.go
@@ -176,7 +176,7 @@
 // table for each shard.
 func BenchmarkApplyOne(b *testing.B) {
 	for _, shards := range []uint32{1024, 8192, 65536} {
-		b.Run(fmt.Sprint(shards), func(b *testing.B) {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
 			before := heap()
 			table, err := locator.NewTable().Apply(full(1, shards))
 			qt.Assert(b, err, qt.IsNil)
@@ -198,7 +198,7 @@
 // BenchmarkApplyFull applies a whole table.
 func BenchmarkApplyFull(b *testing.B) {
 	for _, shards := range []uint32{1024, 8192, 65536} {
-		b.Run(fmt.Sprint(shards), func(b *testing.B) {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
 			delta := full(1, shards)
 			b.ReportAllocs()
 			for b.Loop() {
