--- a/bench/matrix/arena.go
+++ b/bench/matrix/arena.go
@@ -67,8 +67,9 @@
 	settings.Server.Work = work
 	settings.Server.Watch = arena.watchRun
 	if log != nil {
+		shared := &lockedWriter{out: log}
 		settings.Log = func(role, name string) *logger.Log {
-			return logger.New(log, logger.FormatText, role, name)
+			return logger.New(shared, logger.FormatText, role, name)
 		}
 	}
 	cluster, err := launcher.New(settings)
@@ -79,6 +80,19 @@
 	return arena, nil
 }
 
+// lockedWriter lets the logs of many processes write to one place.
+type lockedWriter struct {
+	mu  sync.Mutex
+	out io.Writer
+}
+
+// Write implements io.Writer.
+func (w *lockedWriter) Write(data []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(data)
+}
+
 // plan is a service with lookups that are idempotent and certificates that are
 // not.
 func plan() launcher.Plan {
