Share one command line between the two kinds of processes

Cause: run, check and version stood twice, and differed: a wrong command line gave 64 from marigold-control and 2 from marigold-router, and neither had a test. Change: kernel/commander, generic over the settings; both programs fill in a value. Before and after: exit code of a wrong command line 64 and 2, now 2 for both, as for the operators' program.

--- a/control/main.go
+++ b/control/main.go
@@ -8,5 +8,5 @@
 )
 
 func main() {
-	os.Exit(commander.Run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(commander.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/kernel/commander/cmd_run.go
@@ -0,0 +1,72 @@
+package commander
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"marigoldhill/kernel/logger"
+	"marigoldhill/kernel/parser"
+)
+
+// cmdRun runs a process until SIGTERM or SIGINT.
+type cmdRun[S any] struct {
+	Settings string `arg:"" type:"path" help:"Path of the settings file."`
+}
+
+// Run is called by kong.
+func (c *cmdRun[S]) Run(program *Program[S], streams *streams) error {
+	settings, err := parser.File[S](c.Settings)
+	if err != nil {
+		return err
+	}
+	found := program.Describe(settings)
+	log := logger.New(streams.err, found.Log, found.Role, found.Name)
+	process, err := program.New(settings, log)
+	if err != nil {
+		return Error.New("putting the process together: %w", err)
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, cancel)
+	if err := program.start(ctx, process); err != nil {
+		log.Emit(logger.ProcessFailed, "error", err)
+		return err
+	}
+	return program.serve(ctx, process)
+}
+
+func (p *Program[S]) start(ctx context.Context, process Process) error {
+	ctx, cancel := context.WithTimeout(ctx, p.StartTime)
+	defer cancel()
+	return process.Start(ctx)
+}
+
+// serve waits until ctx ends or the process can't go on, and stops it.
+func (p *Program[S]) serve(ctx context.Context, process Process) error {
+	var failure error
+	failing, ok := process.(Failing)
+	if ok {
+		failure = await(ctx, failing)
+	} else {
+		<-ctx.Done()
+	}
+	stopping, cancel := context.WithTimeout(context.Background(), p.StopTime)
+	defer cancel()
+	if err := process.Stop(stopping); failure == nil {
+		return err
+	}
+	return Error.New("stopped: %w", failure)
+}
+
+// await returns why a process can't go on, or nil when ctx ended first.
+func await(ctx context.Context, process Failing) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-process.Failed():
+		return process.Err()
+	}
+}
--- /dev/null
+++ b/kernel/commander/commander_test.go
@@ -0,0 +1,77 @@
+package commander_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/kernel/commander"
+	"marigoldhill/kernel/logger"
+)
+
+type settings struct {
+	Name string `yaml:"name"`
+}
+
+// doomed is a process that starts and finds at once that it can't go on.
+type doomed struct{ stopped *bool }
+
+func (d doomed) Start(context.Context) error { return nil }
+
+func (d doomed) Stop(context.Context) error {
+	*d.stopped = true
+	return nil
+}
+
+func (d doomed) Failed() <-chan struct{} {
+	failed := make(chan struct{})
+	close(failed)
+	return failed
+}
+
+func (d doomed) Err() error { return errors.New("disk is full") }
+
+func TestProgram(t *testing.T) {
+	good := filepath.Join(t.TempDir(), "good.yaml")
+	qt.Assert(t, os.WriteFile(good, []byte("name: r1\n"), 0o600), qt.IsNil)
+	bad := filepath.Join(t.TempDir(), "bad.yaml")
+	qt.Assert(t, os.WriteFile(bad, []byte("nome: r1\n"), 0o600), qt.IsNil)
+	tests := []struct {
+		name      string
+		arguments []string
+		code      int
+		out       string
+		failures  string
+		stopped   bool
+	}{
+		{name: "check", arguments: []string{"check", good}, out: ".*good.yaml: good, router process r1 of cluster one\n"},
+		{name: "wrong settings", arguments: []string{"check", bad}, code: 2, failures: `marigold-x: .*bad.yaml:1: nome: unknown field "nome"\n`},
+		{name: "no settings", arguments: []string{"check", good + "x"}, code: 1, failures: `marigold-x: .*no such file or directory\n`},
+		{name: "wrong command", arguments: []string{"walk"}, code: 2, failures: `marigold-x: .*walk.* \(see --help\)\n`},
+		{name: "version", arguments: []string{"version"}, out: "marigold-x .*, protocol 1, settings 1\n"},
+		{name: "process that fails", arguments: []string{"run", good}, code: 1, failures: `marigold-x: commander: stopped: disk is full\n`, stopped: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			stopped := false
+			program := commander.Program[settings]{
+				Name: "marigold-x", Help: "A test.", StartTime: time.Minute, StopTime: time.Minute,
+				New: func(*settings, *logger.Log) (commander.Process, error) { return doomed{&stopped}, nil },
+				Describe: func(s *settings) commander.Description {
+					return commander.Description{Role: "router", Name: s.Name, Cluster: "one"}
+				},
+			}
+			var out, failures bytes.Buffer
+			qt.Assert(t, program.Main(test.arguments, &out, &failures), qt.Equals, test.code)
+			qt.Check(t, out.String(), qt.Matches, test.out)
+			qt.Check(t, failures.String(), qt.Matches, test.failures)
+			qt.Check(t, stopped, qt.Equals, test.stopped)
+		})
+	}
+}
--- a/router/commander/commander.go
+++ b/router/commander/commander.go
@@ -1,4 +1,5 @@
-// Package commander is the command line of marigold-router.
+// Package commander is the command line of marigold-router; its commands are
+// those of marigoldhill/kernel/commander.
 //
 // # Usage
 //
@@ -6,63 +7,50 @@
 package commander
 
 import (
-	"errors"
-	"fmt"
 	"io"
+	"time"
 
-	"github.com/alecthomas/kong"
-	"github.com/zeebo/errs"
+	"github.com/VictoriaMetrics/metrics"
 
-	"marigoldhill/kernel/parser"
+	"marigoldhill/kernel/commander"
+	"marigoldhill/kernel/logger"
+	"marigoldhill/kernel/networker"
+	"marigoldhill/router/assembler"
 )
 
-// Error is the class of all errors of this package.
-var Error = errs.Class("commander")
-
-// exitFailure is the exit code of a command that failed.
-const exitFailure = 1
-
-// streams are the output streams of a command.
-type streams struct {
-	out io.Writer
-	err io.Writer
-}
-
-// commands are the commands of the program.
-type commands struct {
-	Run     cmdRun     `cmd:"" help:"Run a router until it is told to stop."`
-	Check   cmdCheck   `cmd:"" help:"Check a settings file."`
-	Version cmdVersion `cmd:"" help:"Print the version of the program."`
-}
+const (
+	// startTime bounds the start of the process.
+	startTime = 10 * time.Second
+	// stopTime bounds the drain and the stop of the process.
+	stopTime = 60 * time.Second
+)
 
 // Main runs the program and returns its exit code.
 func Main(arguments []string, out, failures io.Writer) int {
-	var chosen commands
-	program, err := kong.New(&chosen,
-		kong.Name("marigold-router"),
-		kong.Description("Router that takes callers' requests and guards the backend server beside it."),
-		kong.Writers(out, failures),
-	)
-	if err != nil {
-		return report(failures, err)
-	}
-	parsed, err := program.Parse(arguments)
-	if err != nil {
-		_, _ = fmt.Fprintf(failures, "marigold-router: %v\n", err)
-		return parser.ExitCode
+	program := commander.Program[assembler.Settings]{
+		Name:      "marigold-router",
+		Help:      "Router that takes callers' requests and guards the backend server beside it.",
+		StartTime: startTime,
+		StopTime:  stopTime,
+		New:       build,
+		Describe:  describe,
 	}
-	return report(failures, parsed.Run(&streams{out: out, err: failures}))
+	return program.Main(arguments, out, failures)
 }
 
-// report prints an error and returns the exit code.
-func report(failures io.Writer, err error) int {
-	if err == nil {
-		return 0
-	}
-	_, _ = fmt.Fprintf(failures, "marigold-router: %v\n", err)
-	var mistake *parser.Mistake
-	if errors.As(err, &mistake) {
-		return parser.ExitCode
+func build(settings *assembler.Settings, log *logger.Log) (commander.Process, error) {
+	return assembler.New(*settings, assembler.Options{
+		Network: networker.TCP{},
+		Log:     log,
+		Metrics: metrics.NewSet(),
+	})
+}
+
+func describe(settings *assembler.Settings) commander.Description {
+	return commander.Description{
+		Role:    "router",
+		Name:    settings.Name,
+		Cluster: settings.Cluster,
+		Log:     logger.Format(settings.Log),
 	}
-	return exitFailure
 }
