--- a/bench/matrix/history.go
+++ b/bench/matrix/history.go
@@ -132,46 +132,41 @@
 	return time.Since(h.start)
 }
 
-// AddSend records a send.
-func (h *History) AddSend(send Send) {
+// add appends a value to one of the lists of a history.
+func add[T any](h *History, list *[]T, value T) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.Sends = append(h.Sends, send)
+	*list = append(*list, value)
+}
+
+// AddSend records a send.
+func (h *History) AddSend(send Send) {
+	add(h, &h.Sends, send)
 }
 
 // AddReceive records what a caller got.
 func (h *History) AddReceive(receive Receive) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Receives = append(h.Receives, receive)
+	add(h, &h.Receives, receive)
 }
 
 // AddSight records the revision of a router.
 func (h *History) AddSight(sight Sight) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Sights = append(h.Sights, sight)
+	add(h, &h.Sights, sight)
 }
 
 // AddChange records an acknowledged change.
 func (h *History) AddChange(change Change) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Changes = append(h.Changes, change)
+	add(h, &h.Changes, change)
 }
 
 // AddLeave records that a backend server was told to leave.
 func (h *History) AddLeave(leave Leave) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Leaves = append(h.Leaves, leave)
+	add(h, &h.Leaves, leave)
 }
 
 // AddLoss records that a VM was lost.
 func (h *History) AddLoss(node string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Losses = append(h.Losses, Loss{Node: node, At: h.Now()})
+	add(h, &h.Losses, Loss{Node: node, At: h.Now()})
 }
 
 // FreezeRuns marks the runs that are under way at a backend server.
