--- a/bench/launcher/node.go
+++ b/bench/launcher/node.go
@@ -22,6 +22,10 @@
 	mutex   sync.Mutex
 	process P
 	running *faultyNetwork // nil while the process does not run
+	// ending is the network of a process that is being stopped, and stopped is
+	// closed once it has.
+	ending  *faultyNetwork
+	stopped chan struct{}
 }
 
 // Name returns the name of the node.
@@ -56,6 +60,7 @@
 	if network == nil {
 		return nil
 	}
+	defer n.beginStop(network)()
 	if err := process.Stop(ctx); err != nil {
 		return Error.New("stopping %s: %w", n.name, err)
 	}
@@ -67,6 +72,7 @@
 func (n *Node[P]) Kill() {
 	process, network := n.take()
 	if network == nil {
+		n.killStopping()
 		return
 	}
 	network.kill()
@@ -75,6 +81,33 @@
 	_ = process.Stop(ended)
 }
 
+// beginStop notes that a process is being stopped, until the returned function
+// is called.
+func (n *Node[P]) beginStop(network *faultyNetwork) (end func()) {
+	stopped := make(chan struct{})
+	n.mutex.Lock()
+	n.ending, n.stopped = network, stopped
+	n.mutex.Unlock()
+	return func() {
+		n.mutex.Lock()
+		n.ending = nil
+		n.mutex.Unlock()
+		close(stopped)
+	}
+}
+
+// killStopping cuts a process that is being stopped off and waits for its end.
+func (n *Node[P]) killStopping() {
+	n.mutex.Lock()
+	network, stopped := n.ending, n.stopped
+	n.mutex.Unlock()
+	if network == nil {
+		return
+	}
+	network.kill()
+	<-stopped
+}
+
 // Restart kills the process and starts it again.
 func (n *Node[P]) Restart(ctx context.Context) error {
 	n.Kill()
--- a/bench/matrix/arena.go
+++ b/bench/matrix/arena.go
@@ -44,6 +44,9 @@
 	History *History
 
 	disks map[string]*Disk
+	// turns let one goroutine at a time start or end a VM. They are channels,
+	// since starting takes time.
+	turns map[string]chan struct{}
 
 	mu        sync.Mutex
 	instances map[string]int
@@ -57,6 +60,7 @@
 		World:     disrupter.New(Latency),
 		History:   NewHistory(),
 		disks:     make(map[string]*Disk),
+		turns:     make(map[string]chan struct{}),
 		instances: make(map[string]int),
 		dead:      make(map[string]bool),
 	}
@@ -77,6 +81,9 @@
 		return nil, Error.New("putting the cluster together: %w", err)
 	}
 	arena.Cluster = cluster
+	for _, node := range arena.Nodes() {
+		arena.turns[node] = make(chan struct{}, 1)
+	}
 	return arena, nil
 }
 
@@ -191,9 +198,18 @@
 	return strings.HasPrefix(node, "c")
 }
 
+// takeTurn waits until nobody else starts or ends a VM, and returns what lets
+// the next one in.
+func (a *Arena) takeTurn(node string) (leave func()) {
+	turn := a.turns[node]
+	turn <- struct{}{}
+	return func() { <-turn }
+}
+
 // Kill ends a VM without a word: its processes, its connections, and what its
 // disk had not synced but for the first torn bytes.
 func (a *Arena) Kill(node string, torn int) {
+	defer a.takeTurn(node)()
 	a.mu.Lock()
 	if a.dead[node] {
 		a.mu.Unlock()
@@ -214,6 +230,7 @@
 
 // Revive starts the processes of a killed VM again.
 func (a *Arena) Revive(ctx context.Context, node string) error {
+	defer a.takeTurn(node)()
 	a.mu.Lock()
 	if !a.dead[node] {
 		a.mu.Unlock()
