Strike before the healing, and move unreachable keys at once

With a trace of starts and kills: the step came only after the phase of the fault was over, so the VM was killed while the cell healed and restarted after it had ended. Change: the phase of the fault begins when it struck, and the trigger is disarmed before the healing. A router that most others cannot reach leaves at the leader's next tick and gives all its shards away at once.

--- a/bench/matrix/cell.go
+++ b/bench/matrix/cell.go
@@ -21,6 +21,8 @@
 	warmTime   = 500 * time.Millisecond
 	strikeTime = 4500 * time.Millisecond
 	healTime   = 3 * time.Second
+	// reachTime bounds how long the step may take to come.
+	reachTime = 10 * time.Second
 	// stopTime bounds the end of a cell.
 	stopTime = 30 * time.Second
 )
@@ -108,7 +110,7 @@
 		}
 		time.Sleep(2 * healTime)
 	}
-	trigger := &trigger{point: c.Point, fault: c.Fault}
+	trigger := &trigger{point: c.Point, fault: c.Fault, fired: make(chan struct{})}
 	if err := c.strike(ctx, arena, trigger); err != nil {
 		return verdict, err
 	}
@@ -133,7 +135,9 @@
 			return Error.New("beginning %s: %w", c.Activity.Name, err)
 		}
 	}
+	trigger.await(reachTime)
 	time.Sleep(strikeTime)
+	trigger.disarm()
 	faults.Wait()
 	if err := arena.Heal(ctx); err != nil {
 		return err
--- a/bench/matrix/point.go
+++ b/bench/matrix/point.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"marigoldhill/kernel/disrupter"
 	"marigoldhill/kernel/framer"
@@ -59,6 +60,8 @@
 	leader string
 	skip   int
 	fire   func(Target)
+	// fired is closed when it has fired.
+	fired chan struct{}
 
 	mu    sync.Mutex
 	armed bool
@@ -77,6 +80,7 @@
 		return disrupter.Verdict{}
 	}
 	t.hit = &Target{From: step.From, To: step.To}
+	close(t.fired)
 	if t.fire != nil {
 		go t.fire(*t.hit)
 	}
@@ -98,6 +102,21 @@
 	t.armed = true
 }
 
+// disarm keeps the trigger from firing any more.
+func (t *trigger) disarm() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.armed = false
+}
+
+// await returns once the trigger has fired, or after limit.
+func (t *trigger) await(limit time.Duration) {
+	select {
+	case <-t.fired:
+	case <-time.After(limit):
+	}
+}
+
 func (t *trigger) target() *Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/control/supervisor/drain.go
+++ b/control/supervisor/drain.go
@@ -47,10 +47,15 @@
 
 func (s *Supervisor) drainSession(now timer.Instant, t *assigner.Table, session *assigner.Session, staying int, batch *batch) {
 	number := session.Row.Session
-	pace := &s.router(number).drain
+	known := s.router(number)
+	pace := &known.drain
 	if pace.step > 0 && now.Since(pace.at) < drainInterval {
 		return
 	}
+	if known.isAvoided(now) {
+		// Its keys are out of reach already, so there is nothing to spare.
+		pace.step = staying
+	}
 	if pace.step == 0 {
 		pace.step = (staying + drainSteps - 1) / drainSteps
 	}
--- a/control/supervisor/reach.go
+++ b/control/supervisor/reach.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		if !known.isAvoided(now) {
-			s.noteUnreached(number, count, alive-1, batch)
+			s.leaveUnreached(number, count, alive-1, batch)
 		}
 		known.unreachedAt = now
 	}
@@ -64,11 +64,22 @@
 	return reports
 }
 
-func (s *Supervisor) noteUnreached(number uint64, count, others int, batch *batch) {
+// leaveUnreached makes a router leave at once, without waiting for its next
+// heartbeat, and notes why.
+func (s *Supervisor) leaveUnreached(number uint64, count, others int, batch *batch) {
 	session := s.state.Session(number)
 	if session == nil {
 		return
 	}
+	row := &session.Row
+	batch.add(fmt.Sprintf("update/%d", number), assigner.Command{Update: &assigner.Update{
+		Session: number,
+		Address: row.Address,
+		Domain:  row.Domain,
+		Region:  row.Region,
+		Server:  row.Server,
+		Leaving: true,
+	}})
 	batch.add(fmt.Sprintf("unreached/%d", number), assigner.Command{Notice: &assigner.Notice{
 		Number:  logger.RouterUnreached.Number,
 		Subject: session.Row.Router,
