Count the batch being written against a link's overflow bound

Cause: the outbox forgot a batch once the writer had taken it, so a peer that reads nothing could hold the bound twice: once in the batch, once waiting. A test that crossed the bound by 0.5 MB failed when the writer ran late.

Change: the batch counts until the next one is taken.

--- a/kernel/linker/outbox.go
+++ b/kernel/linker/outbox.go
@@ -10,8 +10,8 @@
 	// maxPending is how many bytes wait for the connection before writers of
 	// data are held back.
 	maxPending = 256 << 10
-	// overflow is how many bytes may wait in all. Only frames that answer the
-	// peer's own go beyond maxPending.
+	// overflow is how many bytes may wait in all, those that are being written
+	// included. Only frames that answer the peer's own go beyond maxPending.
 	overflow = 8 << 20
 	// maxSpare is the largest buffer that is kept for the next batch.
 	maxSpare = 512 << 10
@@ -19,9 +19,12 @@
 
 // outbox holds the frames that wait for the connection.
 type outbox struct {
-	mu       sync.Mutex
-	space    sync.Cond
-	pending  []byte
+	mu      sync.Mutex
+	space   sync.Cond
+	pending []byte
+	// writing is the length of the batch that was taken last. The next take
+	// shows that it was written.
+	writing  int
 	sequence uint32
 	closed   bool
 	wake     chan struct{}
@@ -40,11 +43,11 @@
 		o.mu.Unlock()
 		return false
 	}
-	before := len(o.pending)
+	before := len(o.pending) + o.writing
 	frame.Sequence = o.sequence
 	o.sequence++
 	o.pending = framer.Append(o.pending, frame)
-	overflows := before <= overflow && len(o.pending) > overflow
+	overflows := before <= overflow && len(o.pending)+o.writing > overflow
 	o.mu.Unlock()
 	select {
 	case o.wake <- struct{}{}:
@@ -61,6 +64,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	batch := o.pending
+	o.writing = len(batch)
 	o.pending = spare[:0]
 	o.space.Broadcast()
 	return batch
