Keep whole configurations and ranges of keys in the control state

Cause: the product hashes keys and knows profiles one by one. Users whose keys are numbers with busy neighbours need ranges, and operators who replace a whole configuration under versions of their own need the highest to win.

Change: a splitter keeps values for ranges; the assigner keeps configurations and the ownership of ranges; the supervisor grants, empties and levels them by demand and by the pace of each server; lease times are settings. A new process at the address of its predecessor goes on with the session.

--- a/control/assigner/apply.go
+++ b/control/assigner/apply.go
@@ -43,6 +43,16 @@
 		return s.death(command.Death)
 	case command.Notice != nil:
 		return s.notice(command.Notice)
+	case command.Adopt != nil:
+		return s.adopt(command.Adopt)
+	case command.GrantRanges != nil:
+		return s.grantRanges(command.GrantRanges)
+	case command.MoveRanges != nil:
+		return s.moveRanges(command.MoveRanges)
+	case command.ReleaseRanges != nil:
+		return s.releaseRanges(command.ReleaseRanges)
+	case command.Configure != nil:
+		return s.configure(command.Configure)
 	}
 	return void()
 }
--- a/control/assigner/assigner.go
+++ b/control/assigner/assigner.go
@@ -68,6 +68,13 @@
 	profiles map[string]Versioned[messenger.Profile]
 	drains   map[string]bool
 
+	// configuration is the whole configuration in force and source what the
+	// operator sent; configured is the revision of both.
+	configuration *messenger.Configuration
+	source        []byte
+	configured    uint64
+	ranges        map[string]*Ranges
+
 	quarantines map[string]Versioned[messenger.QuarantineRow]
 	suspects    map[string]Versioned[messenger.QuarantineRow]
 
@@ -90,6 +97,7 @@
 		tables:      make(map[string]*Table),
 		profiles:    make(map[string]Versioned[messenger.Profile]),
 		drains:      make(map[string]bool),
+		ranges:      make(map[string]*Ranges),
 		quarantines: make(map[string]Versioned[messenger.QuarantineRow]),
 		suspects:    make(map[string]Versioned[messenger.QuarantineRow]),
 		answers:     ring[keptAnswer]{limit: MaxAnswers},
--- a/control/assigner/command.go
+++ b/control/assigner/command.go
@@ -26,12 +26,18 @@
 	Demote    *Demote    `msgpack:"demote,omitempty"`
 	Death     *Death     `msgpack:"death,omitempty"`
 	Notice    *Notice    `msgpack:"notice,omitempty"`
+	Adopt     *Adopt     `msgpack:"adopt,omitempty"`
+
+	GrantRanges   *GrantRanges   `msgpack:"grantranges,omitempty"`
+	MoveRanges    *MoveRanges    `msgpack:"moveranges,omitempty"`
+	ReleaseRanges *ReleaseRanges `msgpack:"releaseranges,omitempty"`
 
 	PutProfile    *PutProfile    `msgpack:"putprofile,omitempty"`
 	RemoveProfile *RemoveProfile `msgpack:"removeprofile,omitempty"`
 	PutService    *PutService    `msgpack:"putservice,omitempty"`
 	Drain         *Drain         `msgpack:"drain,omitempty"`
 	Lift          *Lift          `msgpack:"lift,omitempty"`
+	Configure     *Configure     `msgpack:"configure,omitempty"`
 }
 
 // Open opens a session for one instance of a router.
@@ -43,6 +49,8 @@
 	Region   string
 	Server   *messenger.ServerRow
 	Leaving  bool
+	// Routed says that the router serves the routes of a configuration.
+	Routed bool
 }
 
 // Update replaces what a session said of itself.
--- /dev/null
+++ b/control/assigner/configure.go
@@ -0,0 +1,64 @@
+package assigner
+
+import (
+	"fmt"
+
+	"marigoldhill/kernel/logger"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/profiler"
+)
+
+// Configure replaces the configuration by one of a higher version.
+type Configure struct {
+	Configuration messenger.Configuration
+	// Source is the configuration as the operator sent it, which is given back
+	// unchanged.
+	Source []byte
+}
+
+// Configuration returns the configuration in force, nil before the first.
+func (s *State) Configuration() *messenger.Configuration {
+	return s.configuration
+}
+
+// Source returns the configuration in force as the operator sent it.
+func (s *State) Source() []byte {
+	return s.source
+}
+
+// configure puts a configuration into force. One whose version is not higher
+// than the current one is taken as a late or repeated change and alters nothing.
+func (s *State) configure(command *Configure) Result {
+	configuration := &command.Configuration
+	if field, reason := profiler.CheckConfiguration(configuration); reason != "" {
+		return invalid(field, reason)
+	}
+	if s.configuration != nil && configuration.Version <= s.configuration.Version {
+		return applied(s.configured, 0)
+	}
+	s.configuration = configuration
+	s.source = command.Source
+	s.configured = s.applied
+	s.revision = s.applied
+	s.openRanges()
+	s.event(logger.ConfigurationChanged, fmt.Sprintf("version %d", configuration.Version),
+		fmt.Sprintf("%d routes, %d services", len(configuration.Routes), len(configuration.Services)))
+	return applied(s.applied, 1)
+}
+
+// Adopt gives a session to a new process of its router, which took the place of
+// the earlier one on the same VM.
+type Adopt struct {
+	Session  uint64
+	Instance uint64
+}
+
+func (s *State) adopt(command *Adopt) Result {
+	session := s.sessions[command.Session]
+	if session == nil || session.Instance == command.Instance {
+		return void()
+	}
+	session.Instance = command.Instance
+	s.event(logger.SessionAdopted, session.Row.Router, fmt.Sprintf("session %d", command.Session))
+	return applied(s.applied, 1)
+}
--- a/control/assigner/delta.go
+++ b/control/assigner/delta.go
@@ -139,6 +139,10 @@
 			}
 		}
 	}
+	if s.configured > from {
+		delta.Configuration = s.configuration
+	}
+	s.fillRanges(delta)
 	delta.Quarantines = rowsAfter(s.quarantines, from)
 	delta.Suspects = rowsAfter(s.suspects, from)
 }
--- a/control/assigner/session.go
+++ b/control/assigner/session.go
@@ -19,6 +19,9 @@
 	Changed uint64
 	// Stopping says that the router itself is leaving, apart from any drain.
 	Stopping bool
+	// Routed says that its router serves the routes of a configuration, so that
+	// it owns ranges of keys in place of shards.
+	Routed bool
 	// Granted says that it owned a shard at some time.
 	Granted bool
 	// Recording says that it may have accepted non-idempotent work, so that
@@ -39,6 +42,14 @@
 	return s.Row.Server.Service
 }
 
+// life is the start of its backend server, 0 without one.
+func (s *Session) life() int64 {
+	if s.Row.Server == nil {
+		return 0
+	}
+	return s.Row.Server.Born
+}
+
 // Session returns an open session, or nil.
 func (s *State) Session(number uint64) *Session {
 	return s.sessions[number]
@@ -85,6 +96,7 @@
 		Instance: command.Instance,
 		Opened:   s.time,
 		Stopping: command.Leaving,
+		Routed:   command.Routed,
 	}
 	s.sessions[s.applied] = session
 	s.sorted = nil
@@ -113,7 +125,9 @@
 // settle brings what follows from a session's own words up to date.
 func (s *State) settle(session *Session) {
 	session.Row.Leaving = session.Stopping || s.isDrained(session)
-	s.ensureService(session)
+	if !session.Routed {
+		s.ensureService(session)
+	}
 	s.updateRecording(session)
 	s.touchSession(session)
 }
@@ -148,6 +162,11 @@
 	}
 	s.dropRecorders(gone)
 	s.freeShards(gone, command.Silence)
+	closed := make(map[uint64]bool, len(gone))
+	for _, session := range gone {
+		closed[session.Row.Session] = true
+	}
+	s.freeRanges(closed)
 	return applied(s.applied, len(gone))
 }
 
--- a/control/assigner/snapshot.go
+++ b/control/assigner/snapshot.go
@@ -30,6 +30,11 @@
 	Events      []messenger.ClusterEvent
 	History     []OwnerChange
 	Tombstones  []tombstone
+	// Configuration is nil before the first one.
+	Configuration *messenger.Configuration
+	Source        []byte
+	Configured    uint64
+	Ranges        []rangesSnapshot
 }
 
 // tableSnapshot is the encoded form of a Table.
@@ -66,6 +71,13 @@
 		Events:      s.events.values,
 		History:     s.history.values,
 		Tombstones:  s.tombstones.values,
+
+		Configuration: s.configuration,
+		Source:        s.source,
+		Configured:    s.configured,
+	}
+	for _, r := range s.AllRanges() {
+		image.Ranges = append(image.Ranges, r.snapshot())
 	}
 	for _, t := range s.Tables() {
 		image.Tables = append(image.Tables, t.snapshot())
@@ -152,6 +164,12 @@
 	s.events.values = image.Events
 	s.history.values = image.History
 	s.tombstones.values = image.Tombstones
+	s.configuration = image.Configuration
+	s.source = image.Source
+	s.configured = image.Configured
+	for _, r := range image.Ranges {
+		s.fillRangesOf(r)
+	}
 	s.recent.reset(image.Revision)
 	for _, session := range image.Sessions {
 		s.sessions[session.Row.Session] = session
--- /dev/null
+++ b/control/balancer/range.go
@@ -0,0 +1,345 @@
+package balancer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"marigoldhill/kernel/messenger"
+)
+
+const (
+	// foundParts is how many ranges each server gets at first. Busy keys lie
+	// close together, so many small ranges share them out better than one; each
+	// range costs its server a renewal.
+	foundParts = 12
+	// uneven is how much more loaded than the mean the busiest server must be
+	// before ranges move.
+	uneven = 1.15
+	// busyEnough is the load, as a part of its slots, below which a server is
+	// left as it is: nobody waits there.
+	busyEnough = 0.45
+	// levelMoves is the most moves that one weighing starts. Each moved range is
+	// without an owner for two heartbeats.
+	levelMoves = 6
+	// defaultPace is the time for a request, in seconds, that a server is
+	// credited with before it finished any.
+	defaultPace = 0.1
+)
+
+// Range is the ownership of a range of keys, both ends included.
+type Range struct {
+	From uint32
+	To   uint32
+	// Owner is the session that owns it, 0 when it is free.
+	Owner uint64
+	// Next is the session that it moves to, 0 unless it moves.
+	Next uint64
+}
+
+// holder is the session that has the range once moves have ended.
+func (r *Range) holder() uint64 {
+	if r.Next != 0 {
+		return r.Next
+	}
+	return r.Owner
+}
+
+// Holder is a server that owns ranges or may get some.
+type Holder struct {
+	Session uint64
+	Domain  string
+	Slots   int
+	// Pace is the mean time for a request in seconds, 0 when it is not known.
+	Pace float64
+	// Takes says that it may get ranges, Leaves that it must give all away.
+	Takes  bool
+	Leaves bool
+}
+
+// Placed gives a range to a session.
+type Placed struct {
+	Session uint64
+	From    uint32
+	To      uint32
+}
+
+// Found shares all keys out among servers that start together.
+func Found(holders []Holder) []Placed {
+	takers, slots := takersOf(holders)
+	if slots == 0 {
+		return nil
+	}
+	var placed []Placed
+	keys := float64(messenger.LastKey + 1)
+	next, done := uint32(0), 0.0
+	for range foundParts {
+		for _, taker := range takers {
+			done += float64(taker.Slots) / float64(slots) / foundParts
+			end := uint32(math.Round(done * keys))
+			if end > next {
+				placed = append(placed, Placed{Session: taker.Session, From: next, To: end - 1})
+				next = end
+			}
+		}
+	}
+	return placed
+}
+
+// takersOf lists the servers that may get ranges, neighbours in different
+// failure domains where that is possible, and the sum of their slots.
+func takersOf(holders []Holder) ([]Holder, int) {
+	byDomain := make(map[string]int)
+	type ordered struct {
+		holder Holder
+		turn   int
+	}
+	var list []ordered
+	slots := 0
+	for _, holder := range holders {
+		if !holder.Takes || holder.Slots <= 0 {
+			continue
+		}
+		list = append(list, ordered{holder, byDomain[holder.Domain]})
+		byDomain[holder.Domain]++
+		slots += holder.Slots
+	}
+	slices.SortStableFunc(list, func(a, b ordered) int { return cmp.Compare(a.turn, b.turn) })
+	takers := make([]Holder, 0, len(list))
+	for _, entry := range list {
+		takers = append(takers, entry.holder)
+	}
+	return takers, slots
+}
+
+// scale weighs the load of servers against each other.
+type scale struct {
+	arrivals []float64
+	holders  map[uint64]*Holder
+	// load is the slots in use by session, keys its number of keys.
+	load map[uint64]float64
+	keys map[uint64]float64
+	pace float64
+}
+
+func newScale(ranges []Range, holders []Holder, arrivals []float64) *scale {
+	s := &scale{
+		arrivals: arrivals,
+		holders:  make(map[uint64]*Holder),
+		load:     make(map[uint64]float64),
+		keys:     make(map[uint64]float64),
+		pace:     meanPace(holders),
+	}
+	for n := range holders {
+		s.holders[holders[n].Session] = &holders[n]
+	}
+	for n := range ranges {
+		if holder := ranges[n].holder(); holder != 0 {
+			s.give(holder, ranges[n].From, ranges[n].To, 1)
+		}
+	}
+	return s
+}
+
+func meanPace(holders []Holder) float64 {
+	sum, count := 0.0, 0
+	for _, holder := range holders {
+		if holder.Pace > 0 {
+			sum += holder.Pace
+			count++
+		}
+	}
+	if count == 0 {
+		return defaultPace
+	}
+	return sum / float64(count)
+}
+
+func (s *scale) paceOf(session uint64) float64 {
+	if holder := s.holders[session]; holder != nil && holder.Pace > 0 {
+		return holder.Pace
+	}
+	return s.pace
+}
+
+// rate is the number of requests a second for a range.
+func (s *scale) rate(from, to uint32) float64 {
+	sum := 0.0
+	for key := from; key <= to; key++ {
+		sum += s.arrivals[key]
+	}
+	return sum
+}
+
+// give adds a range to a session, or takes it away with a sign of -1.
+func (s *scale) give(session uint64, from, to uint32, sign float64) {
+	s.load[session] += sign * s.rate(from, to) * s.paceOf(session)
+	s.keys[session] += sign * float64(to-from+1)
+}
+
+// use is the part of the slots of a session that is in use. Keys count a little,
+// so that servers without any load are told apart.
+func (s *scale) use(session uint64) float64 {
+	holder := s.holders[session]
+	if holder == nil || holder.Slots <= 0 {
+		return math.Inf(1)
+	}
+	const keyWeight = 1e-3
+	return (s.load[session] + keyWeight*s.keys[session]/(messenger.LastKey+1)) / float64(holder.Slots)
+}
+
+// idlest is the server that is least in use of those that may get ranges, 0
+// when there is none.
+func (s *scale) idlest(except uint64) uint64 {
+	best := uint64(0)
+	for session, holder := range s.holders {
+		if !holder.Takes || session == except {
+			continue
+		}
+		if best == 0 || s.use(session) < s.use(best) || (s.use(session) == s.use(best) && session < best) {
+			best = session
+		}
+	}
+	return best
+}
+
+// Fill places the ranges that have no owner. It answers the load of a lost
+// server: its ranges go one by one to whoever is least in use then.
+func Fill(ranges []Range, holders []Holder, arrivals []float64) []Placed {
+	scale := newScale(ranges, holders, arrivals)
+	return scale.place(ranges, func(r Range) bool { return r.Owner == 0 })
+}
+
+// Empty moves the ranges of servers that leave.
+func Empty(ranges []Range, holders []Holder, arrivals []float64) []Placed {
+	scale := newScale(ranges, holders, arrivals)
+	return scale.place(ranges, func(r Range) bool {
+		holder := scale.holders[r.Owner]
+		return r.Next == 0 && holder != nil && holder.Leaves
+	})
+}
+
+func (s *scale) place(ranges []Range, fits func(Range) bool) []Placed {
+	var placed []Placed
+	for _, r := range ranges {
+		if !fits(r) {
+			continue
+		}
+		for _, part := range s.divide(r) {
+			target := s.idlest(r.Owner)
+			if target == 0 {
+				continue
+			}
+			s.give(target, part.From, part.To, 1)
+			if last := len(placed) - 1; last >= 0 && placed[last].Session == target && placed[last].To+1 == part.From {
+				placed[last].To = part.To
+				continue
+			}
+			placed = append(placed, Placed{Session: target, From: part.From, To: part.To})
+		}
+	}
+	return placed
+}
+
+// divide cuts a range into a few parts of equal load, at most one for each two
+// servers, so that a large one does not fall to a single server.
+func (s *scale) divide(r Range) []Range {
+	const partKeys = 512
+	count := min(int(r.To-r.From+1)/partKeys+1, max(len(s.holders)/2, 1))
+	total := s.rate(r.From, r.To)
+	if count < 2 || total == 0 {
+		return []Range{r}
+	}
+	var parts []Range
+	from, sum := r.From, 0.0
+	for key := r.From; key <= r.To; key++ {
+		sum += s.arrivals[key]
+		if key == r.To || (sum >= total/float64(count) && len(parts) < count-1) {
+			parts = append(parts, Range{From: from, To: key})
+			from, sum = key+1, 0
+		}
+	}
+	return parts
+}
+
+// Level moves ranges from busy servers to idle ones. It answers keys that turn
+// hot and servers that turn slow: from the busiest server goes the shortest run
+// of keys that carries about half of the difference to the idlest.
+func Level(ranges []Range, holders []Holder, arrivals []float64) []Placed {
+	scale := newScale(ranges, holders, arrivals)
+	var moves []Placed
+	taken := make([]bool, len(ranges))
+	for range levelMoves {
+		move, n := scale.relieve(ranges, taken)
+		if n < 0 {
+			break
+		}
+		taken[n] = true
+		moves = append(moves, move)
+		scale.give(ranges[n].Owner, move.From, move.To, -1)
+		scale.give(move.Session, move.From, move.To, 1)
+	}
+	return moves
+}
+
+// relieve chooses one move and returns the index of the range that it is part
+// of, -1 when no move is worth its cost.
+func (s *scale) relieve(ranges []Range, taken []bool) (Placed, int) {
+	busiest, idlest, mean := s.extremes()
+	if busiest == 0 || idlest == 0 || s.use(busiest) < max(busyEnough, uneven*mean) {
+		return Placed{}, -1
+	}
+	// Moving a rate of x lowers the busiest by x times its pace and raises the
+	// idlest by x times that one's; they meet at this rate.
+	gap := s.use(busiest) - s.use(idlest)
+	wanted := gap / (s.paceOf(busiest)/float64(s.holders[busiest].Slots) + s.paceOf(idlest)/float64(s.holders[idlest].Slots))
+	best, at := Placed{}, -1
+	for n, r := range ranges {
+		if r.Owner != busiest || r.Next != 0 || taken[n] {
+			continue
+		}
+		from, to, ok := s.shortest(r, wanted)
+		if ok && (at < 0 || to-from < best.To-best.From) {
+			best, at = Placed{Session: idlest, From: from, To: to}, n
+		}
+	}
+	return best, at
+}
+
+// shortest finds the shortest run of keys in a range that carries enough of the
+// wanted rate, and not much more.
+func (s *scale) shortest(r Range, wanted float64) (from, to uint32, ok bool) {
+	least, most := 0.4*wanted, 1.25*wanted
+	sum, start := 0.0, r.From
+	for key := r.From; key <= r.To; key++ {
+		sum += s.arrivals[key]
+		for start < key && sum-s.arrivals[start] >= least {
+			sum -= s.arrivals[start]
+			start++
+		}
+		if sum >= least && sum <= most && sum > 0 && (!ok || key-start < to-from) {
+			from, to, ok = start, key, true
+		}
+	}
+	return from, to, ok
+}
+
+// extremes are the busiest and the idlest server, and the mean use.
+func (s *scale) extremes() (busiest, idlest uint64, mean float64) {
+	idlest = s.idlest(0)
+	sum, count := 0.0, 0
+	for session, holder := range s.holders {
+		if !holder.Takes {
+			continue
+		}
+		sum += s.use(session)
+		count++
+		if busiest == 0 || s.use(session) > s.use(busiest) || (s.use(session) == s.use(busiest) && session < busiest) {
+			busiest = session
+		}
+	}
+	if count == 0 {
+		return 0, 0, 0
+	}
+	return busiest, idlest, sum / float64(count)
+}
--- a/control/supervisor/close.go
+++ b/control/supervisor/close.go
@@ -11,7 +11,7 @@
 		return
 	}
 	var lapsed []uint64
-	silence := lapseTime
+	silence := s.lapseTime()
 	for _, session := range s.state.Sessions() {
 		number := session.Row.Session
 		if !s.isLapsed(number, now) {
--- a/control/supervisor/heartbeat.go
+++ b/control/supervisor/heartbeat.go
@@ -41,6 +41,7 @@
 	known.heard = now
 	if known.take(beat) {
 		s.takeLoads(known, beat)
+		s.takeWork(number, beat)
 		heard := *beat
 		heard.Leaving = beat.Leaving || known.isAvoided(now)
 		s.proposeOf(session, &heard, batch)
@@ -52,6 +53,7 @@
 		return messenger.HeartbeatUnconfirmed
 	}
 	answer.Delta, answer.More = s.state.Delta(beat.Revision, assigner.DeltaRows)
+	answer.Members = unknownMembers(standing.Members, beat)
 	return messenger.HeartbeatAlive
 }
 
@@ -71,11 +73,41 @@
 		return nil, messenger.HeartbeatWait
 	}
 	if session.Instance != beat.Instance {
+		if replaces(session, beat) {
+			batch.add("adopt/"+beat.Router, assigner.Command{Adopt: &assigner.Adopt{
+				Session:  session.Row.Session,
+				Instance: beat.Instance,
+			}})
+		}
 		return nil, messenger.HeartbeatWait
 	}
 	return session, ""
 }
 
+// replaces reports whether a heartbeat comes from the process that took the
+// place of the one with the session. Two processes can't listen at one address,
+// so the earlier one is gone, and what it granted to the backend server is still
+// accounted for under the session.
+func replaces(session *assigner.Session, beat *messenger.Heartbeat) bool {
+	return beat.Sole && beat.Routed && session.Routed && session.Row.Address == beat.Address
+}
+
+// unknownMembers lists the addresses of the control group, unless the router
+// knows them.
+func unknownMembers(members []messenger.Member, beat *messenger.Heartbeat) []string {
+	if !beat.Routed {
+		return nil
+	}
+	addresses := make([]string, 0, len(members))
+	for _, member := range members {
+		addresses = append(addresses, member.Address)
+	}
+	if messenger.SumOf(addresses) == beat.Members {
+		return nil
+	}
+	return addresses
+}
+
 func openOf(beat *messenger.Heartbeat) *assigner.Open {
 	return &assigner.Open{
 		Router:   beat.Router,
@@ -85,6 +117,7 @@
 		Region:   beat.Region,
 		Server:   beat.Server,
 		Leaving:  isLeaving(beat),
+		Routed:   beat.Routed,
 	}
 }
 
@@ -125,6 +158,10 @@
 	if shards := keep(beat.Released, owns); len(shards) > 0 {
 		batch.add(fmt.Sprintf("release/%d", number), assigner.Command{Release: &assigner.Release{Session: number, Shards: shards}})
 	}
+	ownsRange := func(ref messenger.RangeRef) bool { return s.state.OwnsRange(number, ref) }
+	if freed := keep(beat.Freed, ownsRange); len(freed) > 0 {
+		batch.add(fmt.Sprintf("free/%d", number), assigner.Command{ReleaseRanges: &assigner.ReleaseRanges{Session: number, Ranges: freed}})
+	}
 	if beat.Close {
 		s.router(number).closing = batch.add(fmt.Sprintf("close/%d", number), assigner.Command{Close: &assigner.Close{Sessions: []uint64{number}}})
 	}
--- a/control/supervisor/question.go
+++ b/control/supervisor/question.go
@@ -35,10 +35,20 @@
 	ProgressQuestion struct {
 		Revision uint64
 	}
+	// ConfigurationQuestion is answered with *ConfigurationAnswer.
+	ConfigurationQuestion struct{}
 	// QuarantinesQuestion is answered with []messenger.QuarantineRow.
 	QuarantinesQuestion struct{}
 )
 
+// ConfigurationAnswer is the configuration in force; both fields are nil before
+// the first one.
+type ConfigurationAnswer struct {
+	Configuration *messenger.Configuration
+	// Source is the configuration as the operator sent it.
+	Source []byte
+}
+
 // answer answers an operator's question.
 func (s *Supervisor) answer(now timer.Instant, standing replicator.Standing, query any) any {
 	switch question := query.(type) {
@@ -54,6 +64,8 @@
 		return s.state.Events(question.After)
 	case ProgressQuestion:
 		return s.progress(question)
+	case ConfigurationQuestion:
+		return &ConfigurationAnswer{Configuration: s.state.Configuration(), Source: s.state.Source()}
 	case QuarantinesQuestion:
 		return s.state.Quarantines()
 	}
--- a/control/supervisor/reach.go
+++ b/control/supervisor/reach.go
@@ -29,7 +29,7 @@
 	}
 	alive := 0
 	for _, known := range s.routers {
-		if now.Since(known.heard) < lapseTime {
+		if now.Since(known.heard) < s.lapseTime() {
 			alive++
 		}
 	}
@@ -49,7 +49,7 @@
 func (s *Supervisor) countReports(now timer.Instant) map[uint64]int {
 	var reports map[uint64]int
 	for number, known := range s.routers {
-		if len(known.unreached) == 0 || now.Since(known.heard) >= lapseTime {
+		if len(known.unreached) == 0 || now.Since(known.heard) >= s.lapseTime() {
 			continue
 		}
 		if reports == nil {
--- a/control/supervisor/router.go
+++ b/control/supervisor/router.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// lapseTime is the silence after which a session is closed.
-	lapseTime = messenger.LeaseTime + messenger.LeaseMargin
 	// pauseTime is the time without a tick that counts as a pause of the
 	// process.
 	pauseTime = 500 * time.Millisecond
@@ -36,7 +34,9 @@
 	queue    int
 	stalled  int
 	work     work
-	drain    drainPace
+	// pace is that of its backend server, for services with ranges.
+	pace  pace
+	drain drainPace
 	// unreached are the sessions that it cannot reach.
 	unreached []uint64
 	// unreachedAt is when a majority of the others could not reach it last;
@@ -47,6 +47,11 @@
 	closing bool
 }
 
+// lapseTime is the silence after which a session is closed.
+func (s *Supervisor) lapseTime() time.Duration {
+	return s.options.Timing.Lease + s.options.Timing.Margin
+}
+
 // isLapsed reports whether the lease of a router has lapsed for certain. The
 // time of a router that was not heard of yet starts now.
 func (s *Supervisor) isLapsed(session uint64, now timer.Instant) bool {
@@ -55,7 +60,7 @@
 		s.router(session).heard = now
 		return false
 	}
-	return now.Since(s.calm) >= lapseTime && now.Since(known.heard) >= lapseTime
+	return now.Since(s.calm) >= s.lapseTime() && now.Since(known.heard) >= s.lapseTime()
 }
 
 // hasSpoken reports whether a heartbeat of a router came in this term.
--- a/control/supervisor/supervisor.go
+++ b/control/supervisor/supervisor.go
@@ -33,7 +33,9 @@
 type Options struct {
 	// Cluster is the name of the cluster.
 	Cluster string
-	Log     *logger.Log
+	// Timing replaces the default times where it is not zero.
+	Timing messenger.Timing
+	Log    *logger.Log
 	// Metrics gets the counters; nil counts nothing.
 	Metrics *metrics.Set
 }
@@ -55,6 +57,8 @@
 	routers  map[uint64]*router
 	pending  *pending
 	services map[string]*service
+	// demands has what is known of the load on ranges, by service.
+	demands map[string]*demand
 	// weighed is when loads were last weighed.
 	weighed timer.Instant
 }
@@ -64,6 +68,7 @@
 	if options.Log == nil {
 		options.Log = logger.Discard()
 	}
+	options.Timing = options.Timing.Complete()
 	s := &Supervisor{
 		options:  options,
 		counters: newCounters(options.Metrics),
@@ -78,6 +83,7 @@
 	s.routers = make(map[uint64]*router)
 	s.pending = newPending()
 	s.services = make(map[string]*service)
+	s.demands = make(map[string]*demand)
 	s.weighed = timer.Instant{}
 }
 
@@ -126,6 +132,7 @@
 		s.joinRecorders(batch)
 		s.drainLeaving(now, batch)
 		s.balance(now, batch)
+		s.placeRanges(now, batch)
 	}
 	return batch.commands
 }
--- a/kernel/messenger/messenger.go
+++ b/kernel/messenger/messenger.go
@@ -46,6 +46,11 @@
 	KindRecover
 	// KindReport carries Report, ReportAnswer (router to control).
 	KindReport
+	// KindRelay carries Relay and body, then RelayAnswer and body (router to
+	// router).
+	KindRelay
+	// KindJoin carries JoinQuery, JoinAnswer (control to control).
+	KindJoin
 )
 
 // Hello is the first message on each connection, in both directions.
--- a/kernel/messenger/session.go
+++ b/kernel/messenger/session.go
@@ -1,8 +1,12 @@
 package messenger
 
-import "time"
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+)
 
-// Times of the lease protocol.
+// Times of the lease protocol, unless settings say otherwise; see Timing.
 const (
 	// HeartbeatInterval is the time between two heartbeats of a router.
 	HeartbeatInterval = 300 * time.Millisecond
@@ -10,6 +14,35 @@
 	LeaseTime = 1500 * time.Millisecond
 	// LeaseMargin covers clock drift: control counts a lease longer by it.
 	LeaseMargin = 150 * time.Millisecond
+)
+
+// Timing are the times of the lease protocol. All processes of a cluster must
+// have the same.
+type Timing struct {
+	// Interval is the time between two heartbeats of a router.
+	Interval time.Duration `yaml:"interval"`
+	// Lease is how long a lease lasts after the heartbeat was sent.
+	Lease time.Duration `yaml:"lease"`
+	// Margin covers clock drift: control counts a lease longer by it.
+	Margin time.Duration `yaml:"margin"`
+}
+
+// Complete returns the timing with defaults in place of zeros.
+func (t Timing) Complete() Timing {
+	if t.Interval == 0 {
+		t.Interval = HeartbeatInterval
+	}
+	if t.Lease == 0 {
+		t.Lease = LeaseTime
+	}
+	if t.Margin == 0 {
+		t.Margin = LeaseMargin
+	}
+	return t
+}
+
+// Times of the control group.
+const (
 	// ElectionTimeMin is the shortest election time-out, and how long a
 	// follower withholds its vote after it heard a leader.
 	ElectionTimeMin = 450 * time.Millisecond
@@ -107,6 +140,19 @@
 	Leaving bool
 	// Close says that the router has released everything and ends its session.
 	Close bool
+	// Routed says that the router serves the routes of a configuration: its
+	// backend server takes ranges of keys, or none, in place of shards.
+	Routed bool
+	// Sole says that no earlier process of the router is left on its VM, since
+	// this one listens at the address that the earlier one had.
+	Sole bool
+	// Freed are ranges that the backend server does not hold any more.
+	Freed []RangeRef
+	// Work is sent once in a while by a router whose service has ranges.
+	Work *RangeReport
+	// Members is the sum of the addresses of the control group that the router
+	// knows, see HeartbeatAnswer.
+	Members uint64
 }
 
 // HeartbeatStatus says how a heartbeat was taken.
@@ -152,6 +198,9 @@
 	// More says that Delta was bounded and another heartbeat should follow at
 	// once; the lease is not extended yet.
 	More bool
+	// Members are the addresses of the control group, when the router knows
+	// others.
+	Members []string
 }
 
 // Report tells the control group of something outside the heartbeat's rhythm.
@@ -173,3 +222,13 @@
 	// Leader is the address of the leader when it was not.
 	Leader string
 }
+
+// SumOf identifies a set of addresses, whatever their order.
+func SumOf(addresses []string) uint64 {
+	sum := fnv.New64a()
+	for _, address := range slices.Sorted(slices.Values(addresses)) {
+		// Writes to a hash never fail.
+		_, _ = sum.Write([]byte(address + "\n"))
+	}
+	return sum.Sum64()
+}
--- a/kernel/messenger/table.go
+++ b/kernel/messenger/table.go
@@ -89,6 +89,9 @@
 	Fences bool `json:"fences"`
 	// Cold says that it starts cold, so its load grows slowly.
 	Cold bool `json:"cold"`
+	// Born is the start of the server in milliseconds of its wall clock, 0 when
+	// it does not say. A server of another start holds nothing of before.
+	Born int64 `json:"born,omitempty"`
 }
 
 // QuarantineRow is one quarantined fingerprint.
@@ -116,6 +119,9 @@
 	Profiles    []Profile
 	Services    []Service
 	Quarantines []QuarantineRow
+	// Configuration is the one in force, when it changed.
+	Configuration *Configuration
+	Ranges        []RangeRow
 	// Suspects were in flight at one death of a backend server. They run alone.
 	Suspects []QuarantineRow
 	// GoneProfiles and GoneServices are names of removed ones.
--- /dev/null
+++ b/kernel/profiler/configuration.go
@@ -0,0 +1,70 @@
+package profiler
+
+import (
+	"fmt"
+	"strings"
+
+	"marigoldhill/kernel/messenger"
+)
+
+// CheckConfiguration returns the first field of a configuration that is wrong,
+// and why, or two empty strings.
+func CheckConfiguration(c *messenger.Configuration) (field, reason string) {
+	if c.Version == 0 {
+		return "version", "must be at least 1"
+	}
+	services := make(map[string]bool, len(c.Services))
+	for n := range c.Services {
+		name := c.Services[n].Name
+		if name == "" || services[name] {
+			return fmt.Sprintf("services[%d].name", n), "must be there and differ from the others"
+		}
+		services[name] = true
+	}
+	names := make(map[string]bool, len(c.Routes))
+	for n := range c.Routes {
+		route := &c.Routes[n]
+		if route.Name == "" || names[route.Name] {
+			return fmt.Sprintf("routes[%d].name", n), "must be there and differ from the others"
+		}
+		names[route.Name] = true
+		if field, reason := checkPathRoute(route, services); reason != "" {
+			return "route " + route.Name + ": " + field, reason
+		}
+	}
+	return checkLimits(&c.Limits)
+}
+
+func checkPathRoute(route *messenger.PathRoute, services map[string]bool) (field, reason string) {
+	switch {
+	case route.Host == "":
+		return "host", "must not be empty"
+	case !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/"):
+		return "prefix", "must begin and end with a slash"
+	case len(route.Parts) == 0:
+		return "parts", "must name a service"
+	case route.Treatment.Timeout <= 0:
+		return "timeout", "must be above 0"
+	case route.Treatment.Attempts < 1:
+		return "attempts", "must be at least 1"
+	case route.Treatment.Aim < 0:
+		return "aim", "must not be below 0"
+	}
+	for _, part := range route.Parts {
+		if !services[part.Service] {
+			return "parts", "no service is named " + part.Service
+		}
+		// The negation also refuses a weight that is not a number.
+		if !(part.Weight >= 0) {
+			return "weight", "must not be below 0"
+		}
+	}
+	return "", ""
+}
+
+func checkLimits(limits *messenger.Limits) (field, reason string) {
+	if limits.HeaderBytes < 0 || limits.BodyBytes < 0 || limits.HeaderTime < 0 || limits.IdleTime < 0 {
+		return "limits", "must not be below 0"
+	}
+	return "", ""
+}
--- a/router/keeper/core.go
+++ b/router/keeper/core.go
@@ -9,6 +9,7 @@
 
 // core decides on the session. It does no I/O and reads no clock.
 type core struct {
+	timing  messenger.Timing
 	members []string
 	target  int
 	// leader is where a redirect pointed, empty without one.
@@ -52,8 +53,8 @@
 	reason string
 }
 
-func newCore(members []string) core {
-	return core{members: members}
+func newCore(members []string, timing messenger.Timing) core {
+	return core{members: members, timing: timing.Complete()}
 }
 
 // begin notes that a heartbeat goes out at now.
@@ -82,10 +83,10 @@
 	if c.session == 0 {
 		return step{}
 	}
-	if now.Since(c.heard) >= messenger.LeaseTime {
+	if now.Since(c.heard) >= c.timing.Lease {
 		return c.end("lapsed")
 	}
-	if !c.renewed.IsZero() && now.Since(c.renewed) >= messenger.LeaseTime {
+	if !c.renewed.IsZero() && now.Since(c.renewed) >= c.timing.Lease {
 		c.renewed = timer.Instant{}
 		return step{publish: true}
 	}
@@ -95,13 +96,13 @@
 // left is the time until check has something to do.
 func (c *core) left(now timer.Instant) time.Duration {
 	if c.session == 0 {
-		return messenger.LeaseTime
+		return c.timing.Lease
 	}
 	oldest := c.heard
 	if !c.renewed.IsZero() {
 		oldest = c.renewed
 	}
-	return max(0, messenger.LeaseTime-now.Since(oldest))
+	return max(0, c.timing.Lease-now.Since(oldest))
 }
 
 // end closes the session here. No grant of it is carried over.
@@ -159,7 +160,7 @@
 // alive handles an answer that accepts the heartbeat.
 func (c *core) alive(now timer.Instant, pending attempt, answer *messenger.HeartbeatAnswer, before step) step {
 	opened := pending.session == 0
-	late := now.Since(pending.sent) >= messenger.LeaseTime
+	late := now.Since(pending.sent) >= c.timing.Lease
 	if late || answer.Session == 0 || (!opened && answer.Session != pending.session) {
 		c.pending = nil
 		before.reason = "void"
--- a/router/keeper/core_test.go
+++ b/router/keeper/core_test.go
@@ -21,7 +21,7 @@
 
 // opened is a core whose session 7 was opened by a heartbeat sent at 0.
 func opened(t *testing.T) *core {
-	c := newCore([]string{"a", "b", "c"})
+	c := newCore([]string{"a", "b", "c"}, messenger.Timing{})
 	c.tick(at(0))
 	attempt := c.begin(at(0))
 	step := c.answered(at(time.Millisecond), attempt.sequence, alive(7))
@@ -111,7 +111,7 @@
 }
 
 func TestLateOpeningIsVoid(t *testing.T) {
-	c := newCore([]string{"a"})
+	c := newCore([]string{"a"}, messenger.Timing{})
 	c.tick(at(0))
 	attempt := c.begin(at(0))
 	step := c.answered(at(messenger.LeaseTime), attempt.sequence, alive(7))
@@ -128,7 +128,7 @@
 }
 
 func TestSilentMembersAreLeft(t *testing.T) {
-	c := newCore([]string{"a", "b", "c"})
+	c := newCore([]string{"a", "b", "c"}, messenger.Timing{})
 	c.tick(at(0))
 	var asked []string
 	for {
--- a/router/keeper/keeper.go
+++ b/router/keeper/keeper.go
@@ -61,8 +61,11 @@
 	Address string
 	Domain  string
 	Region  string
-	// Control are the addresses of the members of the control group.
+	// Control are the addresses of the members of the control group, until the
+	// group says otherwise.
 	Control []string
+	// Timing replaces the default times where it is not zero.
+	Timing messenger.Timing
 }
 
 // Options are the parts that a Keeper works with.
@@ -99,18 +102,19 @@
 
 // New returns a Keeper without a session.
 func New(settings Settings, options Options) *Keeper {
+	settings.Timing = settings.Timing.Complete()
 	keeper := &Keeper{
 		settings: settings,
 		options:  options,
 		instance: rand.Uint64(),
-		core:     newCore(settings.Control),
+		core:     newCore(settings.Control, settings.Timing),
 		ending:   logger.LeaseLost,
 		results:  make(chan result, 1),
 		nudge:    make(chan struct{}, 1),
 		closing:  make(chan struct{}, 1),
 		done:     make(chan struct{}),
 	}
-	keeper.lease.Store(noLease())
+	keeper.lease.Store(noLease(settings.Timing.Lease))
 	return keeper
 }
 
@@ -150,9 +154,9 @@
 // Run keeps the session until ctx ends. It must be called once.
 func (k *Keeper) Run(ctx context.Context) {
 	defer close(k.done)
-	ticker := time.NewTicker(messenger.HeartbeatInterval)
+	ticker := time.NewTicker(k.settings.Timing.Interval)
 	defer ticker.Stop()
-	lapse := time.NewTimer(messenger.LeaseTime)
+	lapse := time.NewTimer(k.settings.Timing.Lease)
 	defer lapse.Stop()
 	k.act(ctx, k.core.tick(timer.Now()))
 	for {
--- a/router/keeper/lease.go
+++ b/router/keeper/lease.go
@@ -15,25 +15,26 @@
 	// lease was never renewed.
 	Sent timer.Instant
 
-	done chan struct{}
+	length time.Duration
+	done   chan struct{}
 }
 
-func noLease() *Lease {
-	return &Lease{done: make(chan struct{})}
+func noLease(length time.Duration) *Lease {
+	return &Lease{length: length, done: make(chan struct{})}
 }
 
 // Granted returns a lease that is renewed by a heartbeat sent at that instant,
 // for tests of other packages.
 func Granted(session uint64, sent timer.Instant) *Lease {
-	return noLease().next(session, sent)
+	return noLease(messenger.LeaseTime).next(session, sent)
 }
 
 // next is the lease that follows. It shares the Done channel when it goes on.
 func (l *Lease) next(session uint64, sent timer.Instant) *Lease {
 	if session == l.Session && sent.IsZero() == l.Sent.IsZero() {
-		return &Lease{Session: session, Sent: sent, done: l.done}
+		return &Lease{Session: session, Sent: sent, length: l.length, done: l.done}
 	}
-	return &Lease{Session: session, Sent: sent, done: make(chan struct{})}
+	return &Lease{Session: session, Sent: sent, length: l.length, done: make(chan struct{})}
 }
 
 // Alive reports whether the lease holds at now.
@@ -46,7 +47,7 @@
 	if l.Session == 0 || l.Sent.IsZero() {
 		return 0
 	}
-	return max(0, messenger.LeaseTime-now.Since(l.Sent))
+	return max(0, l.length-now.Since(l.Sent))
 }
 
 // Done is closed when the lease ended without a renewal.
