Serve routes of a configuration, beside backend servers on our users' platform

Cause: the product had no routes by host and path, no ranges of keys that a server holds for a time, no group that forms by itself, and nothing that speaks the platform's formats.

Change: routers map configurations (mapper, weigher, chooser), bring requests to the server that may run them (relayer, courier, queuer, budgeter) and make it hold its keys (holder, attendant, sampler). Control replicas enrol themselves (enroller) and take whole configurations (configurer). platform/ translates names, formats and calls; deploy/ has the settings as templates.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -1,6 +1,6 @@
 # The targets are the interface of this repository; see README.md.
 
-MODULES := kernel control router operator bench
+MODULES := kernel control router operator bench platform
 PROGRAMS := marigold-control marigold-router marigold marigold-bench
 BIN := bin
 FUZZTIME ?= 30s
--- a/control/assembler/assembler.go
+++ b/control/assembler/assembler.go
@@ -12,11 +12,13 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/zeebo/errs"
 
+	"marigoldhill/control/configurer"
 	"marigoldhill/control/journaler"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/networker"
@@ -39,6 +41,9 @@
 	Log *logger.Log
 	// Metrics gets the counters of this process.
 	Metrics *metrics.Set
+	// Interface serves operators who send whole configurations, beside /v1; nil
+	// leaves it out.
+	Interface func(changes *configurer.Configurer) http.Handler
 }
 
 // Process is a control process.
@@ -68,6 +73,9 @@
 	if options.Metrics == nil {
 		options.Metrics = metrics.NewSet()
 	}
+	if err := settings.settle(options.Disk); err != nil {
+		return nil, err
+	}
 	process := &Process{settings: settings, options: options, kernel: registrar.New()}
 	return process, process.addServices()
 }
@@ -77,7 +85,9 @@
 	p.replica = &replicaService{part: part}
 	p.links = &linkService{part: part}
 	p.operator = &operatorService{part: part}
-	services := []registrar.Service{&journalService{part: part}, p.replica, p.links, p.operator}
+	services := []registrar.Service{
+		&journalService{part: part}, p.replica, &enrolService{part: part}, p.links, p.operator,
+	}
 	for _, service := range services {
 		if err := p.kernel.Add(service); err != nil {
 			return Error.New("adding services: %w", err)
--- a/control/assembler/journal.go
+++ b/control/assembler/journal.go
@@ -14,6 +14,7 @@
 const (
 	journalName  = "journal"
 	replicaName  = "replica"
+	enrolName    = "enroller"
 	linkName     = "links"
 	operatorName = "operator"
 )
--- a/control/assembler/link.go
+++ b/control/assembler/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"marigoldhill/control/enroller"
 	"marigoldhill/control/receiver"
 	"marigoldhill/control/replicator"
 	"marigoldhill/kernel/linker"
@@ -14,6 +15,7 @@
 type linkService struct {
 	part
 	replica  *replicator.Replica
+	enroller *enroller.Enroller
 	receiver *receiver.Receiver
 	server   *linker.Server
 }
@@ -22,7 +24,7 @@
 func (s *linkService) Name() string { return linkName }
 
 // Needs implements [registrar.Service].
-func (s *linkService) Needs() []string { return []string{replicaName} }
+func (s *linkService) Needs() []string { return []string{replicaName, enrolName} }
 
 // Start implements [registrar.Service].
 func (s *linkService) Start(_ context.Context, kernel *registrar.Registrar) error {
@@ -31,6 +33,11 @@
 		return err
 	}
 	s.replica = running.replica
+	enrolment, err := registrar.Find[*enrolService](kernel, enrolName)
+	if err != nil {
+		return err
+	}
+	s.enroller = enrolment.enroller
 	s.receiver = receiver.New(s.replica, receiver.Options{Log: s.options.Log, Metrics: s.options.Metrics})
 	s.server, err = linker.Listen(s.options.Network, s.settings.Listen, linker.Options{
 		Hello:   s.hello(),
@@ -49,6 +56,10 @@
 		s.replica.Handle(ctx, link, stream)
 	case messenger.KindHeartbeat, messenger.KindReport:
 		s.receiver.Handle(ctx, link, stream)
+	case messenger.KindJoin:
+		if err := s.enroller.Handle(ctx, link, stream); err != nil {
+			s.options.Metrics.GetOrCreateCounter(`marigold_control_refusals_total{reason="stream"}`).Inc()
+		}
 	default:
 		s.options.Metrics.GetOrCreateCounter(`marigold_control_refusals_total{reason="kind"}`).Inc()
 	}
--- a/control/assembler/operator.go
+++ b/control/assembler/operator.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"marigoldhill/control/administrator"
+	"marigoldhill/control/configurer"
 	"marigoldhill/control/replicator"
 	"marigoldhill/kernel/registrar"
 )
@@ -69,7 +70,13 @@
 	mux.HandleFunc("GET /metrics", s.serveMetrics)
 	mux.HandleFunc("GET /health", s.serveHealth)
 	administrate := administrator.New(s.replica, administrator.Options{Log: s.options.Log, Metrics: s.options.Metrics})
-	mux.Handle("/", administrate.Handler())
+	mux.Handle("/v1/", administrate.Handler())
+	if s.options.Interface == nil {
+		mux.Handle("/", administrate.Handler())
+		return mux
+	}
+	changes := configurer.New(s.replica, configurer.Options{Losses: s.settings.Losses, Log: s.options.Log})
+	mux.Handle("/", s.options.Interface(changes))
 	return mux
 }
 
--- a/control/assembler/replica.go
+++ b/control/assembler/replica.go
@@ -51,6 +51,7 @@
 func (s *replicaService) machine() replicator.Machine {
 	return supervisor.New(supervisor.Options{
 		Cluster: s.settings.Cluster,
+		Timing:  s.settings.Timing,
 		Log:     s.options.Log,
 		Metrics: s.options.Metrics,
 	})
--- a/control/assembler/settings.go
+++ b/control/assembler/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
@@ -31,6 +32,17 @@
 	// Join says that this process joins a group that runs already; it waits to
 	// be added by an operator.
 	Join bool `yaml:"join"`
+	// Seeds are operator addresses of replicas, host:port, for a group that
+	// forms by itself; they take the place of name, members and join. All
+	// replicas listen at the same port. The seeds found the group when found is
+	// true and the data folder is empty, all other replicas join.
+	Seeds []string `yaml:"seeds"`
+	Found bool     `yaml:"found"`
+	// Losses is how many disks may be lost at once. A group that forms by
+	// itself grows to twice as many members and one more.
+	Losses int `yaml:"losses"`
+	// Timing replaces the default times of leases where it is not zero.
+	Timing messenger.Timing `yaml:"timing"`
 	// Log is the form of log lines, text or json.
 	Log logger.Format `yaml:"log"`
 }
@@ -44,7 +56,7 @@
 	}
 	required := []struct{ field, value string }{
 		{"cluster", s.Cluster},
-		{"name", s.Name},
+		{"name", s.Name + strings.Join(s.Seeds, "")},
 		{"data", s.Data},
 	}
 	for _, r := range required {
@@ -65,6 +77,9 @@
 }
 
 func (s *Settings) checkMembers() (field, reason string) {
+	if len(s.Seeds) > 0 {
+		return s.checkSeeds()
+	}
 	if s.Join {
 		if len(s.Members) > 0 {
 			return "members", "must be empty when join is true: the group that runs knows its members"
@@ -91,6 +106,21 @@
 	return "", ""
 }
 
+func (s *Settings) checkSeeds() (field, reason string) {
+	if len(s.Members) > 0 || s.Join || s.Name != "" {
+		return "seeds", "must be empty when name, members or join are there"
+	}
+	for i, seed := range s.Seeds {
+		if reason := checkAddress(seed); reason != "" {
+			return fmt.Sprintf("seeds[%d]", i), reason
+		}
+	}
+	if s.Losses < 0 || 2*s.Losses+1 > maxMembers {
+		return "losses", fmt.Sprintf("must be 0 to %d", (maxMembers-1)/2)
+	}
+	return "", ""
+}
+
 // checkAddress returns what is wrong with a host:port.
 func checkAddress(address string) string {
 	if _, _, err := net.SplitHostPort(address); err != nil {
--- a/control/commander/commander.go
+++ b/control/commander/commander.go
@@ -24,19 +24,23 @@
 
 // Main runs the program and returns its exit code.
 func Main(arguments []string, out, failures io.Writer) int {
-	program := commander.Program[assembler.Settings]{
+	program := Program(assembler.Options{})
+	return program.Main(arguments, out, failures)
+}
+
+// Program is the program with processes that have options.
+func Program(options assembler.Options) *commander.Program[assembler.Settings] {
+	return &commander.Program[assembler.Settings]{
 		Name:      "marigold-control",
 		Help:      "A replica of the control group of a marigoldhill cluster.",
 		StartTime: startTime,
 		StopTime:  stopTime,
-		New:       build,
-		Describe:  describe,
+		New: func(settings *assembler.Settings, log *logger.Log) (commander.Process, error) {
+			options.Log = log
+			return assembler.New(*settings, options)
+		},
+		Describe: describe,
 	}
-	return program.Main(arguments, out, failures)
-}
-
-func build(settings *assembler.Settings, log *logger.Log) (commander.Process, error) {
-	return assembler.New(*settings, assembler.Options{Log: log})
 }
 
 func describe(settings *assembler.Settings) commander.Description {
--- /dev/null
+++ b/control/enroller/decision_test.go
@@ -0,0 +1,61 @@
+package enroller_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/control/enroller"
+	"marigoldhill/kernel/messenger"
+)
+
+func member(name, address string) messenger.Member {
+	return messenger.Member{Name: name, Address: address}
+}
+
+func TestDecide(t *testing.T) {
+	five := []messenger.Member{member("a", "1"), member("b", "2"), member("c", "3"), member("d", "4"), member("e", "5")}
+	tests := []struct {
+		name    string
+		members []messenger.Member
+		silence map[string]time.Duration
+		joiner  messenger.Member
+		want    enroller.Step
+	}{
+		{name: "group is growing", members: five[:3], joiner: member("d", "4"), want: enroller.Step{Add: true}},
+		{name: "member asks again", members: five, joiner: member("d", "4"), want: enroller.Step{Enrolled: true}},
+		{name: "wiped member comes back", members: five, joiner: member("b.2", "2"), want: enroller.Step{Remove: "b"}},
+		{name: "after the old identity was removed", members: append(five[:1:1], five[2:]...), joiner: member("b.2", "2"), want: enroller.Step{Add: true}},
+		{
+			name: "group that is short of one removes no second one", members: append(five[:1:1], five[2:]...),
+			silence: map[string]time.Duration{"c": time.Hour}, joiner: member("b.2", "2"), want: enroller.Step{Add: true},
+		},
+		{name: "full group", members: five, silence: map[string]time.Duration{"c": time.Second}, joiner: member("f", "6"), want: enroller.Step{}},
+		{
+			name: "replacement of a VM that is gone", members: five,
+			silence: map[string]time.Duration{"c": 4 * time.Second, "d": 5 * time.Second}, joiner: member("f", "6"), want: enroller.Step{Remove: "d"},
+		},
+		{name: "leader is never removed", members: five, silence: map[string]time.Duration{"a": time.Hour}, joiner: member("f", "1"), want: enroller.Step{}},
+	}
+	for _, test := range tests {
+		got := enroller.Decide(enroller.Group{Leader: "a", Members: test.members, Silence: test.silence, Target: 5}, test.joiner)
+		qt.Check(t, got, qt.DeepEquals, test.want, qt.Commentf(test.name))
+	}
+}
+
+func TestEndures(t *testing.T) {
+	tests := []struct {
+		members, losses int
+		want            bool
+	}{
+		{members: 3, losses: 1, want: true},
+		{members: 3, losses: 2},
+		{members: 4, losses: 2, want: true},
+		{members: 5, losses: 2, want: true},
+		{members: 1, losses: 0, want: true},
+	}
+	for _, test := range tests {
+		qt.Check(t, enroller.Endures(test.members, test.losses), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
--- a/control/journaler/identity.go
+++ b/control/journaler/identity.go
@@ -70,6 +70,27 @@
 	return record.Save != nil && *record.Save == elector.HardState{} && len(record.Entries) == 0
 }
 
+// FindIdentity reads the identity of a data folder, nil when it has none yet.
+func FindIdentity(disk Disk, folder string) (*Identity, error) {
+	names, err := disk.List(folder)
+	if err != nil {
+		return nil, Error.New("%w: %s (create it, or mount the disk that holds it): %w", ErrFolder, folder, err)
+	}
+	if !slices.Contains(names, identityName) {
+		return nil, nil
+	}
+	path := filepath.Join(folder, identityName)
+	data, err := disk.Read(path)
+	if err != nil {
+		return nil, Error.New("reading %s: %w", path, err)
+	}
+	identity := &Identity{}
+	if err := decodeFile(data, identity); err != nil {
+		return nil, Error.New("%s (empty the folder and join as a new member): %w", path, err)
+	}
+	return identity, nil
+}
+
 // loadIdentity reads the identity.
 func (j *Journal) loadIdentity(wanted Identity) (*Identity, error) {
 	path := filepath.Join(j.folder, identityName)
--- a/kernel/commander/cmd_run.go
+++ b/kernel/commander/cmd_run.go
@@ -22,7 +22,7 @@
 		return err
 	}
 	found := program.Describe(settings)
-	log := logger.New(streams.err, found.Log, found.Role, found.Name)
+	log := logger.New(streams.out, found.Log, found.Role, found.Name)
 	process, err := program.New(settings, log)
 	if err != nil {
 		return Error.New("putting the process together: %w", err)
--- a/kernel/logger/control.go
+++ b/kernel/logger/control.go
@@ -24,6 +24,7 @@
 	DrainStarted         = Event{264, hclog.Info, "drain of a backend server started"}
 	DrainEnded           = Event{265, hclog.Info, "drain of a backend server ended"}
 	ConfigurationChanged = Event{266, hclog.Info, "configuration changed"}
+	ConfigurationTaken   = Event{267, hclog.Info, "configuration of an operator is safe"}
 	ServerDied           = Event{270, hclog.Warn, "backend server ended with requests in flight"}
 	RequestQuarantined   = Event{271, hclog.Warn, "request was quarantined"}
 	QuarantineLifted     = Event{272, hclog.Info, "quarantine was lifted"}
@@ -34,7 +35,7 @@
 func controlEvents() []Event {
 	return []Event{
 		SessionOpened, SessionLapsed, SessionClosed, SessionAdopted, RecordersLost, MemberEnrolled, MemberDropped,
-		RangesGranted, RangesMoving, ConfigurationChanged,
+		RangesGranted, RangesMoving, ConfigurationChanged, ConfigurationTaken,
 		ShardsGranted, ShardsMoving, RecordsForgotten,
 		KeyPromoted, KeyDemoted,
 		ProfileChanged, ProfileRemoved, ServiceChanged, DrainStarted, DrainEnded,
--- a/kernel/logger/process.go
+++ b/kernel/logger/process.go
@@ -8,8 +8,10 @@
 	ProcessStopping = Event{101, hclog.Info, "process is stopping"}
 	ProcessStopped  = Event{102, hclog.Info, "process has stopped"}
 	ProcessFailed   = Event{103, hclog.Error, "process cannot go on"}
+	SettingsRead    = Event{104, hclog.Info, "settings were read again"}
+	SettingsUnread  = Event{105, hclog.Warn, "settings could not be read again"}
 )
 
 func processEvents() []Event {
-	return []Event{ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed}
+	return []Event{ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed, SettingsRead, SettingsUnread}
 }
--- a/kernel/logger/router.go
+++ b/kernel/logger/router.go
@@ -12,12 +12,13 @@
 	ServerCrashed    = Event{312, hclog.Warn, "backend server ended with requests in flight"}
 	RecordsRecovered = Event{320, hclog.Info, "records of an earlier owner were read"}
 	RecordsCopied    = Event{321, hclog.Info, "records were copied to a joining recorder"}
+	RangeCalled      = Event{322, hclog.Info, "backend server was told of a range of keys"}
 	RequestStalled   = Event{330, hclog.Warn, "background request waits too long"}
 )
 
 func routerEvents() []Event {
 	return []Event{
 		LeaseGained, LeaseLost, LeaseEnded, ServerAnnounced, ServerChanged, ServerCrashed,
-		RecordsRecovered, RecordsCopied, RequestStalled,
+		RecordsRecovered, RecordsCopied, RangeCalled, RequestStalled,
 	}
 }
--- a/kernel/messenger/ranges.go
+++ b/kernel/messenger/ranges.go
@@ -7,6 +7,7 @@
 
 // RangeRow is the ownership of a range of keys, both ends included.
 type RangeRow struct {
+	//lint:ignore U1000 msgpack reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Service string
@@ -38,6 +39,7 @@
 
 // RangeLoad is what callers asked of a range of keys since the last report.
 type RangeLoad struct {
+	//lint:ignore U1000 msgpack reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	From uint32
--- a/kernel/messenger/reason.go
+++ b/kernel/messenger/reason.go
@@ -31,6 +31,8 @@
 	ReasonCanceled    Reason = "canceled"    // the caller went away before it ran
 	ReasonStopping    Reason = "stopping"    // the router is shutting down
 	ReasonStale       Reason = "stale"       // the number was given up before it arrived
+	ReasonUnready     Reason = "unready"     // the router knows no configuration yet
+	ReasonRoute       Reason = "route"       // no route takes the host and path
 
 	ReasonLost      Reason = "lost"      // the answer was lost
 	ReasonCrashed   Reason = "crashed"   // the backend server ended while it ran
@@ -53,7 +55,7 @@
 		ReasonMisrouted, ReasonLease, ReasonUnreachable, ReasonQueue, ReasonDeadline,
 		ReasonShed, ReasonShare, ReasonFair, ReasonBudget, ReasonDraining, ReasonDown,
 		ReasonQuarantine, ReasonRecorders, ReasonRecovering, ReasonMismatch, ReasonFence,
-		ReasonCanceled, ReasonStopping, ReasonStale,
+		ReasonCanceled, ReasonStopping, ReasonStale, ReasonUnready, ReasonRoute,
 	}
 }
 
@@ -71,7 +73,7 @@
 	switch r {
 	case ReasonUnowned, ReasonMoving, ReasonMisrouted, ReasonLease, ReasonUnreachable,
 		ReasonShed, ReasonDraining, ReasonDown, ReasonRecorders, ReasonRecovering, ReasonFence,
-		ReasonStopping:
+		ReasonStopping, ReasonUnready:
 		return true
 	}
 	return false
--- a/kernel/messenger/relay.go
+++ b/kernel/messenger/relay.go
@@ -9,11 +9,14 @@
 // from the entry router to the router of the backend server. The body follows on
 // the stream.
 type Relay struct {
+	//lint:ignore U1000 msgpack reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	// ID is the caller's id of this attempt.
 	ID      string
 	Service string
+	// Route is the name of the route, which groups requests of like cost.
+	Route string
 	// Key is the numeric key, or NoKey.
 	Key int32
 	// Caller is the service of the VM where the request began, or empty.
@@ -40,6 +43,7 @@
 // RelayAnswer is the answer to a Relay. When Outcome is done, the body follows
 // on the stream.
 type RelayAnswer struct {
+	//lint:ignore U1000 msgpack reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	ID      string
@@ -59,6 +63,7 @@
 
 // ServerWork is how busy a backend server is, as its router sees it.
 type ServerWork struct {
+	//lint:ignore U1000 msgpack reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Running int
--- a/router/acceptor/status.go
+++ b/router/acceptor/status.go
@@ -20,7 +20,7 @@
 		return http.StatusBadRequest
 	case messenger.ReasonOversize:
 		return http.StatusRequestEntityTooLarge
-	case messenger.ReasonService:
+	case messenger.ReasonService, messenger.ReasonRoute:
 		return http.StatusNotFound
 	case messenger.ReasonMismatch:
 		return http.StatusConflict
--- a/router/assembler/part.go
+++ b/router/assembler/part.go
@@ -17,6 +17,10 @@
 	partAnnounce = "announcer"
 	partOperator = "operator"
 	partDrainer  = "drainer"
+	partHolder   = "holder"
+	partWatcher  = "watcher"
+	partCallers  = "callers"
+	partReady    = "ready"
 )
 
 // part is a service made of functions. Nil functions do nothing.
--- /dev/null
+++ b/router/chooser/chooser.go
@@ -0,0 +1,192 @@
+// Package chooser chooses the backend server for a request that any server of a
+// service can run.
+//
+// Each choice weighs the time that the request would take at a server, by its
+// pace, what it is known to have to do and how often it failed lately, against
+// the cost of bytes that cross the border of a failure domain. What is known of a
+// server is what it said in its answers to this router, and what this router has
+// sent it since.
+//
+// # Usage
+//
+//	board := chooser.New()
+//	session := board.Choose(now, candidates, chooser.Wish{Domain: "a", Bytes: 90_000})
+//	board.Begin(session)
+//	...
+//	board.End(now, session, work, failed)
+package chooser
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"marigoldhill/kernel/messenger"
+)
+
+const (
+	// toll is how much longer an answer may take at home than elsewhere, for each
+	// byte of it: 90 kB, which cost a third of what such an answer is worth, are
+	// weighed as 270 ms.
+	toll = 3 * time.Microsecond
+	// failPart is the weight of one request in the share of failures.
+	failPart = 0.15
+	// failWeight is how much longer a request counts at a server that always
+	// fails, in times of its pace.
+	failWeight = 10
+	// staleTime is how long what a server said of its load counts.
+	staleTime = time.Second
+	// defaultPace is the pace of a server of which nothing is known.
+	defaultPace = 100 * time.Millisecond
+	// noise is the part by which times are blurred, so that many routers do not
+	// choose the same server.
+	noise = 0.2
+	// forgetTime is how long failures are remembered without a new request.
+	forgetTime = 3 * time.Second
+)
+
+// Candidate is a server that may be chosen.
+type Candidate struct {
+	Session uint64
+	Domain  string
+	Slots   int
+	// Cold says that it has just started and is slow.
+	Cold bool
+}
+
+// Wish is what a request needs.
+type Wish struct {
+	// Domain is the failure domain of the entry.
+	Domain string
+	// Bytes is the expected size of request and answer.
+	Bytes int
+	// Avoid are sessions that were tried.
+	Avoid []uint64
+}
+
+// standing is what is known of a server.
+type standing struct {
+	work     messenger.ServerWork
+	said     time.Duration
+	known    bool
+	open     int
+	openThen int
+	failing  float64
+	failed   time.Duration
+}
+
+// Board is safe for concurrent use.
+type Board struct {
+	mu      sync.Mutex
+	servers map[uint64]*standing
+}
+
+// New returns a Board that knows nothing.
+func New() *Board {
+	return &Board{servers: make(map[uint64]*standing)}
+}
+
+func (b *Board) of(session uint64) *standing {
+	known := b.servers[session]
+	if known == nil {
+		known = new(standing)
+		b.servers[session] = known
+	}
+	return known
+}
+
+// Choose returns the session of the best server, 0 when there is none.
+func (b *Board) Choose(now time.Duration, candidates []Candidate, wish Wish) uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	best, least := uint64(0), time.Duration(0)
+	for _, candidate := range candidates {
+		if contains(wish.Avoid, candidate.Session) {
+			continue
+		}
+		cost := b.cost(now, candidate, wish)
+		if best == 0 || cost < least {
+			best, least = candidate.Session, cost
+		}
+	}
+	return best
+}
+
+func contains(sessions []uint64, session uint64) bool {
+	for _, other := range sessions {
+		if other == session {
+			return true
+		}
+	}
+	return false
+}
+
+// cost is the expected time of a request at a server.
+func (b *Board) cost(now time.Duration, candidate Candidate, wish Wish) time.Duration {
+	known := b.of(candidate.Session)
+	pace := defaultPace
+	if known.known && known.work.Pace > 0 {
+		pace = known.work.Pace
+	}
+	if candidate.Cold {
+		pace *= 2
+	}
+	slots := max(candidate.Slots, 1)
+	load := known.load(now)
+	turns := 1 + float64(load)/float64(slots)/2
+	if load >= slots {
+		turns += float64(load+1-slots) / float64(slots)
+	}
+	if known.failing > 0 && now-known.failed < forgetTime {
+		turns += failWeight * known.failing
+	}
+	turns *= 1 + noise*(rand.Float64()-0.5)
+	cost := time.Duration(turns * float64(pace))
+	if candidate.Domain != wish.Domain {
+		cost += time.Duration(wish.Bytes) * toll
+	}
+	return cost
+}
+
+// load is how many requests a server has.
+func (s *standing) load(now time.Duration) int {
+	if !s.known || now-s.said > staleTime {
+		return s.open
+	}
+	return max(s.work.Running+s.work.Waiting+s.open-s.openThen, s.open)
+}
+
+// Begin notes that a request is sent to a server.
+func (b *Board) Begin(session uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(session).open++
+}
+
+// End notes the end of a request; work is nil when the server said nothing.
+func (b *Board) End(now time.Duration, session uint64, work *messenger.ServerWork, failed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := b.of(session)
+	known.open--
+	if work != nil && work.Slots > 0 {
+		known.work, known.said, known.known, known.openThen = *work, now, true, known.open
+	}
+	share := 0.0
+	if failed {
+		share = 1
+		known.failed = now
+	}
+	known.failing += failPart * (share - known.failing)
+}
+
+// Forget drops servers that are not listed.
+func (b *Board) Forget(kept func(session uint64) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for session, known := range b.servers {
+		if known.open == 0 && !kept(session) {
+			delete(b.servers, session)
+		}
+	}
+}
--- a/router/keeper/core.go
+++ b/router/keeper/core.go
@@ -129,7 +129,7 @@
 // rotate turns to the next member.
 func (c *core) rotate() {
 	if c.leader == "" {
-		c.target = (c.target + 1) % len(c.members)
+		c.target++
 	}
 	c.leader = ""
 }
--- a/router/keeper/keeper.go
+++ b/router/keeper/keeper.go
@@ -20,6 +20,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -72,6 +73,11 @@
 type Options struct {
 	Opener  linker.Opener
 	Steward Steward
+	// Known is told of the members that the control group names; nil takes no
+	// names. Seeds returns addresses to try when no member answers; nil adds
+	// none.
+	Known   func(members []string)
+	Seeds   func() []string
 	Log     *logger.Log
 	Metrics *metrics.Set
 }
@@ -185,8 +191,10 @@
 	if result.err != nil {
 		k.count("failed")
 		k.act(ctx, k.core.failed(timer.Now(), result.sequence))
+		k.seek()
 		return
 	}
+	k.learn(result.answer.Members)
 	step := k.core.answered(timer.Now(), result.sequence, result.answer)
 	k.act(ctx, step)
 	if !step.apply {
@@ -200,6 +208,29 @@
 	k.act(ctx, k.core.applied(timer.Now(), result.answer.More))
 }
 
+// learn takes over the members that the control group names.
+func (k *Keeper) learn(members []string) {
+	if len(members) == 0 || k.options.Known == nil {
+		return
+	}
+	k.core.members = members
+	k.options.Known(members)
+}
+
+// seek adds seeds to the members when none of them has answered for a while.
+func (k *Keeper) seek() {
+	if k.options.Seeds == nil || k.core.unanswered < 2*len(k.core.members) || k.core.unanswered%len(k.core.members) != 0 {
+		return
+	}
+	members := slices.Clone(k.core.members)
+	for _, seed := range k.options.Seeds() {
+		if !slices.Contains(members, seed) {
+			members = append(members, seed)
+		}
+	}
+	k.core.members = members
+}
+
 // act carries out a step of the core.
 func (k *Keeper) act(ctx context.Context, step step) {
 	if step.reason != "" {
