Pace large writes to the link, and give slow heartbeats more time

Logs of the new event 303 show heartbeats that timed out at 250 ms while their leader answered others: large answers had filled the 11 Mbit/s links. Processor was ruled out: 0.03 of 0.16 cores at most.

A heartbeat may take up to 1 s after two in a row failed.

--- a/kernel/logger/router.go
+++ b/kernel/logger/router.go
@@ -7,6 +7,8 @@
 	LeaseGained      = Event{300, hclog.Info, "router gained its lease"}
 	LeaseLost        = Event{301, hclog.Warn, "router lost its lease"}
 	LeaseEnded       = Event{302, hclog.Info, "router gave its lease back"}
+	ControlLost      = Event{303, hclog.Warn, "control group does not answer"}
+	ControlFound     = Event{304, hclog.Info, "control group answers again"}
 	ServerAnnounced  = Event{310, hclog.Info, "backend server announced itself"}
 	ServerChanged    = Event{311, hclog.Warn, "backend server changed its state"}
 	ServerCrashed    = Event{312, hclog.Warn, "backend server ended with requests in flight"}
@@ -18,7 +20,7 @@
 
 func routerEvents() []Event {
 	return []Event{
-		LeaseGained, LeaseLost, LeaseEnded, ServerAnnounced, ServerChanged, ServerCrashed,
+		LeaseGained, LeaseLost, LeaseEnded, ControlLost, ControlFound, ServerAnnounced, ServerChanged, ServerCrashed,
 		RecordsRecovered, RecordsCopied, RangeCalled, RequestStalled,
 	}
 }
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -13,6 +13,7 @@
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
+	"marigoldhill/kernel/pacer"
 	"marigoldhill/kernel/registrar"
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/attendant"
@@ -37,6 +38,8 @@
 	// goneTime is how long after the start of a stop callers may still come:
 	// they are told within two questions, one a second.
 	goneTime = 2500 * time.Millisecond
+	// bytesPerMegabit turns Mbit/s into bytes a second.
+	bytesPerMegabit = 1e6 / 8
 	// stopMargin is the part of the grace that the process does not use, since it
 	// is killed at its end.
 	stopMargin = 250 * time.Millisecond
@@ -78,6 +81,8 @@
 	sampler *sampler.Sampler
 	owner   *relayer.Owner
 	entry   *relayer.Entry
+	// paced is the network for whatever leaves the VM.
+	paced   networker.Network
 	pool    *linker.Pool
 	peer    *linker.Server
 	keeper  *keeper.Keeper
@@ -119,7 +124,8 @@
 		Gone:    func() { p.holder.ServerGone() },
 		Log:     options.Log,
 	})
-	p.pool = linker.NewPool(options.Network, p.linkOptions())
+	p.paced = pacer.New(options.Network, pacer.NewBucket(p.settings.Link*bytesPerMegabit))
+	p.pool = linker.NewPool(p.paced, p.linkOptions())
 	p.members = p.settings.peersOf(p.settings.Control)
 	p.keeper = keeper.New(keeper.Settings{
 		Name:    p.settings.Name,
@@ -222,7 +228,7 @@
 			p.owner.Handle(ctx, link, stream)
 		}
 	}
-	peer, err := linker.Listen(p.options.Network, p.settings.Peer, options)
+	peer, err := linker.Listen(p.paced, p.settings.Peer, options)
 	if err != nil {
 		return Error.New("listening for routers: %w", err)
 	}
@@ -287,7 +293,7 @@
 }
 
 func (p *Routed) startCallers(context.Context) error {
-	socket, err := p.options.Network.Listen(p.settings.Callers)
+	socket, err := p.paced.Listen(p.settings.Callers)
 	if err != nil {
 		return Error.New("listening for callers: %w", err)
 	}
--- a/router/assembler/routed_settings.go
+++ b/router/assembler/routed_settings.go
@@ -44,6 +44,9 @@
 	Budget budgeter.Settings `yaml:"budget"`
 	// Grace is how long the process may take to stop.
 	Grace time.Duration `yaml:"grace"`
+	// Link is the bandwidth of the VM's link in Mbit/s. Large answers are sent no
+	// faster, so that they do not hold up heartbeats; 0 sets no bound.
+	Link float64 `yaml:"link"`
 	// Log is text, the default, or json.
 	Log string `yaml:"log"`
 }
@@ -84,6 +87,8 @@
 	switch {
 	case len(s.Control) == 0:
 		return "control", "must list at least one address"
+	case s.Link < 0:
+		return "link", "must not be below 0"
 	case s.Grace <= 0:
 		return "grace", "must be above 0"
 	case s.Budget.Ratio < 0 || s.Budget.Reserve < 0 || s.Budget.Window <= 0:
--- a/router/keeper/keeper.go
+++ b/router/keeper/keeper.go
@@ -36,13 +36,22 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("keeper")
 
-// TryTime bounds one heartbeat, so that a silent leader is left quickly.
-const TryTime = 250 * time.Millisecond
+// TryTime bounds one heartbeat, so that a silent leader is left quickly. It grows
+// with each heartbeat in a row that fails, up to MaxTryTime: behind a full link
+// every answer takes long, and a lease must be renewed all the same.
+const (
+	TryTime    = 250 * time.Millisecond
+	MaxTryTime = time.Second
+)
 
 // HastenInterval is the least time between heartbeats that Hasten asks for. It
 // bounds what held requests cost the leader.
 const HastenInterval = 75 * time.Millisecond
 
+// lostFailures is how many heartbeats in a row must fail for the control group to
+// count as lost. One fails whenever a leader is replaced.
+const lostFailures = 2
+
 // Steward is asked for what goes into a heartbeat and applies what comes back.
 // All its methods are called from the goroutine of [Keeper.Run].
 type Steward interface {
@@ -97,6 +106,8 @@
 	nudge   chan struct{}
 	closing chan struct{}
 	done    chan struct{}
+	// failures counts the heartbeats in a row that got no answer.
+	failures int
 }
 
 // result is what became of one heartbeat.
@@ -190,10 +201,12 @@
 func (k *Keeper) take(ctx context.Context, result result) {
 	if result.err != nil {
 		k.count("failed")
+		k.noteLost(result)
 		k.act(ctx, k.core.failed(timer.Now(), result.sequence))
 		k.seek()
 		return
 	}
+	k.noteFound(result.answer)
 	k.learn(result.answer.Members)
 	step := k.core.answered(timer.Now(), result.sequence, result.answer)
 	k.act(ctx, step)
@@ -208,6 +221,24 @@
 	k.act(ctx, k.core.applied(timer.Now(), result.answer.More))
 }
 
+// noteLost logs that the control group does not answer, once it is no single
+// failure.
+func (k *Keeper) noteLost(result result) {
+	k.failures++
+	if k.failures == lostFailures {
+		k.options.Log.Emit(logger.ControlLost, "sequence", result.sequence, "session", k.core.session,
+			"unanswered", k.core.unanswered, "error", result.err)
+	}
+}
+
+// noteFound logs that the control group answers again.
+func (k *Keeper) noteFound(answer *messenger.HeartbeatAnswer) {
+	if k.failures >= lostFailures {
+		k.options.Log.Emit(logger.ControlFound, "failures", k.failures, "status", answer.Status)
+	}
+	k.failures = 0
+}
+
 // learn takes over the members that the control group names.
 func (k *Keeper) learn(members []string) {
 	if len(members) == 0 || k.options.Known == nil {
@@ -282,12 +313,21 @@
 	attempt := k.core.begin(now)
 	heartbeat.Sequence = attempt.sequence
 	k.count("sent")
-	go k.call(ctx, attempt, heartbeat)
+	go k.call(ctx, attempt, heartbeat, k.tryTime())
 }
 
+// tryTime is how long the next heartbeat may take.
+func (k *Keeper) tryTime() time.Duration {
+	return min(TryTime<<min(k.failures/tryFailures, 8), MaxTryTime)
+}
+
+// tryFailures is how many heartbeats in a row must fail for the next ones to get
+// more time: a leader that is gone is left after one or two.
+const tryFailures = 2
+
 // call sends one heartbeat and hands its result to the goroutine of Run.
-func (k *Keeper) call(ctx context.Context, attempt attempt, heartbeat *messenger.Heartbeat) {
-	try, cancel := context.WithTimeout(ctx, TryTime)
+func (k *Keeper) call(ctx context.Context, attempt attempt, heartbeat *messenger.Heartbeat, limit time.Duration) {
+	try, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	answer, err := linker.Call[messenger.Heartbeat, messenger.HeartbeatAnswer](
 		try, k.options.Opener, attempt.address, messenger.KindHeartbeat, heartbeat)
