Move the hot part of a range first when load is levelled

Cause: a test that replays a hot run of 200 keys moved a fifth of all keys. A weighing took one part of each range at most, so after the first hot part it went on with cold ranges of the same owner. A single hot key moved nothing, since no run of cold keys in one range carried enough.

Change: a range is split after each planned move, so the next move may take another part of it; load that is spread over many ranges moves by whole ranges, above 1.3 times the mean.

--- /dev/null
+++ b/control/assigner/ranges_test.go
@@ -0,0 +1,204 @@
+package assigner_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/control/assigner"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/router/mapper"
+)
+
+// group applies commands as a replicated log would.
+type group struct {
+	t     *testing.T
+	state *assigner.State
+	index uint64
+}
+
+func newGroup(t *testing.T) *group {
+	return &group{t: t, state: assigner.New()}
+}
+
+func (g *group) apply(command assigner.Command) assigner.Result {
+	data, err := assigner.Encode(&command)
+	qt.Assert(g.t, err, qt.IsNil)
+	g.index++
+	return g.state.Apply(g.index, data)
+}
+
+func configuration(version uint64, routes ...messenger.PathRoute) messenger.Configuration {
+	return messenger.Configuration{
+		Version:  version,
+		Routes:   routes,
+		Services: []messenger.RoutedService{{Name: "findings", Ranged: true}, {Name: "records"}},
+	}
+}
+
+func (g *group) configure(c messenger.Configuration, source string) assigner.Result {
+	return g.apply(assigner.Command{Configure: &assigner.Configure{Configuration: c, Source: []byte(source)}})
+}
+
+func (g *group) open(router string, life int64) uint64 {
+	return g.apply(assigner.Command{Open: &assigner.Open{
+		Router: router, Instance: 1, Routed: true,
+		Server: &messenger.ServerRow{Name: router, Service: "findings", Slots: 6, Born: life},
+	}}).Revision
+}
+
+func (g *group) grant(session uint64, from, to uint32) assigner.Result {
+	return g.apply(assigner.Command{GrantRanges: &assigner.GrantRanges{
+		Service: "findings", Placements: []assigner.RangePlacement{{Session: session, From: from, To: to}},
+	}})
+}
+
+func (g *group) move(session uint64, from, to uint32) assigner.Result {
+	return g.apply(assigner.Command{MoveRanges: &assigner.MoveRanges{
+		Service: "findings", Placements: []assigner.RangePlacement{{Session: session, From: from, To: to}},
+	}})
+}
+
+func (g *group) release(session uint64, from, to uint32, fence uint64, handover string) assigner.Result {
+	return g.apply(assigner.Command{ReleaseRanges: &assigner.ReleaseRanges{Session: session, Ranges: []messenger.RangeRef{
+		{Service: "findings", From: from, To: to, Fence: fence, Handover: handover},
+	}}})
+}
+
+func (g *group) holding(key uint32) assigner.Holding {
+	return g.state.Ranges("findings").Find(key).Value
+}
+
+func TestHighestVersionIsInForce(t *testing.T) {
+	bad := messenger.PathRoute{Name: "r", Host: "h", Prefix: "/a/", Parts: []messenger.RoutePart{{Service: "nobody"}}}
+	tests := []struct {
+		name    string
+		version uint64
+		routes  []messenger.PathRoute
+		source  string
+		verdict assigner.Verdict
+		want    string
+	}{
+		{name: "first", version: 4, source: "a", verdict: assigner.VerdictApplied, want: "a"},
+		{name: "higher", version: 7, source: "b", verdict: assigner.VerdictApplied, want: "b"},
+		{name: "older is acknowledged", version: 5, source: "c", verdict: assigner.VerdictApplied, want: "b"},
+		{name: "other content under the version", version: 7, source: "d", verdict: assigner.VerdictApplied, want: "b"},
+		{name: "invalid", version: 9, routes: []messenger.PathRoute{bad}, source: "e", verdict: assigner.VerdictInvalid, want: "b"},
+		{name: "next", version: 8, source: "f", verdict: assigner.VerdictApplied, want: "f"},
+	}
+	g := newGroup(t)
+	for _, test := range tests {
+		result := g.configure(configuration(test.version, test.routes...), test.source)
+		qt.Check(t, result.Verdict, qt.Equals, test.verdict, qt.Commentf(test.name))
+		qt.Check(t, string(g.state.Source()), qt.Equals, test.want, qt.Commentf(test.name))
+	}
+}
+
+func TestRangeIsHandedOver(t *testing.T) {
+	g := newGroup(t)
+	g.configure(configuration(1), "a")
+	a, b := g.open("a", 10), g.open("b", 20)
+	granted := g.grant(a, 0, messenger.LastKey)
+	qt.Assert(t, granted.Count, qt.Equals, messenger.LastKey+1)
+	qt.Assert(t, g.grant(b, 0, 100).Verdict, qt.Equals, assigner.VerdictVoid)
+	g.move(b, 100, 199)
+	qt.Assert(t, g.holding(150).Phase, qt.Equals, messenger.PhaseMoving)
+	qt.Assert(t, g.holding(150).Owner, qt.Equals, a)
+	qt.Assert(t, g.release(b, 100, 199, granted.Revision, "").Verdict, qt.Equals, assigner.VerdictVoid)
+	qt.Assert(t, g.release(a, 100, 199, granted.Revision-1, "").Verdict, qt.Equals, assigner.VerdictVoid)
+	g.release(a, 100, 199, granted.Revision, "warm")
+	after := g.holding(150)
+	qt.Assert(t, after.Owner, qt.Equals, b)
+	qt.Assert(t, after.Fence > granted.Revision, qt.IsTrue)
+	qt.Assert(t, after.Life, qt.Equals, int64(20))
+	qt.Assert(t, after.Handover, qt.Equals, "warm")
+	qt.Assert(t, g.holding(99).Owner, qt.Equals, a)
+	qt.Assert(t, g.holding(200).Owner, qt.Equals, a)
+}
+
+func TestClosedSessionFreesItsRanges(t *testing.T) {
+	g := newGroup(t)
+	g.configure(configuration(1), "a")
+	a, b := g.open("a", 10), g.open("b", 20)
+	g.grant(a, 0, 999)
+	g.grant(b, 1000, 1999)
+	g.move(b, 0, 99)
+	g.move(a, 1000, 1099)
+	g.apply(assigner.Command{Close: &assigner.Close{Sessions: []uint64{b}, Lapsed: true}})
+	qt.Check(t, g.holding(1050).Phase, qt.Equals, messenger.PhaseFree)
+	qt.Check(t, g.holding(1500).Phase, qt.Equals, messenger.PhaseFree)
+	qt.Check(t, g.holding(50).Phase, qt.Equals, messenger.PhaseOwned)
+	qt.Check(t, g.holding(50).Owner, qt.Equals, a)
+}
+
+func TestNewProcessGoesOnWithItsSession(t *testing.T) {
+	g := newGroup(t)
+	g.configure(configuration(1), "a")
+	a := g.open("a", 10)
+	fence := g.grant(a, 0, 9).Revision
+	adopted := g.apply(assigner.Command{Adopt: &assigner.Adopt{Session: a, Instance: 2}})
+	qt.Assert(t, adopted.Verdict, qt.Equals, assigner.VerdictApplied)
+	qt.Assert(t, g.state.Session(a).Instance, qt.Equals, uint64(2))
+	qt.Assert(t, g.holding(5).Fence, qt.Equals, fence)
+	again := g.apply(assigner.Command{Adopt: &assigner.Adopt{Session: a, Instance: 2}})
+	qt.Assert(t, again.Verdict, qt.Equals, assigner.VerdictVoid)
+}
+
+// Random commands: fences of a key only grow, a router that follows by deltas
+// knows the same owners as one that starts anew, and a snapshot changes nothing.
+func TestRandomRanges(t *testing.T) {
+	for seed := range uint64(30) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		g := newGroup(t)
+		g.configure(configuration(1), "a")
+		var sessions []uint64
+		follower := mapper.New()
+		fences := make(map[uint32]uint64)
+		for range 120 {
+			from := random.Uint32N(messenger.LastKey + 1)
+			to := min(from+random.Uint32N(5000), messenger.LastKey)
+			switch choice := random.IntN(10); {
+			case len(sessions) < 3:
+				sessions = append(sessions, g.open(string(rune('a'+len(sessions)))+"x", int64(g.index)))
+			case choice < 3:
+				g.grant(sessions[random.IntN(len(sessions))], from, to)
+			case choice < 6:
+				g.move(sessions[random.IntN(len(sessions))], from, to)
+			case choice < 9:
+				held := g.state.Ranges("findings").Find(from)
+				g.release(held.Value.Owner, held.From, held.To, held.Value.Fence, "h")
+			default:
+				gone := random.IntN(len(sessions))
+				g.apply(assigner.Command{Close: &assigner.Close{Sessions: []uint64{sessions[gone]}}})
+				sessions = append(sessions[:gone], sessions[gone+1:]...)
+			}
+			for _, key := range []uint32{0, 1, 20_000, messenger.LastKey, from, to} {
+				fence := g.holding(key).Fence
+				qt.Assert(t, fence >= fences[key], qt.IsTrue, qt.Commentf("seed %d: fence of %d fell", seed, key))
+				fences[key] = fence
+			}
+			if random.IntN(3) == 0 {
+				delta, _ := g.state.Delta(follower.Load().Revision, assigner.DeltaRows)
+				if delta != nil {
+					qt.Assert(t, follower.Apply(delta), qt.IsNil)
+				}
+			}
+		}
+		if delta, _ := g.state.Delta(follower.Load().Revision, assigner.DeltaRows); delta != nil {
+			qt.Assert(t, follower.Apply(delta), qt.IsNil)
+		}
+		image, err := g.state.Snapshot()
+		qt.Assert(t, err, qt.IsNil)
+		restored := assigner.New()
+		qt.Assert(t, restored.Restore(image), qt.IsNil)
+		fresh := mapper.New()
+		full, _ := restored.Delta(0, assigner.DeltaRows)
+		qt.Assert(t, fresh.Apply(full), qt.IsNil)
+		for key := uint32(0); key <= messenger.LastKey; key += 37 {
+			_, got := follower.Load().Owner("findings", key)
+			_, want := fresh.Load().Owner("findings", key)
+			qt.Assert(t, got, qt.Equals, want, qt.Commentf("seed %d, key %d", seed, key))
+		}
+	}
+}
--- a/control/balancer/range.go
+++ b/control/balancer/range.go
@@ -16,6 +16,9 @@
 	// uneven is how much more loaded than the mean the busiest server must be
 	// before ranges move.
 	uneven = 1.15
+	// spread is the same for load that is spread over many keys: moving it takes
+	// many keys from their owner for a while.
+	spread = 1.3
 	// busyEnough is the load, as a part of its slots, below which a server is
 	// left as it is: nobody waits there.
 	busyEnough = 0.45
@@ -267,24 +270,37 @@
 // of keys that carries about half of the difference to the idlest.
 func Level(ranges []Range, holders []Holder, arrivals []float64) []Placed {
 	scale := newScale(ranges, holders, arrivals)
+	ranges = slices.Clone(ranges)
 	var moves []Placed
-	taken := make([]bool, len(ranges))
 	for range levelMoves {
-		move, n := scale.relieve(ranges, taken)
+		move, n := scale.relieve(ranges)
 		if n < 0 {
 			break
 		}
-		taken[n] = true
 		moves = append(moves, move)
 		scale.give(ranges[n].Owner, move.From, move.To, -1)
 		scale.give(move.Session, move.From, move.To, 1)
+		ranges = slices.Replace(ranges, n, n+1, split(ranges[n], move)...)
 	}
 	return moves
 }
 
+// split returns the parts of a range of which a part moves.
+func split(r Range, move Placed) []Range {
+	var parts []Range
+	if r.From < move.From {
+		parts = append(parts, Range{From: r.From, To: move.From - 1, Owner: r.Owner})
+	}
+	parts = append(parts, Range{From: move.From, To: move.To, Owner: r.Owner, Next: move.Session})
+	if move.To < r.To {
+		parts = append(parts, Range{From: move.To + 1, To: r.To, Owner: r.Owner})
+	}
+	return parts
+}
+
 // relieve chooses one move and returns the index of the range that it is part
 // of, -1 when no move is worth its cost.
-func (s *scale) relieve(ranges []Range, taken []bool) (Placed, int) {
+func (s *scale) relieve(ranges []Range) (Placed, int) {
 	busiest, idlest, mean := s.extremes()
 	if busiest == 0 || idlest == 0 || s.use(busiest) < max(busyEnough, uneven*mean) {
 		return Placed{}, -1
@@ -295,7 +311,7 @@
 	wanted := gap / (s.paceOf(busiest)/float64(s.holders[busiest].Slots) + s.paceOf(idlest)/float64(s.holders[idlest].Slots))
 	best, at := Placed{}, -1
 	for n, r := range ranges {
-		if r.Owner != busiest || r.Next != 0 || taken[n] {
+		if r.Owner != busiest || r.Next != 0 {
 			continue
 		}
 		from, to, ok := s.shortest(r, wanted)
@@ -303,6 +319,24 @@
 			best, at = Placed{Session: idlest, From: from, To: to}, n
 		}
 	}
+	if at < 0 && s.use(busiest) >= spread*mean {
+		return s.largest(ranges, busiest, idlest, wanted)
+	}
+	return best, at
+}
+
+// largest chooses the whole range that carries most of what is wanted, for load
+// that is spread over many ranges.
+func (s *scale) largest(ranges []Range, busiest, idlest uint64, wanted float64) (Placed, int) {
+	best, at, most := Placed{}, -1, 0.0
+	for n, r := range ranges {
+		if r.Owner != busiest || r.Next != 0 {
+			continue
+		}
+		if rate := s.rate(r.From, r.To); rate > most && rate <= wanted {
+			best, at, most = Placed{Session: idlest, From: r.From, To: r.To}, n, rate
+		}
+	}
 	return best, at
 }
 
--- /dev/null
+++ b/control/balancer/range_test.go
@@ -0,0 +1,194 @@
+package balancer_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/control/balancer"
+	"marigoldhill/kernel/messenger"
+)
+
+const keys = messenger.LastKey + 1
+
+func holdersOf(paces ...float64) []balancer.Holder {
+	var holders []balancer.Holder
+	for n, pace := range paces {
+		holders = append(holders, balancer.Holder{
+			Session: uint64(n + 1), Domain: fmt.Sprintf("d%d", n%3), Slots: 6, Pace: pace, Takes: true,
+		})
+	}
+	return holders
+}
+
+// ownersOf applies placements to ranges, one entry for each key.
+func ownersOf(ranges []balancer.Range, placed []balancer.Placed) []uint64 {
+	owners := make([]uint64, keys)
+	for _, r := range ranges {
+		for key := r.From; key <= r.To; key++ {
+			owners[key] = r.Owner
+		}
+	}
+	for _, p := range placed {
+		for key := p.From; key <= p.To; key++ {
+			owners[key] = p.Session
+		}
+	}
+	return owners
+}
+
+func rangesOf(owners []uint64) []balancer.Range {
+	var ranges []balancer.Range
+	for key, owner := range owners {
+		if last := len(ranges) - 1; last >= 0 && ranges[last].Owner == owner {
+			ranges[last].To = uint32(key)
+			continue
+		}
+		ranges = append(ranges, balancer.Range{From: uint32(key), To: uint32(key), Owner: owner})
+	}
+	return ranges
+}
+
+// busiest is the largest part of its slots that a server has in use, and the mean.
+func busiest(owners []uint64, holders []balancer.Holder, arrivals []float64) (most, mean float64) {
+	use := make(map[uint64]float64)
+	for key, owner := range owners {
+		use[owner] += arrivals[key]
+	}
+	for _, holder := range holders {
+		if !holder.Takes {
+			continue
+		}
+		part := use[holder.Session] * holder.Pace / float64(holder.Slots)
+		most = math.Max(most, part)
+		mean += part / float64(len(holders))
+	}
+	return most, mean
+}
+
+func TestFoundSharesAllKeys(t *testing.T) {
+	holders := holdersOf(0, 0, 0, 0, 0)
+	holders[4].Slots = 12
+	holders = append(holders, balancer.Holder{Session: 9, Slots: 6, Leaves: true})
+	owners := ownersOf(nil, balancer.Found(holders))
+	counts := make(map[uint64]int)
+	for key, owner := range owners {
+		qt.Assert(t, owner != 0 && owner != 9, qt.IsTrue, qt.Commentf("key %d has owner %d", key, owner))
+		counts[owner]++
+	}
+	qt.Check(t, math.Abs(float64(counts[1])-keys/6) < 20, qt.IsTrue, qt.Commentf("%v", counts))
+	qt.Check(t, math.Abs(float64(counts[5])-keys/3) < 20, qt.IsTrue, qt.Commentf("%v", counts))
+	qt.Check(t, balancer.Found(nil), qt.HasLen, 0)
+}
+
+// A run of neighbouring keys turns hot, as far apart as one range or not.
+func TestLevelRelievesAHotRun(t *testing.T) {
+	tests := []struct {
+		name  string
+		count int
+		share float64
+		want  float64
+		// moved is the most keys that may move: about the hot ones, or a part of
+		// the others when the hot one can't be divided.
+		moved int
+	}{
+		{name: "200 keys with 36% of the load", count: 200, share: 0.36, want: 1.35, moved: keys / 20},
+		{name: "60 keys with 33%", count: 60, share: 0.33, want: 1.35, moved: keys / 20},
+		{name: "one key with 15%", count: 1, share: 0.15, want: 1.5, moved: keys / 8},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			holders := holdersOf(0.15, 0.15, 0.15, 0.15, 0.15)
+			owners := ownersOf(nil, balancer.Found(holders))
+			arrivals := make([]float64, keys)
+			for key := range arrivals {
+				arrivals[key] = 150 * (1 - test.share) / keys
+			}
+			for n := range test.count {
+				arrivals[30_000+n] += 150 * test.share / float64(test.count)
+			}
+			before, _ := busiest(owners, holders, arrivals)
+			moved := 0
+			for range 6 {
+				placed := balancer.Level(rangesOf(owners), holders, arrivals)
+				for _, p := range placed {
+					moved += int(p.To-p.From) + 1
+				}
+				owners = ownersOf(rangesOf(owners), placed)
+			}
+			most, mean := busiest(owners, holders, arrivals)
+			qt.Check(t, most < before && most <= test.want*mean, qt.IsTrue,
+				qt.Commentf("busiest %.2f, was %.2f, mean %.2f", most, before, mean))
+			qt.Check(t, moved < test.moved, qt.IsTrue, qt.Commentf("%d keys moved", moved))
+			again := balancer.Level(rangesOf(owners), holders, arrivals)
+			qt.Check(t, len(again) <= 1, qt.IsTrue, qt.Commentf("still moves %v", again))
+		})
+	}
+}
+
+func TestLevelLeavesIdleAndEvenServersAlone(t *testing.T) {
+	tests := []struct {
+		name string
+		rate float64
+		hot  float64
+	}{
+		{name: "even load", rate: 150},
+		{name: "uneven, but nobody waits", rate: 10, hot: 5},
+	}
+	for _, test := range tests {
+		holders := holdersOf(0.15, 0.15, 0.15, 0.15, 0.15)
+		owners := ownersOf(nil, balancer.Found(holders))
+		arrivals := make([]float64, keys)
+		for key := range arrivals {
+			arrivals[key] = test.rate / keys
+		}
+		arrivals[7] += test.hot
+		qt.Check(t, balancer.Level(rangesOf(owners), holders, arrivals), qt.HasLen, 0, qt.Commentf(test.name))
+	}
+}
+
+// A server that takes twice as long for a request gets about half of them.
+func TestLevelWeighsThePace(t *testing.T) {
+	holders := holdersOf(0.1, 0.1, 0.25)
+	owners := ownersOf(nil, balancer.Found(holders))
+	arrivals := make([]float64, keys)
+	for key := range arrivals {
+		arrivals[key] = 90.0 / keys
+	}
+	for range 12 {
+		owners = ownersOf(rangesOf(owners), balancer.Level(rangesOf(owners), holders, arrivals))
+	}
+	most, mean := busiest(owners, holders, arrivals)
+	qt.Assert(t, most < 1.3*mean, qt.IsTrue, qt.Commentf("busiest %.2f, mean %.2f", most, mean))
+}
+
+func TestLostAndLeavingServersAreRelieved(t *testing.T) {
+	holders := holdersOf(0.15, 0.15, 0.15, 0.15)
+	owners := ownersOf(nil, balancer.Found(holders))
+	arrivals := make([]float64, keys)
+	for key := range arrivals {
+		arrivals[key] = 60.0 / keys
+	}
+	lost := make([]uint64, keys)
+	for key, owner := range owners {
+		if owner != 2 {
+			lost[key] = owner
+		}
+	}
+	left := append(holders[:1:1], holders[2:]...)
+	filled := ownersOf(rangesOf(lost), balancer.Fill(rangesOf(lost), left, arrivals))
+	leaving := append([]balancer.Holder{}, holders...)
+	leaving[1].Takes, leaving[1].Leaves = false, true
+	emptied := ownersOf(rangesOf(owners), balancer.Empty(rangesOf(owners), leaving, arrivals))
+	for name, after := range map[string][]uint64{"lost": filled, "leaving": emptied} {
+		for key, owner := range after {
+			qt.Assert(t, owner != 0 && owner != 2, qt.IsTrue, qt.Commentf("%s: key %d has owner %d", name, key, owner))
+		}
+		most, mean := busiest(after, left, arrivals)
+		qt.Check(t, most < 1.3*mean, qt.IsTrue, qt.Commentf("%s: busiest %.2f, mean %.2f", name, most, mean))
+	}
+	qt.Check(t, balancer.Fill(rangesOf(owners), holders, arrivals), qt.HasLen, 0)
+	qt.Check(t, balancer.Empty(rangesOf(owners), holders, arrivals), qt.HasLen, 0)
+}
