Make at most two grants at once

Counting why the courier drops connections showed one drop: they came from grants, a dozen at a time, of which two kept their connection.

Change: the holder has two grants under way at most.

--- a/router/holder/core.go
+++ b/router/holder/core.go
@@ -23,6 +23,9 @@
 	// refusedTime is how long a server may take no grant of a range before the
 	// range is given up. It covers a restart of a frozen server.
 	refusedTime = 2 * time.Second
+	// maxGrants is how many grants are under way at once. Each needs a connection
+	// of its own, and a new connection takes a slot of the server for a moment.
+	maxGrants = 2
 	// retryTime is the time between two tries of a call that failed.
 	retryTime = 150 * time.Millisecond
 )
@@ -169,11 +172,20 @@
 func (c *core) plan(now timer.Instant, left time.Duration) []*Call {
 	c.forget(now)
 	var due []*Call
+	grants := 0
+	for _, call := range c.calls {
+		if !call.Release {
+			grants++
+		}
+	}
 	for _, group := range c.groups() {
 		call := c.decide(now, left, group)
-		if call == nil {
+		if call == nil || (!call.Release && grants >= maxGrants) {
 			continue
 		}
+		if !call.Release {
+			grants++
+		}
 		call.sent = now
 		c.calls = append(c.calls, call)
 		due = append(due, call)
--- a/router/holder/core_test.go
+++ b/router/holder/core_test.go
@@ -134,6 +134,27 @@
 	}
 }
 
+func TestFewGrantsAtOnce(t *testing.T) {
+	c := newCore("findings")
+	var rows []messenger.RangeRow
+	for n := range uint32(12) {
+		rows = append(rows, row(n*100, n*100+99, uint64(5+n%2), messenger.PhaseOwned))
+	}
+	c.follow(at(0), rows, life)
+	granted := 0
+	for granted < 12 {
+		calls := c.plan(at(0), lease)
+		qt.Assert(t, len(calls) == 1 || len(calls) == 2, qt.IsTrue, qt.Commentf("%d calls", len(calls)))
+		c.end(at(0), calls[0], Taken, "")
+		granted++
+		for _, call := range calls[1:] {
+			c.end(at(0), call, Taken, "")
+			granted++
+		}
+	}
+	qt.Assert(t, c.plan(at(0), lease), qt.HasLen, 0)
+}
+
 func TestNeighboursShareACall(t *testing.T) {
 	c := newCore("findings")
 	c.follow(at(0), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned), row(100, 199, 5, messenger.PhaseOwned), row(200, 299, 6, messenger.PhaseOwned)}, life)
