Keep slow links open, and take SIGHUP

Change: a batch is written in parts of 32 kB with a bound each, silence counts bytes and not frames, and at most 64 kB wait on a link. SIGHUP reads the settings again. A busy link is not pinged while frames come.

--- a/kernel/commander/cmd_run.go
+++ b/kernel/commander/cmd_run.go
@@ -27,6 +27,7 @@
 	if err != nil {
 		return Error.New("putting the process together: %w", err)
 	}
+	go reload(process, log)
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	// A second signal ends the process at once.
@@ -38,6 +39,25 @@
 	return program.serve(ctx, process)
 }
 
+// reload tells a process of each SIGHUP that its settings may have changed. One
+// that takes no new settings goes on as it is.
+func reload(process Process, log *logger.Log) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	for range signals {
+		reloading, ok := process.(Reloading)
+		if !ok {
+			log.Emit(logger.SettingsRead, "taken", false)
+			continue
+		}
+		if err := reloading.Reload(); err != nil {
+			log.Emit(logger.SettingsUnread, "error", err)
+			continue
+		}
+		log.Emit(logger.SettingsRead, "taken", true)
+	}
+}
+
 func (p *Program[S]) start(ctx context.Context, process Process) error {
 	ctx, cancel := context.WithTimeout(ctx, p.StartTime)
 	defer cancel()
--- a/kernel/commander/commander.go
+++ b/kernel/commander/commander.go
@@ -42,6 +42,12 @@
 	Err() error
 }
 
+// Reloading is a process that takes new settings while it runs.
+type Reloading interface {
+	// Reload reads the settings again.
+	Reload() error
+}
+
 // Description is what settings say of a process.
 type Description struct {
 	// Role is its role in log lines.
--- a/kernel/linker/link.go
+++ b/kernel/linker/link.go
@@ -17,6 +17,10 @@
 	"marigoldhill/kernel/networker"
 )
 
+// writeSize is the size in bytes of the parts in which a batch is written. A link
+// that is shared by many takes one within WriteTime.
+const writeSize = 32 << 10
+
 // Link is one connection with its streams. Its methods are safe for concurrent
 // use.
 type Link struct {
@@ -64,7 +68,6 @@
 	ctx, cancel := context.WithCancelCause(context.Background())
 	link := &Link{
 		conn:    conn,
-		reader:  framer.NewReader(conn),
 		options: options,
 		dialled: dialled,
 		ctx:     ctx,
@@ -72,6 +75,7 @@
 		streams: make(map[uint64]*Stream),
 	}
 	link.out.init()
+	link.reader = framer.NewReader(hearing{conn, &link.pulse.reads})
 	link.pulse.link = link
 	return link
 }
@@ -176,7 +180,6 @@
 			l.fail(Error.New("reading from %s: %w", l.peer.Name, err))
 			return
 		}
-		l.pulse.frames.Add(1)
 		if err := l.admit(frame); err != nil {
 			l.options.count("refusals", "protocol")
 			l.fail(err)
@@ -300,17 +303,23 @@
 	}
 }
 
-// write writes a batch. A connection that takes nothing for WriteTime fails, so
-// that no writer waits for ever.
+// write writes a batch in parts. A connection that takes no part for WriteTime
+// fails, so that no writer waits for ever; one that is slow goes on.
 func (l *Link) write(batch []byte) error {
-	if err := l.conn.SetWriteDeadline(time.Now().Add(WriteTime)); err != nil {
-		return Error.New("setting the deadline: %w", err)
-	}
-	_, err := l.conn.Write(batch)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		l.options.count("closures", "stuck")
+	for len(batch) > 0 {
+		part := batch[:min(len(batch), writeSize)]
+		if err := l.conn.SetWriteDeadline(time.Now().Add(WriteTime)); err != nil {
+			return Error.New("setting the deadline: %w", err)
+		}
+		if _, err := l.conn.Write(part); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				l.options.count("closures", "stuck")
+			}
+			return err
+		}
+		batch = batch[len(part):]
 	}
-	return err
+	return nil
 }
 
 // isBusy reports whether a stream is open.
--- a/kernel/linker/outbox.go
+++ b/kernel/linker/outbox.go
@@ -8,8 +8,8 @@
 
 const (
 	// maxPending is how many bytes wait for the connection before writers of
-	// data are held back.
-	maxPending = 256 << 10
+	// data are held back. Small answers wait behind them: at 1 MB/s for 64 ms.
+	maxPending = 64 << 10
 	// overflow is how many bytes may wait in all, those that are being written
 	// included. Only frames that answer the peer's own go beyond maxPending.
 	overflow = 8 << 20
--- a/kernel/linker/pulse.go
+++ b/kernel/linker/pulse.go
@@ -1,6 +1,7 @@
 package linker
 
 import (
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,14 +15,15 @@
 // nothing.
 type pulse struct {
 	link *Link
-	// frames counts the frames that arrived.
-	frames atomic.Uint64
+	// reads counts the reads that brought bytes. A large frame may arrive in
+	// parts for longer than SilenceTime.
+	reads atomic.Uint64
 
 	mu      sync.Mutex
 	clock   *time.Timer
 	beating bool
 	stopped bool
-	// seen is what frames was at the last beat, and since when it was found
+	// seen is what reads was at the last beat, and since when it was found
 	// to have grown.
 	seen  uint64
 	since timer.Instant
@@ -35,7 +37,7 @@
 		return
 	}
 	p.beating = true
-	p.seen = p.frames.Load()
+	p.seen = p.reads.Load()
 	p.since = timer.Now()
 	if p.clock == nil {
 		p.clock = time.AfterFunc(PingInterval, p.beat)
@@ -78,9 +80,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := timer.Now()
-	frames := p.frames.Load()
-	heard := frames != p.seen
-	p.seen = frames
+	reads := p.reads.Load()
+	heard := reads != p.seen
+	p.seen = reads
 	switch {
 	case p.stopped:
 		return beatIdle
@@ -94,5 +96,24 @@
 		return beatIdle
 	}
 	p.clock.Reset(PingInterval)
+	if heard {
+		// Frames of the peer say as much as an answer to a ping.
+		return beatIdle
+	}
 	return beatPing
 }
+
+// hearing is a reader that counts reads.
+type hearing struct {
+	from  io.Reader
+	reads *atomic.Uint64
+}
+
+// Read implements io.Reader.
+func (h hearing) Read(data []byte) (int, error) {
+	n, err := h.from.Read(data)
+	if n > 0 {
+		h.reads.Add(1)
+	}
+	return n, err
+}
--- a/router/assembler/routed_steward.go
+++ b/router/assembler/routed_steward.go
@@ -65,6 +65,18 @@
 	p.follow()
 }
 
+// Reload reads the settings again. Of these, seeds are looked up whenever the
+// control group does not answer; the others hold until the next start.
+func (p *Routed) Reload() error {
+	if p.options.Reload == nil {
+		return nil
+	}
+	if _, err := p.options.Reload(); err != nil {
+		return Error.New("reading the settings: %w", err)
+	}
+	return nil
+}
+
 // seeds are the addresses of the settings as they are now.
 func (p *Routed) seeds() []string {
 	if p.options.Reload == nil {
--- a/router/chooser/chooser.go
+++ b/router/chooser/chooser.go
@@ -26,9 +26,9 @@
 
 const (
 	// toll is how much longer an answer may take at home than elsewhere, for each
-	// byte of it: 90 kB, which cost a third of what such an answer is worth, are
-	// weighed as 270 ms.
-	toll = 3 * time.Microsecond
+	// byte of it: a small answer some 20 ms, a download as long as the wish
+	// allows.
+	toll = 20 * time.Microsecond
 	// failPart is the weight of one request in the share of failures.
 	failPart = 0.15
 	// failWeight is how much longer a request counts at a server that always
@@ -60,6 +60,8 @@
 	Domain string
 	// Bytes is the expected size of request and answer.
 	Bytes int
+	// Patience bounds how much longer the request may take at home.
+	Patience time.Duration
 	// Avoid are sessions that were tried.
 	Avoid []uint64
 }
@@ -143,7 +145,7 @@
 	turns *= 1 + noise*(rand.Float64()-0.5)
 	cost := time.Duration(turns * float64(pace))
 	if candidate.Domain != wish.Domain {
-		cost += time.Duration(wish.Bytes) * toll
+		cost += min(time.Duration(wish.Bytes)*toll, wish.Patience)
 	}
 	return cost
 }
--- a/router/relayer/trip.go
+++ b/router/relayer/trip.go
@@ -24,6 +24,11 @@
 	// lostAfter is when a caller should come back whose key has lost its owner.
 	// The lease of the lost one has to lapse first.
 	lostAfter = 800 * time.Millisecond
+	// headBytes is about the size of the heads of a request and its answer.
+	headBytes = 600
+	// homePart is the part of its aim that a request may take longer in its own
+	// failure domain than elsewhere.
+	homePart = 0.4
 	// busyTries is how many servers that are full a request asks.
 	busyTries = 3
 	// shedAfter is when a caller should come back that nobody had room for and
@@ -100,9 +105,10 @@
 		})
 	}
 	session := t.entry.board.Choose(t.entry.now(), candidates, chooser.Wish{
-		Domain: t.entry.options.Domain,
-		Bytes:  t.entry.sizeOf(t.route.Name),
-		Avoid:  t.tried,
+		Domain:   t.entry.options.Domain,
+		Bytes:    t.entry.sizeOf(t.route.Name) + headBytes,
+		Patience: time.Duration(homePart * float64(t.route.Treatment.Aim)),
+		Avoid:    t.tried,
 	})
 	for _, server := range servers {
 		if server.Session == session {
