Let answers arrive before links end, and ping busy links again

Links also ended at a stop while answers were still in their outbox.

Change: busy links are pinged as before. A stopping router drains its links: it waits for a pong behind the last answer.

--- a/kernel/linker/link.go
+++ b/kernel/linker/link.go
@@ -219,6 +219,7 @@
 		l.send(framer.Frame{Type: framer.TypePong})
 		return nil
 	case framer.TypePong:
+		l.pulse.pongs.Add(1)
 		return nil
 	case framer.TypeOpen:
 		return l.accept(frame)
@@ -322,6 +323,39 @@
 	return nil
 }
 
+// drainPoll is the time between two looks at a link that drains.
+const drainPoll = 10 * time.Millisecond
+
+// drain waits until no stream is open and the peer has answered a ping, which it
+// does only after it has read all that came before.
+func (l *Link) drain(ctx context.Context) {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	wanted := uint64(0)
+	for {
+		switch {
+		case wanted > 0 && l.pulse.pongs.Load() >= wanted:
+			return
+		case wanted == 0 && !l.isBusy():
+			wanted = l.ping()
+		}
+		select {
+		case <-ticker.C:
+		case <-l.ctx.Done():
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// ping asks the peer for a pong and returns how many were asked for so far.
+func (l *Link) ping() uint64 {
+	count := l.pulse.pings.Add(1)
+	l.send(framer.Frame{Type: framer.TypePing})
+	return count
+}
+
 // isBusy reports whether a stream is open.
 func (l *Link) isBusy() bool {
 	l.mu.Lock()
--- a/kernel/linker/pulse.go
+++ b/kernel/linker/pulse.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"marigoldhill/kernel/framer"
 	"marigoldhill/kernel/timer"
 )
 
@@ -18,6 +17,10 @@
 	// reads counts the reads that brought bytes. A large frame may arrive in
 	// parts for longer than SilenceTime.
 	reads atomic.Uint64
+	// pings counts the pings that were sent, pongs the answers. They come in
+	// order.
+	pings atomic.Uint64
+	pongs atomic.Uint64
 
 	mu      sync.Mutex
 	clock   *time.Timer
@@ -63,7 +66,7 @@
 		p.link.options.count("closures", "silent")
 		p.link.fail(Error.New("to %s: %w", p.link.peer.Name, ErrSilent))
 	case beatPing:
-		p.link.send(framer.Frame{Type: framer.TypePing})
+		p.link.ping()
 	}
 }
 
@@ -96,10 +99,6 @@
 		return beatIdle
 	}
 	p.clock.Reset(PingInterval)
-	if heard {
-		// Frames of the peer say as much as an answer to a ping.
-		return beatIdle
-	}
 	return beatPing
 }
 
--- a/kernel/linker/server.go
+++ b/kernel/linker/server.go
@@ -1,6 +1,7 @@
 package linker
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -35,6 +36,18 @@
 	return s.listener.Addr().String()
 }
 
+// Drain waits until the peers have all that was sent to them on streams that are
+// open now or ended before, or until ctx ends. New streams are still served.
+func (s *Server) Drain(ctx context.Context) {
+	s.mu.Lock()
+	var tasks sync.WaitGroup
+	for link := range s.links {
+		tasks.Go(func() { link.drain(ctx) })
+	}
+	s.mu.Unlock()
+	tasks.Wait()
+}
+
 // Close ends the listener and all links and waits for their handlers.
 func (s *Server) Close() error {
 	s.mu.Lock()
--- a/kernel/linker/slow_test.go
+++ b/kernel/linker/slow_test.go
@@ -58,3 +58,34 @@
 		qt.Assert(t, server.Close(), qt.IsNil)
 	})
 }
+
+// A process that stops lets the answers that it has given arrive.
+func TestDrainLetsAnswersArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		network := &slowPair{single: single{conn: slowConn{far, 50_000}, closed: make(chan struct{})}, near: near}
+		server, err := linker.Listen(network, "", linker.Options{Hello: hello, Handler: func(_ context.Context, _ *linker.Link, stream *linker.Stream) {
+			if _, err := stream.Write(make([]byte, 60_000)); err == nil {
+				_ = stream.CloseWrite()
+			}
+			_, _ = io.Copy(io.Discard, stream)
+		}})
+		qt.Assert(t, err, qt.IsNil)
+		pool := linker.NewPool(network, linker.Options{Hello: hello})
+		stream, err := pool.Open(t.Context(), "far", messenger.KindForward)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, stream.CloseWrite(), qt.IsNil)
+		time.Sleep(100 * time.Millisecond) // the greeting is slow as well
+		whole := make(chan int64, 1)
+		go func() {
+			got, _ := io.Copy(io.Discard, stream)
+			whole <- got
+		}()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		server.Drain(ctx)
+		qt.Assert(t, server.Close(), qt.IsNil)
+		qt.Assert(t, <-whole, qt.Equals, int64(60_000))
+		pool.Close()
+	})
+}
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -236,7 +236,9 @@
 	return nil
 }
 
-func (p *Routed) stopLink(context.Context) error {
+func (p *Routed) stopLink(ctx context.Context) error {
+	// Answers on their way to other routers arrive before the links end.
+	p.peer.Drain(ctx)
 	p.pool.Close()
 	p.backend.Reset()
 	if err := p.peer.Close(); err != nil {
--- a/router/relayer/entry.go
+++ b/router/relayer/entry.go
@@ -158,7 +158,7 @@
 		cancel()
 		return e.finish(call, trip, begun, answer)
 	}
-	answer.Body = &entryBody{ReadCloser: answer.Body, cancel: cancel}
+	answer.Body = &entryBody{ReadCloser: answer.Body, cancel: cancel, failed: func(err error) { e.brokeOff(call, trip, err) }}
 	return e.finish(call, trip, begun, answer)
 }
 
@@ -183,10 +183,29 @@
 	return answer
 }
 
+// brokeOff logs an answer whose head went to the caller and whose body is not
+// whole.
+func (e *Entry) brokeOff(call *Call, trip *trip, err error) {
+	e.options.Metrics.GetOrCreateCounter("marigold_broken_answers_total").Inc()
+	e.options.Log.Emit(logger.RequestFailed, "id", call.ID, "route", trip.route.Name, "service", trip.service,
+		"server", trip.last, "version", trip.version, "cause", "answer broke off on its way to the caller",
+		"took", time.Since(trip.begun).String(), "limit", trip.limit.String(), "error", err)
+}
+
 // entryBody ends the context of a call with its body.
 type entryBody struct {
 	io.ReadCloser
 	cancel context.CancelFunc
+	failed func(err error)
+}
+
+// Read implements io.Reader.
+func (b *entryBody) Read(data []byte) (int, error) {
+	n, err := b.ReadCloser.Read(data)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.failed(err)
+	}
+	return n, err
 }
 
 // Close implements io.Closer.
