--- a/router/queuer/queue.go
+++ b/router/queuer/queue.go
@@ -22,6 +22,7 @@
 package queuer
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -67,11 +68,47 @@
 	running map[*Entry]struct{}
 	waiting []*Entry
 	costs   map[string]time.Duration
+	offered map[int]*flow
+}
+
+// flow is the work of a rank that was offered lately.
+type flow struct {
+	// busy is in slots.
+	busy float64
+	at   time.Duration
+}
+
+// flowTime is the time constant of the mean work of a rank: several requests of
+// each slot.
+const flowTime = time.Second
+
+// maxPressure bounds the part of the slots that more urgent work is expected to
+// take.
+const maxPressure = 0.8
+
+func (f *flow) add(now, cost time.Duration) {
+	f.busy = f.mean(now) + cost.Seconds()/flowTime.Seconds()
+	f.at = now
+}
+
+func (f *flow) mean(now time.Duration) float64 {
+	return f.busy * math.Exp(-(now-f.at).Seconds()/flowTime.Seconds())
+}
+
+// pressure is the part of the slots that goes to work of lower ranks.
+func (q *Queue) pressure(now time.Duration, rank int) float64 {
+	busy := 0.0
+	for other, flow := range q.offered {
+		if other < rank {
+			busy += flow.mean(now)
+		}
+	}
+	return min(busy/float64(max(q.slots, 1)), maxPressure)
 }
 
 // NewQueue returns a Queue for a server with so many slots.
 func NewQueue(slots int) *Queue {
-	return &Queue{slots: slots, running: make(map[*Entry]struct{}), costs: make(map[string]time.Duration)}
+	return &Queue{slots: slots, running: make(map[*Entry]struct{}), costs: make(map[string]time.Duration), offered: make(map[int]*flow)}
 }
 
 // Refusal says why a job was turned away, and when to come back.
@@ -125,6 +162,10 @@
 // Offer takes a job in, to run at once or to wait, or refuses it.
 func (q *Queue) Offer(now time.Duration, job Job) (*Entry, *Refusal) {
 	entry := &Entry{Job: job, cost: q.Cost(job.Kind)}
+	if q.offered[job.Rank] == nil {
+		q.offered[job.Rank] = new(flow)
+	}
+	q.offered[job.Rank].add(now, entry.cost)
 	if now+entry.cost > job.Deadline {
 		return nil, &Refusal{Reason: messenger.ReasonDeadline}
 	}
@@ -159,7 +200,9 @@
 			ahead += other.cost
 		}
 	}
-	return max(first, 0) + ahead/time.Duration(q.slots)
+	// More urgent work that comes meanwhile goes ahead as well.
+	wait := float64(max(first, 0)) + float64(ahead)/float64(q.slots)
+	return time.Duration(wait / (1 - q.pressure(now, entry.Rank)))
 }
 
 // after is when a refused caller may find room: once what is ahead of it has
@@ -234,11 +277,19 @@
 }
 
 // Hopeless takes out and returns the waiting jobs that can't be answered by their
-// deadline any more.
+// deadline any more, and those that have missed their aim while others wait that
+// can keep theirs: their turn would not come.
 func (q *Queue) Hopeless(now time.Duration) []*Entry {
+	inTime := 0
+	for _, entry := range q.waiting {
+		if now+entry.cost <= entry.Aim {
+			inTime++
+		}
+	}
 	var hopeless []*Entry
 	q.waiting = slices.DeleteFunc(q.waiting, func(entry *Entry) bool {
-		if now+entry.cost <= entry.Deadline {
+		crowded := inTime >= q.slots && now+entry.cost > entry.Aim
+		if now+entry.cost <= entry.Deadline && !crowded {
 			return false
 		}
 		hopeless = append(hopeless, entry)
--- a/router/relayer/entry.go
+++ b/router/relayer/entry.go
@@ -111,6 +111,8 @@
 
 	mu    sync.Mutex
 	sizes map[string]float64
+	// longest is the most time that callers of a route had.
+	longest map[string]time.Duration
 }
 
 // NewEntry returns an Entry.
@@ -121,6 +123,7 @@
 		begun:   time.Now(),
 		took:    options.Metrics.GetOrCreateHistogram("marigold_request_seconds"),
 		sizes:   make(map[string]float64),
+		longest: make(map[string]time.Duration),
 	}
 }
 
@@ -149,6 +152,7 @@
 	if call.Left > 0 && call.Left < trip.limit {
 		trip.limit = call.Left
 	}
+	trip.waited = e.waited(route.Name, call.Left)
 	if !routes.IsRanged(trip.service) {
 		trip.keyless = true
 	}
@@ -222,6 +226,18 @@
 	return int(e.sizes[route])
 }
 
+// waited is how long a caller with so much time left has waited already. Callers
+// of a route start with the same time, so one that has less was refused before.
+func (e *Entry) waited(route string, left time.Duration) time.Duration {
+	if left <= 0 {
+		return 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.longest[route] = max(e.longest[route], left)
+	return e.longest[route] - left
+}
+
 // sizePart is the weight of one answer in the mean size of its route.
 const sizePart = 0.1
 
--- a/router/relayer/trip.go
+++ b/router/relayer/trip.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"slices"
 	"time"
 
@@ -55,6 +56,8 @@
 	tried   []uint64
 	busy    int
 	version uint64
+	// waited is how long the caller had waited before this attempt.
+	waited time.Duration
 	// ran says that a send may have run.
 	ran bool
 }
@@ -198,10 +201,9 @@
 
 // isFailure reports whether an answer speaks against its server.
 func isFailure(reply *messenger.RelayAnswer) bool {
-	const statusFailure = 500
 	switch reply.Outcome {
 	case messenger.OutcomeDone:
-		return reply.Status >= statusFailure
+		return reply.Status >= http.StatusInternalServerError
 	case messenger.OutcomeUnknown:
 		return reply.Reason != messenger.ReasonCanceled && reply.Reason != messenger.ReasonExpired
 	}
@@ -223,7 +225,7 @@
 		Length:     t.call.Length,
 		Idempotent: treatment.Idempotent,
 		Rank:       treatment.Rank,
-		Aim:        max(treatment.Aim-time.Since(t.begun), 0),
+		Aim:        max(treatment.Aim-t.waited-time.Since(t.begun), 0),
 		Left:       t.left(),
 		Grace:      graceTime,
 		Version:    t.version,
