Bound log lines and never wait for their output

Change: lines go through a buffer that drops and counts when it is full; events that happen with requests write 25 lines a second each, and one line says how many were left out. Changes of belief are never left out.

--- a/kernel/commander/cmd_run.go
+++ b/kernel/commander/cmd_run.go
@@ -23,6 +23,7 @@
 	}
 	found := program.Describe(settings)
 	log := logger.New(streams.out, found.Log, found.Role, found.Name)
+	defer log.Close()
 	process, err := program.New(settings, log)
 	if err != nil {
 		return Error.New("putting the process together: %w", err)
--- a/kernel/logger/logger.go
+++ b/kernel/logger/logger.go
@@ -13,6 +13,7 @@
 	"io"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 )
@@ -38,28 +39,54 @@
 
 // Log emits events for one process. Its methods are safe for concurrent use.
 type Log struct {
-	out hclog.Logger
+	out    hclog.Logger
+	limits *limiter
+	funnel *funnel
 }
 
 // New returns a Log that writes to output, with the role and the name of the
-// process on each line.
+// process on each line. It never waits for output; Close writes what is queued.
 func New(output io.Writer, format Format, role, name string) *Log {
+	funnel := newFunnel(output)
 	out := hclog.New(&hclog.LoggerOptions{
 		Name:       "marigold",
-		Output:     output,
+		Output:     funnel,
 		JSONFormat: format == FormatJSON,
 		Level:      hclog.Info,
 	})
-	return &Log{out: out.With("role", role, "name", name)}
+	return &Log{out: out.With("role", role, "name", name), limits: newLimiter(), funnel: funnel}
 }
 
 // Discard returns a Log that drops everything.
 func Discard() *Log {
-	return &Log{out: hclog.NewNullLogger()}
+	return &Log{out: hclog.NewNullLogger(), limits: newLimiter()}
 }
 
-// Emit logs event with key-value pairs.
+// Close writes what is queued. Lines that come later are dropped.
+func (l *Log) Close() {
+	if l.funnel != nil {
+		l.funnel.close()
+	}
+}
+
+// Emit logs event with key-value pairs. Of events that happen with requests, a
+// bounded number is written a second; a line says how many were left out.
 func (l *Log) Emit(event Event, pairs ...any) {
+	allowed, skipped := l.limits.allow(time.Now(), event)
+	if skipped > 0 {
+		l.write(LinesLeftOut, "of", event.Number, "count", skipped)
+	}
+	if l.funnel != nil {
+		if dropped := l.funnel.takeDropped(); dropped > 0 {
+			l.write(LinesLeftOut, "of", 0, "count", dropped)
+		}
+	}
+	if allowed {
+		l.write(event, pairs...)
+	}
+}
+
+func (l *Log) write(event Event, pairs ...any) {
 	l.out.Log(event.Level, event.Message, append([]any{"event", event.Number}, pairs...)...)
 }
 
--- a/kernel/logger/process.go
+++ b/kernel/logger/process.go
@@ -9,9 +9,10 @@
 	ProcessStopped  = Event{102, hclog.Info, "process has stopped"}
 	ProcessFailed   = Event{103, hclog.Error, "process cannot go on"}
 	SettingsRead    = Event{104, hclog.Info, "settings were read again"}
+	LinesLeftOut    = Event{106, hclog.Info, "log lines were left out"}
 	SettingsUnread  = Event{105, hclog.Warn, "settings could not be read again"}
 )
 
 func processEvents() []Event {
-	return []Event{ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed, SettingsRead, SettingsUnread}
+	return []Event{ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed, SettingsRead, SettingsUnread, LinesLeftOut}
 }
