Free keys by the steady clock alone

Logs show 32,768 keys called free without a release or a lost session: the wall clock of the machine had jumped ahead, elapsed time is the larger of both clocks, and the holder took holds for over that servers still had. The larger one is right for the router's own lease and wrong for what others hold.

Change: the holder, the silence of a server and reports count by the steady clock. A range that comes back after the session was lost is given up only after the longest hold.

Figures: TestClockJumpFreesNothing fails before and passes after.

--- a/kernel/timer/instant.go
+++ b/kernel/timer/instant.go
@@ -54,3 +54,10 @@
 func (i Instant) IsZero() bool {
 	return i == Instant{}
 }
+
+// Steady returns the time that passed between earlier and i by the monotonic clock
+// alone. It is never more than really passed, whatever the wall clock was set to,
+// so it tells when what others hold is over for certain.
+func (i Instant) Steady(earlier Instant) time.Duration {
+	return i.Mono - earlier.Mono
+}
--- a/router/attendant/attendant.go
+++ b/router/attendant/attendant.go
@@ -210,7 +210,7 @@
 func (a *Attendant) Tick(now timer.Instant) {
 	a.mu.Lock()
 	before := a.view.Load()
-	if before.State != messenger.ServerReady || now.Since(a.heard) < silentTime {
+	if before.State != messenger.ServerReady || now.Steady(a.heard) < silentTime {
 		a.mu.Unlock()
 		return
 	}
--- a/router/holder/core.go
+++ b/router/holder/core.go
@@ -125,6 +125,9 @@
 	keys    *splitter.Map[cell]
 	calls   []*Call
 	lates   []late
+	// longest is the longest hold that was granted. A range that comes back after
+	// the session was lost may still be held for so long.
+	longest time.Duration
 }
 
 func newCore(service string) *core {
@@ -187,6 +190,7 @@
 			grants++
 		}
 		call.sent = now
+		c.longest = max(c.longest, call.Hold)
 		c.calls = append(c.calls, call)
 		due = append(due, call)
 	}
@@ -289,11 +293,12 @@
 }
 
 // forget drops late grants whose time is over, and frees keys that the server can
-// hold no more since no grant got through.
+// hold no more since no grant got through. Time counts by the steady clock here: a
+// wall clock that jumps ahead ends no hold at the server.
 func (c *core) forget(now timer.Instant) {
 	kept := c.lates[:0]
 	for _, entry := range c.lates {
-		if now.Since(entry.sent) < entry.lasts {
+		if now.Steady(entry.sent) < entry.lasts {
 			kept = append(kept, entry)
 		}
 	}
@@ -303,9 +308,9 @@
 		if value.phase == phaseNone || value.phase == phaseFreed {
 			continue
 		}
-		over := now.Since(value.granted) >= time.Duration(slowClock*float64(value.hold))+arriveTime
+		over := now.Steady(value.granted) >= time.Duration(slowClock*float64(value.hold))+arriveTime
 		if value.granted.IsZero() {
-			over = now.Since(value.seen) >= refusedTime
+			over = now.Steady(value.seen) >= max(refusedTime, time.Duration(slowClock*float64(c.longest))+arriveTime)
 		}
 		if wanted := (span{from: piece.From, to: piece.To}); over && !c.isLate(wanted) && !c.isCalling(wanted) {
 			c.keys.Set(piece.From, piece.To, cell{phase: phaseFreed, fence: value.fence})
@@ -323,7 +328,7 @@
 		}
 	}
 	if verdict == Unanswered && !call.Release {
-		lasts := now.Since(call.sent) + arriveTime + time.Duration(slowClock*float64(call.Hold))
+		lasts := now.Steady(call.sent) + arriveTime + time.Duration(slowClock*float64(call.Hold))
 		c.lates = append(c.lates, late{span: call.span(), sent: call.sent, lasts: lasts})
 	}
 	c.keys.Update(call.From, call.To, func(v cell) cell {
--- a/router/holder/core_test.go
+++ b/router/holder/core_test.go
@@ -134,6 +134,24 @@
 	}
 }
 
+// The wall clock of the router's VM jumps ahead: its lease is over at once, but the
+// server still holds the keys, so they are not free.
+func TestClockJumpFreesNothing(t *testing.T) {
+	c := granted(t)
+	for _, passed := range []time.Duration{time.Second, 3 * time.Second} {
+		now := timer.Instant{Mono: time.Hour + passed, Wall: 1000*time.Hour + passed + 2400*time.Second}
+		c.plan(now, 0)
+		qt.Assert(t, c.freed(), qt.HasLen, 0)
+	}
+	// The session was lost meanwhile and is found again.
+	c.follow(at(3*time.Second), nil, life)
+	c.follow(at(3*time.Second), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, life)
+	c.plan(at(5*time.Second), 0)
+	qt.Assert(t, c.freed(), qt.HasLen, 0)
+	c.plan(at(7*time.Second), 0)
+	qt.Assert(t, c.freed(), qt.HasLen, 1)
+}
+
 func TestFewGrantsAtOnce(t *testing.T) {
 	c := newCore("findings")
 	var rows []messenger.RangeRow
--- a/router/sampler/sampler.go
+++ b/router/sampler/sampler.go
@@ -60,7 +60,7 @@
 func (s *Sampler) Report(now timer.Instant, rows []messenger.RangeRow) *messenger.RangeReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	span := now.Since(s.since)
+	span := now.Steady(s.since)
 	if span < minSpan || len(rows) == 0 {
 		return nil
 	}
