Count unanswered work for the pace and the cost of a server

Only answered requests counted for a server's pace and for the cost of a kind, so a server that turned slow looked as fast as before, kept its keys and took its queue.

Change: a request that ran out counts, and so does one that took longer than expected. Up to 24 ranges move in one weighing.

--- a/control/balancer/range.go
+++ b/control/balancer/range.go
@@ -24,7 +24,7 @@
 	busyEnough = 0.45
 	// levelMoves is the most moves that one weighing starts. Each moved range is
 	// without an owner for two heartbeats.
-	levelMoves = 6
+	levelMoves = 24
 	// defaultPace is the time for a request, in seconds, that a server is
 	// credited with before it finished any.
 	defaultPace = 0.1
--- a/control/balancer/range_test.go
+++ b/control/balancer/range_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -192,3 +193,26 @@
 	qt.Check(t, balancer.Fill(rangesOf(owners), holders, arrivals), qt.HasLen, 0)
 	qt.Check(t, balancer.Empty(rangesOf(owners), holders, arrivals), qt.HasLen, 0)
 }
+
+// Two of five servers come back empty after a restart, and the others are full of
+// small ranges. Two weighings are enough to use them again.
+func TestReturnedServersAreFilledSoon(t *testing.T) {
+	holders := holdersOf(0.15, 0.15, 0.15, 0.15, 0.15)
+	owners := ownersOf(nil, balancer.Found(holders))
+	random := rand.New(rand.NewPCG(5, 5))
+	for key := range owners {
+		if key%512 == 0 || owners[key] > 3 {
+			owners[key] = uint64(1 + key/512%3)
+		}
+	}
+	arrivals := make([]float64, keys)
+	for range 600 {
+		// Busy keys lie close to one another.
+		arrivals[min(int(random.ExpFloat64()*9000), keys-1)] += 150.0 / 600
+	}
+	for range 2 {
+		owners = ownersOf(rangesOf(owners), balancer.Level(rangesOf(owners), holders, arrivals))
+	}
+	most, mean := busiest(owners, holders, arrivals)
+	qt.Assert(t, most <= 1.3*mean, qt.IsTrue, qt.Commentf("busiest %.2f, mean %.2f", most, mean))
+}
--- a/router/queuer/queue.go
+++ b/router/queuer/queue.go
@@ -218,11 +218,13 @@
 }
 
 // Done takes note that a job that ran has ended; with served it was answered, so
-// its time counts for its kind. It returns the jobs to start now.
+// its time counts for its kind. So does that of one without an answer that took
+// longer than expected: a server that turned slow answers little. It returns the
+// jobs to start now.
 func (q *Queue) Done(now time.Duration, entry *Entry, served bool) []*Entry {
 	delete(q.running, entry)
-	if served {
-		q.learn(entry.Kind, now-entry.started)
+	if took := now - entry.started; served || took > q.Cost(entry.Kind) {
+		q.learn(entry.Kind, took)
 	}
 	return q.Next(now)
 }
--- a/router/queuer/queue_test.go
+++ b/router/queuer/queue_test.go
@@ -327,3 +327,35 @@
 		qt.Assert(t, gate.Work().Running, qt.Equals, 0)
 	})
 }
+
+// A server turns slow and answers nothing in time. After a few requests whoever
+// could only wait for it in vain is refused at once.
+func TestSlowServerIsNoticedWithoutAnswers(t *testing.T) {
+	queue := queuer.NewQueue(6)
+	offer := func(now time.Duration) (*queuer.Entry, *queuer.Refusal) {
+		return queue.Offer(now, queuer.Job{Kind: "finding", Aim: now + 400*ms, Deadline: now + time.Second})
+	}
+	now := time.Duration(0)
+	for range 20 {
+		entry, refusal := offer(now)
+		qt.Assert(t, refusal, qt.IsNil)
+		now += 120 * ms
+		queue.Done(now, entry, true)
+	}
+	lost := 0
+	for range 40 {
+		entry, refusal := offer(now)
+		if refusal != nil {
+			break
+		}
+		lost++
+		now += time.Second
+		queue.Done(now, entry, false)
+	}
+	qt.Assert(t, queue.Cost("finding") > 400*ms, qt.IsTrue, qt.Commentf("%s", queue.Cost("finding")))
+	for range 6 {
+		_, _ = offer(now)
+	}
+	_, refusal := offer(now)
+	qt.Assert(t, refusal, qt.IsNotNil)
+}
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -160,6 +160,10 @@
 	if result.Outcome != messenger.OutcomeDone {
 		cancel()
 		slot.Release(false)
+		if isSlow(result) {
+			// A server that turned slow is known by what it does not answer.
+			o.options.Sampler.Finished(time.Since(sent))
+		}
 		answer := &messenger.RelayAnswer{Outcome: result.Outcome, Reason: result.Reason, Ran: result.Sent}
 		o.log(relay, answer, "no answer of the server", result.Err)
 		return answer, nil
@@ -194,6 +198,11 @@
 	return answer, io.NopCloser(bytes.NewReader(content))
 }
 
+// isSlow reports whether a request ran until its time was over.
+func isSlow(result courier.Result) bool {
+	return result.Outcome == messenger.OutcomeUnknown && result.Reason == messenger.ReasonExpired
+}
+
 // note tells the attendant what a send says of the server.
 func (o *Owner) note(result courier.Result) {
 	switch {
