--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -38,6 +38,9 @@
 	// goneTime is how long after the start of a stop callers may still come:
 	// they are told within two questions, one a second.
 	goneTime = 2500 * time.Millisecond
+	// linkDrainTime bounds the wait for other routers to have all answers. One that
+	// is gone never says so.
+	linkDrainTime = 1500 * time.Millisecond
 	// bytesPerMegabit turns Mbit/s into bytes a second.
 	bytesPerMegabit = 1e6 / 8
 	// stopMargin is the part of the grace that the process does not use, since it
@@ -238,7 +241,9 @@
 
 func (p *Routed) stopLink(ctx context.Context) error {
 	// Answers on their way to other routers arrive before the links end.
-	p.peer.Drain(ctx)
+	draining, cancel := context.WithTimeout(ctx, linkDrainTime)
+	p.peer.Drain(draining)
+	cancel()
 	p.pool.Close()
 	p.backend.Reset()
 	if err := p.peer.Close(); err != nil {
