Take the heartbeats of a restarted router

The leader takes a heartbeat only when its number is higher than the last; the new process counts from 1, so what it said was ignored for as long as the old one had lived.

Change: numbers count for each process.

Figures: TestRestartedRouterKeepsItsRanges, with a longer life before the restart and a leave after it, fails before and passes after.

--- a/control/supervisor/heartbeat.go
+++ b/control/supervisor/heartbeat.go
@@ -129,6 +129,11 @@
 
 // take notes what a heartbeat says, unless a later one came before it.
 func (r *router) take(beat *messenger.Heartbeat) bool {
+	if beat.Instance != r.instance {
+		// A new process of the router goes on with its session and numbers its
+		// heartbeats anew.
+		r.instance, r.sequence = beat.Instance, 0
+	}
 	if beat.Sequence <= r.sequence {
 		return false
 	}
--- a/control/supervisor/ranges_test.go
+++ b/control/supervisor/ranges_test.go
@@ -131,7 +131,7 @@
 func TestRestartedRouterKeepsItsRanges(t *testing.T) {
 	h := rangedHarness(t)
 	a, b := newRanged(h, 1), newRanged(h, 2)
-	runRanged(h, 4*time.Second, a, b)
+	runRanged(h, 9*time.Second, a, b)
 	session, keys := a.beat.Session, a.keys()
 	again := newRanged(h, 1)
 	again.beat.Instance = 77
@@ -142,6 +142,10 @@
 	qt.Assert(t, again.beat.Session, qt.Equals, session)
 	qt.Assert(t, again.keys(), qt.Equals, keys)
 	qt.Assert(t, a.send().Status, qt.Equals, messenger.HeartbeatExpired)
+	// What the new process says counts, though its heartbeats are numbered anew.
+	again.beat.Leaving = true
+	runRanged(h, 1500*time.Millisecond, b, again)
+	qt.Assert(t, again.keys(), qt.Equals, 0)
 	// One that does not listen at the address proves nothing.
 	other := newRanged(h, 2)
 	other.beat.Instance, other.beat.Sole = 78, false
--- a/control/supervisor/router.go
+++ b/control/supervisor/router.go
@@ -29,6 +29,8 @@
 	// heard is when its last heartbeat came.
 	heard    timer.Instant
 	sequence uint64
+	// instance is the process that sent it.
+	instance uint64
 	state    messenger.ServerState
 	revision uint64
 	queue    int
