Keep one copy of header rules and of reading an identity, and sum up loads when needed

Cause: reading the change once more. The header fields of one connection stood in three packages with three lists; a data folder's identity was read in two places; the leader summed up the load of 65,536 keys twice a service at each tick of 25 ms, also when no range was free or leaving; a request copied its body for each send; the sharers of the repeat budget were a guess; some factors had no name.

Change: package stripper, one readIdentity, loads are summed when there is something to place, the body is kept once, sharers are the routers with a session, factors are named constants with their reason.

--- a/control/balancer/range.go
+++ b/control/balancer/range.go
@@ -25,6 +25,14 @@
 	// levelMoves is the most moves that one weighing starts. Each moved range is
 	// without an owner for two heartbeats.
 	levelMoves = 24
+	// leastPart and mostPart bound the load that one move carries, as parts of what
+	// would make two servers even. Less is not worth the move, much more would turn
+	// the two around.
+	leastPart = 0.4
+	mostPart  = 1.25
+	// keyWeight is the load of all keys together, in slots, when nobody asks for
+	// them: enough to tell idle servers apart, and nothing beside real load.
+	keyWeight = 1e-3
 	// defaultPace is the time for a request, in seconds, that a server is
 	// credited with before it finished any.
 	defaultPace = 0.1
@@ -187,7 +195,6 @@
 	if holder == nil || holder.Slots <= 0 {
 		return math.Inf(1)
 	}
-	const keyWeight = 1e-3
 	return (s.load[session] + keyWeight*s.keys[session]/(messenger.LastKey+1)) / float64(holder.Slots)
 }
 
@@ -209,25 +216,34 @@
 // Fill places the ranges that have no owner. It answers the load of a lost
 // server: its ranges go one by one to whoever is least in use then.
 func Fill(ranges []Range, holders []Holder, arrivals []float64) []Placed {
-	scale := newScale(ranges, holders, arrivals)
-	return scale.place(ranges, func(r Range) bool { return r.Owner == 0 })
+	return place(ranges, holders, arrivals, func(r Range) bool { return r.Owner == 0 })
 }
 
 // Empty moves the ranges of servers that leave.
 func Empty(ranges []Range, holders []Holder, arrivals []float64) []Placed {
-	scale := newScale(ranges, holders, arrivals)
-	return scale.place(ranges, func(r Range) bool {
-		holder := scale.holders[r.Owner]
-		return r.Next == 0 && holder != nil && holder.Leaves
-	})
+	leaves := make(map[uint64]bool)
+	for _, holder := range holders {
+		leaves[holder.Session] = holder.Leaves
+	}
+	return place(ranges, holders, arrivals, func(r Range) bool { return r.Next == 0 && leaves[r.Owner] })
 }
 
-func (s *scale) place(ranges []Range, fits func(Range) bool) []Placed {
-	var placed []Placed
+// place gives the ranges that fits holds for to the servers that are least in use.
+// The leader asks at each tick, and mostly there are none; only then the load on
+// all keys is summed up.
+func place(ranges []Range, holders []Holder, arrivals []float64, fits func(Range) bool) []Placed {
+	var wanted []Range
 	for _, r := range ranges {
-		if !fits(r) {
-			continue
+		if fits(r) {
+			wanted = append(wanted, r)
 		}
+	}
+	if len(wanted) == 0 {
+		return nil
+	}
+	s := newScale(ranges, holders, arrivals)
+	var placed []Placed
+	for _, r := range wanted {
 		for _, part := range s.divide(r) {
 			target := s.idlest(r.Owner)
 			if target == 0 {
@@ -343,7 +359,7 @@
 // shortest finds the shortest run of keys in a range that carries enough of the
 // wanted rate, and not much more.
 func (s *scale) shortest(r Range, wanted float64) (from, to uint32, ok bool) {
-	least, most := 0.4*wanted, 1.25*wanted
+	least, most := leastPart*wanted, mostPart*wanted
 	sum, start := 0.0, r.From
 	for key := r.From; key <= r.To; key++ {
 		sum += s.arrivals[key]
--- a/control/journaler/identity.go
+++ b/control/journaler/identity.go
@@ -79,6 +79,10 @@
 	if !slices.Contains(names, identityName) {
 		return nil, nil
 	}
+	return readIdentity(disk, folder)
+}
+
+func readIdentity(disk Disk, folder string) (*Identity, error) {
 	path := filepath.Join(folder, identityName)
 	data, err := disk.Read(path)
 	if err != nil {
@@ -93,14 +97,9 @@
 
 // loadIdentity reads the identity.
 func (j *Journal) loadIdentity(wanted Identity) (*Identity, error) {
-	path := filepath.Join(j.folder, identityName)
-	data, err := j.disk.Read(path)
+	identity, err := readIdentity(j.disk, j.folder)
 	if err != nil {
-		return nil, Error.New("reading %s: %w", path, err)
-	}
-	identity := &Identity{}
-	if err := decodeFile(data, identity); err != nil {
-		return nil, Error.New("%s (empty the folder and join as a new member): %w", path, err)
+		return nil, err
 	}
 	if identity.Cluster != wanted.Cluster || identity.Name != wanted.Name {
 		return nil, Error.New("%w: %s is of replica %q in cluster %q, the settings say %q in %q",
--- a/router/acceptor/header.go
+++ b/router/acceptor/header.go
@@ -2,14 +2,13 @@
 
 import (
 	"net/http"
-	"net/textproto"
-	"slices"
 	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/router/stripper"
 )
 
 // MaxIdempotency is the longest Idempotency-Key in bytes.
@@ -19,37 +18,17 @@
 // sets.
 const reservedPrefix = "Marigold-"
 
-// hopFields belong to one connection and are never passed on.
-var hopFields = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	"Expect", "Content-Length", "Host", "Http2-Settings",
-}
-
-// endToEnd returns the header fields to pass on: not those of the connection,
-// also as far as the Connection field names them, and not the reserved ones.
+// endToEnd returns the header fields to pass on: not those of the connection, and
+// not the reserved ones.
 func endToEnd(header http.Header) []messenger.Header {
-	named := connectionFields(header)
-	passed := make([]messenger.Header, 0, len(header))
-	for name, values := range header {
-		switch {
-		case slices.Contains(hopFields, name), slices.Contains(named, name):
-		case strings.HasPrefix(name, reservedPrefix), name == messenger.HeaderIdempotency:
-		default:
-			passed = append(passed, messenger.Header{Name: name, Values: values})
-		}
-	}
-	return passed
+	return stripper.EndToEnd(header, func(name string) bool {
+		return strings.HasPrefix(name, reservedPrefix) || name == messenger.HeaderIdempotency
+	})
 }
 
 // strip removes what a backend server must not tell a caller.
 func strip(header http.Header) {
-	for _, name := range connectionFields(header) {
-		header.Del(name)
-	}
-	for _, name := range hopFields {
-		header.Del(name)
-	}
+	stripper.Strip(header)
 	for name := range header {
 		if strings.HasPrefix(name, reservedPrefix) {
 			header.Del(name)
@@ -57,16 +36,6 @@
 	}
 }
 
-func connectionFields(header http.Header) []string {
-	var named []string
-	for _, value := range header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			named = append(named, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
-		}
-	}
-	return named
-}
-
 // headerSize is the size of a header as it was sent.
 func headerSize(r *http.Request) int {
 	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + 4
--- a/router/chooser/chooser.go
+++ b/router/chooser/chooser.go
@@ -34,6 +34,11 @@
 	// failWeight is how much longer a request counts at a server that always
 	// fails, in times of its pace.
 	failWeight = 10
+	// coldTimes is how much longer a server takes that has just started.
+	coldTimes = 2
+	// loadWeight is how much longer a request is taken to need at a server whose
+	// slots are all in use; it spreads requests before anybody waits.
+	loadWeight = 0.5
 	// staleTime is how long what a server said of its load counts.
 	staleTime = time.Second
 	// defaultPace is the pace of a server of which nothing is known.
@@ -131,11 +136,11 @@
 		pace = known.work.Pace
 	}
 	if candidate.Cold {
-		pace *= 2
+		pace *= coldTimes
 	}
 	slots := max(candidate.Slots, 1)
 	load := known.load(now)
-	turns := 1 + float64(load)/float64(slots)/2
+	turns := 1 + loadWeight*float64(load)/float64(slots)
 	if load >= slots {
 		turns += float64(load+1-slots) / float64(slots)
 	}
--- a/router/dispatcher/exchange.go
+++ b/router/dispatcher/exchange.go
@@ -12,17 +12,12 @@
 	"github.com/zeebo/errs"
 
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/router/stripper"
 )
 
 // errBody wraps errors of reading the caller's body.
 var errBody = errs.New("body of the caller")
 
-// hopHeaders are header fields that concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
 // build makes the HTTP request of an order.
 func build(ctx context.Context, order *Order) (*http.Request, error) {
 	from := order.Request
@@ -37,7 +32,7 @@
 	for _, field := range from.Header {
 		request.Header[http.CanonicalHeaderKey(field.Name)] = field.Values
 	}
-	removeHop(request.Header)
+	stripper.Strip(request.Header)
 	if request.Header.Get("User-Agent") == "" {
 		request.Header.Set("User-Agent", "")
 	}
@@ -60,17 +55,6 @@
 	return request, nil
 }
 
-func removeHop(header http.Header) {
-	for _, named := range header.Values("Connection") {
-		for name := range strings.SplitSeq(named, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
-}
-
 // onceBody is a request body that can be read once.
 type onceBody struct {
 	from io.Reader
@@ -101,7 +85,7 @@
 		_ = response.Body.Close()
 		return Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonTruncated, Cause: CauseNone}
 	}
-	removeHop(response.Header)
+	stripper.Strip(response.Header)
 	head := messenger.Response{
 		Outcome: messenger.OutcomeDone,
 		Status:  response.StatusCode,
--- a/router/mapper/mapper.go
+++ b/router/mapper/mapper.go
@@ -119,6 +119,11 @@
 	return servers
 }
 
+// Routers is how many routers have a session.
+func (m *Map) Routers() int {
+	return len(m.sessions)
+}
+
 // IsRanged reports whether a service is divided by ranges of keys.
 func (m *Map) IsRanged(service string) bool {
 	found := m.Configuration.Service(service)
@@ -187,7 +192,10 @@
 		after.ranges = before.ranges
 	}
 	after.configure(delta.Configuration)
-	after.addSessions(delta.Sessions)
+	after.servers, after.owners = before.servers, before.owners
+	if delta.Full || len(delta.Sessions) > 0 {
+		after.addSessions(delta.Sessions)
+	}
 	after.addRanges(delta.Ranges)
 	m.current.Store(after)
 	close(before.next)
@@ -225,9 +233,7 @@
 }
 
 func (m *Map) addSessions(rows []messenger.SessionRow) {
-	if len(rows) > 0 {
-		m.sessions = maps.Clone(m.sessions)
-	}
+	m.sessions = maps.Clone(m.sessions)
 	for _, row := range rows {
 		if row.Gone {
 			delete(m.sessions, row.Session)
--- a/router/queuer/queue.go
+++ b/router/queuer/queue.go
@@ -38,6 +38,9 @@
 	// maxWaiting bounds the queue, in requests for each slot. With equal costs
 	// the last one waits for so many turns, which no aim allows.
 	maxWaiting = 8
+	// overdue is the part of its cost that a job which has run for longer than that
+	// is expected to take still.
+	overdue = 4
 	// minAfter and maxAfter bound when a refused caller is asked to come back.
 	minAfter = 50 * time.Millisecond
 	maxAfter = 2 * time.Second
@@ -189,7 +192,7 @@
 	}
 	first := time.Duration(-1)
 	for running := range q.running {
-		left := max(running.started+running.cost-now, running.cost/4)
+		left := max(running.started+running.cost-now, running.cost/overdue)
 		if first < 0 || left < first {
 			first = left
 		}
--- a/router/relayer/entry.go
+++ b/router/relayer/entry.go
@@ -18,7 +18,6 @@
 package relayer
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -254,23 +253,27 @@
 	e.sizes[route] = mean + sizePart*(float64(size)-mean)
 }
 
+// spread is the width of the times at which callers that were refused together come
+// back, as a part of the time that each is told.
+const spread = 0.5
+
 // jitter spreads callers that were refused together.
 func jitter(after time.Duration) time.Duration {
-	return time.Duration(float64(after) * (0.75 + 0.5*rand.Float64()))
+	return time.Duration(float64(after) * (1 + spread*(rand.Float64()-0.5)))
 }
 
 // readBody reads a small body whole, so that it can be sent again.
-func readBody(call *Call) (*bytes.Reader, error) {
+func readBody(call *Call) (data []byte, whole bool, err error) {
 	if call.Length < 0 || call.Length > maxReplay {
-		return nil, nil
+		return nil, false, nil
 	}
-	data := make([]byte, call.Length)
+	data = make([]byte, call.Length)
 	if call.Length > 0 {
 		if _, err := io.ReadFull(call.Body, data); err != nil {
-			return nil, Error.New("reading the body of the caller: %w", err)
+			return nil, false, Error.New("reading the body of the caller: %w", err)
 		}
 	}
-	return bytes.NewReader(data), nil
+	return data, true, nil
 }
 
 // endOf says why a context ended.
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -17,6 +17,7 @@
 	"marigoldhill/router/attendant"
 	"marigoldhill/router/courier"
 	"marigoldhill/router/queuer"
+	"marigoldhill/router/stripper"
 )
 
 const (
@@ -181,7 +182,7 @@
 		Outcome: messenger.OutcomeDone,
 		Ran:     true,
 		Status:  result.Status,
-		Header:  headersOf(result.Header),
+		Header:  stripper.EndToEnd(result.Header, nil),
 		Length:  result.Length,
 	}
 	if result.Length < 0 || result.Length > maxWhole {
--- a/router/relayer/trip.go
+++ b/router/relayer/trip.go
@@ -47,8 +47,9 @@
 	begun   time.Time
 	// limit is how long the call may take.
 	limit time.Duration
-	// body is the whole body, nil for one that can be sent only once.
-	body *bytes.Reader
+	// body is the whole body when replays is true; otherwise it can be sent once.
+	body    []byte
+	replays bool
 
 	// sends counts arrivals at backend servers, last is the newest server.
 	sends   int
@@ -69,7 +70,7 @@
 // run sends the request until it is answered or given up.
 func (t *trip) run(ctx context.Context) Answer {
 	var err error
-	if t.body, err = readBody(t.call); err != nil {
+	if t.body, t.replays, err = readBody(t.call); err != nil {
 		return t.refuse(messenger.ReasonCanceled, 0)
 	}
 	for {
@@ -261,7 +262,7 @@
 		}
 	case messenger.ReasonQueue, messenger.ReasonDeadline:
 		t.busy++
-		if t.keyless && t.busy < busyTries && t.body != nil {
+		if t.keyless && t.busy < busyTries && t.replays {
 			return Answer{}, true
 		}
 	}
@@ -271,12 +272,10 @@
 // mayRepeat spends a repeat, when route and budget allow one and the body can be
 // sent again.
 func (t *trip) mayRepeat() bool {
-	if t.body == nil || t.sends >= t.route.Treatment.Attempts {
+	if !t.replays || t.sends >= t.route.Treatment.Attempts {
 		return false
 	}
-	servers := len(t.entry.options.Mapper.Load().Servers(t.entry.options.Service))
-	routers := max(servers, len(t.entry.options.Mapper.Load().Servers(t.service))) * 2
-	return t.entry.options.Budget.Take(t.entry.now(), t.service, routers)
+	return t.entry.options.Budget.Take(t.entry.now(), t.service, t.entry.options.Mapper.Load().Routers())
 }
 
 // unknown handles a request that may have run.
@@ -327,9 +326,8 @@
 // deliver brings a request to the router of a server, which may be this one.
 func (t *trip) deliver(ctx context.Context, server *mapper.Server, relay *messenger.Relay) (*messenger.RelayAnswer, io.ReadCloser) {
 	body := t.call.Body
-	if t.body != nil {
-		t.body.Reset(t.bytes())
-		body = t.body
+	if t.replays {
+		body = bytes.NewReader(t.body)
 	}
 	if server.Session == t.entry.options.Session() {
 		return t.entry.options.Owner.Run(ctx, relay, body)
@@ -338,7 +336,7 @@
 	if err != nil {
 		return refusal(messenger.ReasonUnreachable, 0), nil
 	}
-	reply, err := exchange(stream, relay, body, t.body != nil)
+	reply, err := exchange(stream, relay, body, t.replays)
 	if err != nil {
 		stream.Close()
 		if errors.Is(err, errUnsent) {
@@ -353,14 +351,6 @@
 	return reply, streamBody{stream}
 }
 
-// bytes returns the whole body.
-func (t *trip) bytes() []byte {
-	data := make([]byte, t.body.Size())
-	// The reader holds so many bytes.
-	_, _ = t.body.ReadAt(data, 0)
-	return data
-}
-
 var (
 	errUnsent  = errors.New("the request was not sent whole")
 	errForeign = errors.New("answer belongs to another request")
