Say why calls failed, and send a shed request to the owner of its key again

Errors of grants and of links between routers, ignored announcements, refused configurations and unanswered enrolments left no line. Writing the tests of the entry and the configurer that were missing showed that a request for a key which its server had shed spent a repeat and was then held for 350 ms without being sent: its only server counted as tried.

Change: each of these writes a line with its cause, bounded where it may be frequent. A shed request goes to the owner again within its attempts. Bodies above the limit of the configuration are refused with 413. A closing session is tried at all members that the group named.

--- a/control/configurer/configurer.go
+++ b/control/configurer/configurer.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	changes := configurer.New(replica, configurer.Options{Losses: 2, Log: log})
-//	err := changes.Put(ctx, configuration, source)
+//	err := changes.Put(ctx, source, decode)
 //	var moved *configurer.MovedError
 //	if errors.As(err, &moved) { ... } // ask at moved.Leader.Operator
 package configurer
@@ -82,9 +82,13 @@
 	return &Configurer{replica: replica, options: options}
 }
 
-// Put puts a configuration into force, unless one of the same or a higher
-// version is. It returns nil once the change is safe.
-func (c *Configurer) Put(ctx context.Context, configuration *messenger.Configuration, source []byte) error {
+// Put puts a configuration into force, unless one of the same or a higher version
+// is. Decode reads what the operator sent. It returns nil once the change is safe.
+func (c *Configurer) Put(ctx context.Context, source []byte, decode func(source []byte) (*messenger.Configuration, error)) error {
+	configuration, err := decode(source)
+	if err != nil {
+		return c.refuse(0, &InvalidError{Field: "body", Reason: err.Error()})
+	}
 	if err := c.checkLead(); err != nil {
 		return err
 	}
@@ -107,13 +111,19 @@
 		return Error.New("result of a change is a %T", proposal.Result)
 	}
 	if result.Verdict != assigner.VerdictApplied {
-		return &InvalidError{Field: result.Field, Reason: result.Reason}
+		return c.refuse(configuration.Version, &InvalidError{Field: result.Field, Reason: result.Reason})
 	}
 	c.options.Log.Emit(logger.ConfigurationTaken, "version", configuration.Version,
 		"changed", result.Count > 0, "index", proposal.Index)
 	return nil
 }
 
+// refuse logs a configuration that was not taken.
+func (c *Configurer) refuse(version uint64, invalid *InvalidError) error {
+	c.options.Log.Emit(logger.ConfigurationRefused, "version", version, "field", invalid.Field, "reason", invalid.Reason)
+	return invalid
+}
+
 // checkLead reports whether a change may be proposed here.
 func (c *Configurer) checkLead() error {
 	standing := c.replica.Standing()
--- a/control/enroller/enroller.go
+++ b/control/enroller/enroller.go
@@ -120,14 +120,14 @@
 // askVia asks at an address, and at the leader that it names.
 func (e *Enroller) askVia(ctx context.Context, address string) bool {
 	answer, err := e.call(ctx, address)
+	if err == nil && !answer.Taken && answer.Leader != "" {
+		answer, err = e.call(ctx, answer.Leader)
+	}
 	if err != nil {
+		e.options.Log.Emit(logger.EnrolmentUnanswered, "member", e.settings.Member.Name, "address", address, "error", err)
 		return false // the next one may answer
 	}
-	if answer.Taken || answer.Leader == "" {
-		return answer.Taken
-	}
-	answer, err = e.call(ctx, answer.Leader)
-	return err == nil && answer.Taken
+	return answer.Taken
 }
 
 func (e *Enroller) call(ctx context.Context, address string) (*messenger.JoinAnswer, error) {
--- a/kernel/logger/control.go
+++ b/kernel/logger/control.go
@@ -9,6 +9,7 @@
 	SessionClosed        = Event{232, hclog.Info, "session of a router ended in order"}
 	SessionAdopted       = Event{234, hclog.Info, "new process of a router goes on with its session"}
 	MemberEnrolled       = Event{235, hclog.Info, "replica was enrolled in the control group"}
+	EnrolmentUnanswered  = Event{237, hclog.Info, "replica that wants to join got no answer"}
 	MemberDropped        = Event{236, hclog.Warn, "replica was dropped from the control group"}
 	RecordersLost        = Event{233, hclog.Warn, "session lost recorders"}
 	ShardsGranted        = Event{240, hclog.Info, "shards were granted"}
@@ -24,6 +25,7 @@
 	DrainStarted         = Event{264, hclog.Info, "drain of a backend server started"}
 	DrainEnded           = Event{265, hclog.Info, "drain of a backend server ended"}
 	ConfigurationChanged = Event{266, hclog.Info, "configuration changed"}
+	ConfigurationRefused = Event{268, hclog.Info, "configuration of an operator was refused"}
 	ConfigurationTaken   = Event{267, hclog.Info, "configuration of an operator is safe"}
 	ServerDied           = Event{270, hclog.Warn, "backend server ended with requests in flight"}
 	RequestQuarantined   = Event{271, hclog.Warn, "request was quarantined"}
@@ -34,8 +36,8 @@
 
 func controlEvents() []Event {
 	return []Event{
-		SessionOpened, SessionLapsed, SessionClosed, SessionAdopted, RecordersLost, MemberEnrolled, MemberDropped,
-		RangesGranted, RangesMoving, ConfigurationChanged, ConfigurationTaken,
+		SessionOpened, SessionLapsed, SessionClosed, SessionAdopted, RecordersLost, MemberEnrolled, MemberDropped, EnrolmentUnanswered,
+		RangesGranted, RangesMoving, ConfigurationChanged, ConfigurationTaken, ConfigurationRefused,
 		ShardsGranted, ShardsMoving, RecordsForgotten,
 		KeyPromoted, KeyDemoted,
 		ProfileChanged, ProfileRemoved, ServiceChanged, DrainStarted, DrainEnded,
--- a/kernel/logger/limit.go
+++ b/kernel/logger/limit.go
@@ -54,5 +54,10 @@
 
 // isFrequent reports whether an event happens with requests.
 func (e Event) isFrequent() bool {
-	return e.Number == RequestEnded.Number || e.Number == RequestFailed.Number || e.Number == RangeCalled.Number
+	switch e.Number {
+	case RequestEnded.Number, RequestFailed.Number, RangeCalled.Number, AnnouncementIgnored.Number, ConfigurationRefused.Number,
+		EnrolmentUnanswered.Number:
+		return true
+	}
+	return false
 }
--- a/router/attendant/attendant.go
+++ b/router/attendant/attendant.go
@@ -116,12 +116,14 @@
 // of another server.
 func (a *Attendant) Announce(now timer.Instant, said Announcement) bool {
 	if said.Row.URL != a.options.Address || said.Row.Service == "" || said.Row.Name == "" {
+		a.ignore(said, "it names no server of this VM")
 		return false
 	}
 	a.mu.Lock()
 	before := a.view.Load()
 	if !a.isNews(before, said) {
 		a.mu.Unlock()
+		a.ignore(said, "it is late")
 		return false
 	}
 	a.sequence = said.Sequence
@@ -143,6 +145,12 @@
 	return true
 }
 
+// ignore logs an announcement that changes nothing.
+func (a *Attendant) ignore(said Announcement, cause string) {
+	a.options.Log.Emit(logger.AnnouncementIgnored, "server", said.Row.Name, "service", said.Row.Service,
+		"address", said.Row.URL, "born", said.Row.Born, "sequence", said.Sequence, "cause", cause)
+}
+
 func (a *Attendant) isNews(before *View, said Announcement) bool {
 	if said.Row.Born < a.gone || (said.Row.Born == a.gone && a.gone != 0) {
 		return false
--- a/router/holder/holder.go
+++ b/router/holder/holder.go
@@ -44,10 +44,10 @@
 
 // Caller makes calls to the backend server.
 type Caller interface {
-	// Grant and Release return how the call ended, and a release what the server
-	// leaves for the next holder.
-	Grant(ctx context.Context, address string, call *Call) Verdict
-	Release(ctx context.Context, address string, call *Call) (Verdict, string)
+	// Grant and Release return how the call ended, with the cause when it was not
+	// taken, and a release what the server leaves for the next holder.
+	Grant(ctx context.Context, address string, call *Call) (Verdict, error)
+	Release(ctx context.Context, address string, call *Call) (verdict Verdict, handover string, err error)
 }
 
 // Options are the parts that a Holder works with.
@@ -176,15 +176,16 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var verdict Verdict
-	handover := ""
+	var handover string
+	var err error
 	if call.Release {
-		verdict, handover = h.options.Caller.Release(ctx, server.URL, call)
+		verdict, handover, err = h.options.Caller.Release(ctx, server.URL, call)
 	} else {
-		verdict = h.options.Caller.Grant(ctx, server.URL, call)
+		verdict, err = h.options.Caller.Grant(ctx, server.URL, call)
 	}
 	if verdict != Taken || call.Release {
 		h.options.Log.Emit(logger.RangeCalled, "service", call.Service, "from", call.From, "to", call.To,
-			"fence", call.Fence, "release", call.Release, "verdict", verdict.String(), "hold", call.Hold.String())
+			"fence", call.Fence, "release", call.Release, "verdict", verdict.String(), "hold", call.Hold.String(), "error", err)
 	}
 	h.mu.Lock()
 	core.end(timer.Now(), call, verdict, handover)
--- a/router/keeper/finish.go
+++ b/router/keeper/finish.go
@@ -32,7 +32,7 @@
 		return
 	}
 	k.options.Steward.Lapsed(session)
-	for range 2 * len(k.settings.Control) {
+	for range 2 * len(k.core.members) {
 		if k.closeOnce(ctx, session) {
 			k.count("closed")
 			return
--- a/router/relayer/entry.go
+++ b/router/relayer/entry.go
@@ -146,6 +146,9 @@
 	if route == nil {
 		return e.finish(call, nil, begun, Answer{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonRoute})
 	}
+	if limit := routes.Configuration.Limits.BodyBytes; limit > 0 && call.Length > limit {
+		return e.finish(call, nil, begun, Answer{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonOversize})
+	}
 	trip := &trip{entry: e, call: call, route: route, service: route.Service(), begun: begun}
 	trip.limit = route.Treatment.Timeout
 	if call.Left > 0 && call.Left < trip.limit {
--- a/router/relayer/trip.go
+++ b/router/relayer/trip.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/router/chooser"
 	"marigoldhill/router/mapper"
@@ -241,7 +242,10 @@
 
 // refused handles an answer of a request that did not run.
 func (t *trip) refused(ctx context.Context, server *mapper.Server, reply *messenger.RelayAnswer) (Answer, bool) {
-	t.tried = append(t.tried, server.Session)
+	if t.keyless || reply.Reason != messenger.ReasonShed {
+		// A server that sheds a request for its own key may take it the next time.
+		t.tried = append(t.tried, server.Session)
+	}
 	if ctx.Err() != nil {
 		return t.giveUp(endOf(ctx)), false
 	}
@@ -334,11 +338,13 @@
 	}
 	stream, err := t.entry.options.Opener.Open(ctx, server.Address, messenger.KindRelay)
 	if err != nil {
+		t.logLink(server, err)
 		return refusal(messenger.ReasonUnreachable, 0), nil
 	}
 	reply, err := exchange(stream, relay, body, t.replays)
 	if err != nil {
 		stream.Close()
+		t.logLink(server, err)
 		if errors.Is(err, errUnsent) {
 			return refusal(messenger.ReasonUnreachable, 0), nil
 		}
@@ -351,6 +357,13 @@
 	return reply, streamBody{stream}
 }
 
+// logLink logs why a request did not come through to the router of a server.
+func (t *trip) logLink(server *mapper.Server, err error) {
+	t.entry.options.Log.Emit(logger.RequestFailed, "id", t.call.ID, "route", t.route.Name, "service", t.service,
+		"key", t.call.Key, "version", t.version, "router", server.Router, "address", server.Address,
+		"cause", "no answer of the other router", "error", err)
+}
+
 var (
 	errUnsent  = errors.New("the request was not sent whole")
 	errForeign = errors.New("answer belongs to another request")
