Move keys away from servers that fail while their health is good

Cause: the leader weighed only load. A server that answers its health check and fails what it runs kept its keys, and callers of these keys had no other server to go to.

Change: routers report how many requests speak for or against their server. The leader keeps the share of failures, which fades within 8 s without requests. Above the share of the middle server it lowers the weight of the server's slots, and from half on the keys move (balancer.Shun), unless more than a third of the servers fail.

Tests: balancer TestFailingServersAreRelieved, supervisor TestRangesOfAFailingServerMove, the verdicts of relayer's TestOwnerAnswers.

--- a/control/balancer/range.go
+++ b/control/balancer/range.go
@@ -30,6 +30,14 @@
 	// the two around.
 	leastPart = 0.4
 	mostPart  = 1.25
+	// failsMost is the share of failed requests from which on a server does more
+	// harm than good with the keys that it holds.
+	failsMost = 0.5
+	// shunPart is the most servers, as a part of all, that lose their keys for
+	// failing. When more fail, the cause is likely to be elsewhere.
+	shunPart = 1.0 / 3
+	// mostExcess bounds how far failures lower the weight of a server.
+	mostExcess = 0.9
 	// keyWeight is the load of all keys together, in slots, when nobody asks for
 	// them: enough to tell idle servers apart, and nothing beside real load.
 	keyWeight = 1e-3
@@ -63,6 +71,8 @@
 	Slots   int
 	// Pace is the mean time for a request in seconds, 0 when it is not known.
 	Pace float64
+	// Failing is the share of its requests that it failed lately, from 0 to 1.
+	Failing float64
 	// Takes says that it may get ranges, Leaves that it must give all away.
 	Takes  bool
 	Leaves bool
@@ -131,6 +141,10 @@
 	load map[uint64]float64
 	keys map[uint64]float64
 	pace float64
+	// failing is the middle share of failures of all servers. A server is judged
+	// by how far it is above that: all fail alike when a service that they call
+	// does.
+	failing float64
 }
 
 func newScale(ranges []Range, holders []Holder, arrivals []float64) *scale {
@@ -140,6 +154,7 @@
 		load:     make(map[uint64]float64),
 		keys:     make(map[uint64]float64),
 		pace:     meanPace(holders),
+		failing:  middleFailing(holders),
 	}
 	for n := range holders {
 		s.holders[holders[n].Session] = &holders[n]
@@ -166,6 +181,25 @@
 	return sum / float64(count)
 }
 
+func middleFailing(holders []Holder) float64 {
+	var shares []float64
+	for _, holder := range holders {
+		if !holder.Leaves {
+			shares = append(shares, holder.Failing)
+		}
+	}
+	if len(shares) == 0 {
+		return 0
+	}
+	slices.Sort(shares)
+	return shares[len(shares)/2]
+}
+
+// excess is how much more often a server fails than the middle one.
+func (s *scale) excess(holder *Holder) float64 {
+	return min(max(holder.Failing-s.failing, 0), mostExcess)
+}
+
 func (s *scale) paceOf(session uint64) float64 {
 	if holder := s.holders[session]; holder != nil && holder.Pace > 0 {
 		return holder.Pace
@@ -188,14 +222,19 @@
 	s.keys[session] += sign * float64(to-from+1)
 }
 
-// use is the part of the slots of a session that is in use. Keys count a little,
-// so that servers without any load are told apart.
+// use is the part of the slots of a session that is in use. Slots count as far as
+// their work does not fail, and keys count a little, so that servers without any
+// load are told apart.
 func (s *scale) use(session uint64) float64 {
 	holder := s.holders[session]
 	if holder == nil || holder.Slots <= 0 {
 		return math.Inf(1)
 	}
-	return (s.load[session] + keyWeight*s.keys[session]/(messenger.LastKey+1)) / float64(holder.Slots)
+	return (s.load[session] + keyWeight*s.keys[session]/(messenger.LastKey+1)) / s.slotsOf(holder)
+}
+
+func (s *scale) slotsOf(holder *Holder) float64 {
+	return float64(holder.Slots) * (1 - s.excess(holder))
 }
 
 // idlest is the server that is least in use of those that may get ranges, 0
@@ -203,7 +242,7 @@
 func (s *scale) idlest(except uint64) uint64 {
 	best := uint64(0)
 	for session, holder := range s.holders {
-		if !holder.Takes || session == except {
+		if !holder.Takes || session == except || s.excess(holder) >= failsMost {
 			continue
 		}
 		if best == 0 || s.use(session) < s.use(best) || (s.use(session) == s.use(best) && session < best) {
@@ -228,6 +267,28 @@
 	return place(ranges, holders, arrivals, func(r Range) bool { return r.Next == 0 && leaves[r.Owner] })
 }
 
+// Shun moves the ranges of servers that fail most of their requests though they
+// say that they are well. Nothing moves when many servers fail: whoever took the
+// keys would not do better.
+func Shun(ranges []Range, holders []Holder, arrivals []float64) []Placed {
+	middle := middleFailing(holders)
+	shunned := make(map[uint64]bool)
+	takers := 0
+	for _, holder := range holders {
+		if !holder.Takes {
+			continue
+		}
+		takers++
+		if holder.Failing-middle >= failsMost {
+			shunned[holder.Session] = true
+		}
+	}
+	if float64(len(shunned)) > shunPart*float64(takers) {
+		return nil
+	}
+	return place(ranges, holders, arrivals, func(r Range) bool { return r.Next == 0 && shunned[r.Owner] })
+}
+
 // place gives the ranges that fits holds for to the servers that are least in use.
 // The leader asks at each tick, and mostly there are none; only then the load on
 // all keys is summed up.
@@ -324,7 +385,7 @@
 	// Moving a rate of x lowers the busiest by x times its pace and raises the
 	// idlest by x times that one's; they meet at this rate.
 	gap := s.use(busiest) - s.use(idlest)
-	wanted := gap / (s.paceOf(busiest)/float64(s.holders[busiest].Slots) + s.paceOf(idlest)/float64(s.holders[idlest].Slots))
+	wanted := gap / (s.paceOf(busiest)/s.slotsOf(s.holders[busiest]) + s.paceOf(idlest)/s.slotsOf(s.holders[idlest]))
 	best, at := Placed{}, -1
 	for n, r := range ranges {
 		if r.Owner != busiest || r.Next != 0 {
--- a/control/balancer/range_test.go
+++ b/control/balancer/range_test.go
@@ -216,3 +216,45 @@
 	most, mean := busiest(owners, holders, arrivals)
 	qt.Assert(t, most <= 1.3*mean, qt.IsTrue, qt.Commentf("busiest %.2f, mean %.2f", most, mean))
 }
+
+// One of five servers answers its health check and fails its requests. With room
+// elsewhere its keys move; partly failing, it keeps some.
+func TestFailingServersAreRelieved(t *testing.T) {
+	arrivals := make([]float64, keys)
+	for key := range arrivals {
+		arrivals[key] = 90.0 / keys
+	}
+	tests := []struct {
+		name    string
+		failing []float64
+		// least and most bound the part of all keys that the first server keeps.
+		least, most float64
+	}{
+		{name: "all well", failing: []float64{0, 0.01, 0, 0.02, 0}, least: 0.19, most: 0.21},
+		{name: "one fails all", failing: []float64{0.97, 0, 0, 0, 0}, least: 0, most: 0},
+		// Its part of the sound slots is 0.14, and Level leaves 15% of unevenness.
+		{name: "one fails a third", failing: []float64{0.35, 0, 0, 0, 0}, least: 0.08, most: 0.165},
+		{name: "all fail alike, by what they call", failing: []float64{0.8, 0.7, 0.8, 0.75, 0.8}, least: 0.15, most: 0.25},
+		{name: "most fail", failing: []float64{0.9, 0.9, 0.9, 0.9, 0}, least: 0.15, most: 0.25},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			holders := holdersOf(0.15, 0.15, 0.15, 0.15, 0.15)
+			owners := ownersOf(nil, balancer.Found(holders))
+			for n := range holders {
+				holders[n].Failing = test.failing[n]
+			}
+			for range 3 {
+				owners = ownersOf(rangesOf(owners), balancer.Shun(rangesOf(owners), holders, arrivals))
+				owners = ownersOf(rangesOf(owners), balancer.Level(rangesOf(owners), holders, arrivals))
+			}
+			kept := 0.0
+			for _, owner := range owners {
+				if owner == 1 {
+					kept += 1.0 / keys
+				}
+			}
+			qt.Assert(t, kept >= test.least && kept <= test.most, qt.IsTrue, qt.Commentf("keeps %.3f of all keys", kept))
+		})
+	}
+}
--- a/control/supervisor/heartbeat.go
+++ b/control/supervisor/heartbeat.go
@@ -41,7 +41,7 @@
 	known.heard = now
 	if known.take(beat) {
 		s.takeLoads(known, beat)
-		s.takeWork(number, beat)
+		s.takeWork(now, number, beat)
 		heard := *beat
 		heard.Leaving = beat.Leaving || known.isAvoided(now)
 		s.proposeOf(session, &heard, batch)
--- a/control/supervisor/ranges.go
+++ b/control/supervisor/ranges.go
@@ -47,21 +47,26 @@
 }
 
 // takeWork adds the work that a router with ranges reports.
-func (s *Supervisor) takeWork(number uint64, beat *messenger.Heartbeat) {
+func (s *Supervisor) takeWork(now timer.Instant, number uint64, beat *messenger.Heartbeat) {
 	report := beat.Work
 	if report == nil || report.Span <= 0 || beat.Server == nil || s.state.Ranges(beat.Server.Service) == nil {
 		return
 	}
-	s.router(number).pace.add(report)
-	known := s.demandOf(beat.Server.Service)
-	part := min(report.Span.Seconds()/demandWindow.Seconds(), 1)
-	for _, load := range report.Loads {
-		if load.From > load.To || load.To > messenger.LastKey {
+	known := s.router(number)
+	if known.born != beat.Server.Born {
+		known.pace, known.conduct, known.born = pace{}, conduct{}, beat.Server.Born
+	}
+	known.pace.add(report)
+	known.conduct.add(now, report)
+	load := s.demandOf(beat.Server.Service)
+	weight := min(report.Span.Seconds()/demandWindow.Seconds(), 1)
+	for _, part := range report.Loads {
+		if part.From > part.To || part.To > messenger.LastKey {
 			continue
 		}
-		rate := float64(load.Arrivals) / report.Span.Seconds() / float64(load.To-load.From+1)
-		for key := load.From; key <= load.To; key++ {
-			known.arrivals[key] += part * (rate - known.arrivals[key])
+		rate := float64(part.Arrivals) / report.Span.Seconds() / float64(part.To-part.From+1)
+		for key := part.From; key <= part.To; key++ {
+			load.arrivals[key] += weight * (rate - load.arrivals[key])
 		}
 	}
 }
@@ -87,6 +92,39 @@
 	p.seconds += part * (mean - p.seconds)
 }
 
+// conduct is how often a backend server failed its requests lately.
+type conduct struct {
+	share float64
+	// told is when requests last spoke for or against the server.
+	told timer.Instant
+}
+
+const (
+	// conductRequests is how many requests count for half of the share of failures.
+	conductRequests = 12
+	// conductTime is how long failures count when no requests come any more, since
+	// a server without keys shows no better conduct.
+	conductTime = 8 * time.Second
+)
+
+func (c *conduct) add(now timer.Instant, report *messenger.RangeReport) {
+	if report.Judged == 0 {
+		return
+	}
+	before := c.failing(now)
+	part := float64(report.Judged) / (float64(report.Judged) + conductRequests)
+	c.share = before + part*(float64(report.Failed)/float64(report.Judged)-before)
+	c.told = now
+}
+
+// failing is the share of failures, which fades while nothing is heard.
+func (c *conduct) failing(now timer.Instant) float64 {
+	if c.share == 0 {
+		return 0
+	}
+	return c.share * max(1-now.Since(c.told).Seconds()/conductTime.Seconds(), 0)
+}
+
 // placeRanges grants free ranges, empties leaving servers and balances the load.
 func (s *Supervisor) placeRanges(now timer.Instant, batch *batch) {
 	if !s.hasGathered(now) {
@@ -99,7 +137,7 @@
 
 func (s *Supervisor) placeService(now timer.Instant, r *assigner.Ranges, batch *batch) {
 	known := s.demandOf(r.Service)
-	holders := s.holders(r)
+	holders := s.holders(now, r)
 	takers := 0
 	for _, holder := range holders {
 		if holder.Takes {
@@ -129,6 +167,10 @@
 		s.moveRanges(r, moves, "server leaves", subject, batch)
 		return
 	}
+	if moves := balancer.Shun(keys, holders, known.arrivals); len(moves) > 0 {
+		s.moveRanges(r, moves, "server fails its requests", subject, batch)
+		return
+	}
 	if now.Since(known.weighed) < demandInterval || now.Since(known.moved) < settleMoves {
 		return
 	}
@@ -158,7 +200,7 @@
 }
 
 // holders lists the sessions of a service that own ranges or may get some.
-func (s *Supervisor) holders(r *assigner.Ranges) []balancer.Holder {
+func (s *Supervisor) holders(now timer.Instant, r *assigner.Ranges) []balancer.Holder {
 	var holders []balancer.Holder
 	for _, session := range s.state.Sessions() {
 		if session.Service() != r.Service || !session.Routed {
@@ -175,6 +217,7 @@
 		}
 		if known != nil {
 			holder.Pace = known.pace.seconds
+			holder.Failing = known.conduct.failing(now)
 		}
 		holders = append(holders, holder)
 	}
--- a/control/supervisor/ranges_test.go
+++ b/control/supervisor/ranges_test.go
@@ -151,3 +151,47 @@
 	other.beat.Instance, other.beat.Sole = 78, false
 	qt.Assert(t, other.send().Status, qt.Equals, messenger.HeartbeatWait)
 }
+
+// work reports requests spread over the keys of a router, and how many failed.
+func (r *rangedRouter) work(requests, failed uint64) {
+	report := &messenger.RangeReport{Span: messenger.HeartbeatInterval, Judged: requests, Failed: failed}
+	report.Finished, report.Busy = requests, time.Duration(requests)*5*time.Millisecond
+	for _, row := range r.rows() {
+		report.Loads = append(report.Loads, messenger.RangeLoad{
+			From: row.From, To: row.To, Arrivals: requests * uint64(row.To-row.From+1) / uint64(max(r.keys(), 1)),
+		})
+	}
+	r.beat.Work = report
+	if len(report.Loads) == 0 {
+		r.beat.Work = nil
+	}
+}
+
+// A server whose health is good and that fails what it runs loses its keys, and
+// gets some again after a while.
+func TestRangesOfAFailingServerMove(t *testing.T) {
+	h := rangedHarness(t)
+	routers := []*rangedRouter{newRanged(h, 1), newRanged(h, 2), newRanged(h, 3), newRanged(h, 4)}
+	runRanged(h, 4*time.Second, routers...)
+	serve := func(length, until time.Duration) (first time.Duration) {
+		first = -1
+		for passed := time.Duration(0); passed < length; passed += messenger.HeartbeatInterval {
+			for n, router := range routers {
+				failed := uint64(0)
+				if n == 0 && passed < until {
+					failed = 600
+				}
+				router.work(600, failed)
+			}
+			runRanged(h, messenger.HeartbeatInterval, routers...)
+			if first < 0 && (routers[0].keys() == 0) == (until > 0) {
+				first = passed
+			}
+		}
+		return first
+	}
+	gone := serve(2*time.Second, time.Hour)
+	qt.Assert(t, gone >= 0 && gone <= 1500*time.Millisecond, qt.IsTrue, qt.Commentf("keys are gone after %v", gone))
+	back := serve(12*time.Second, 0)
+	qt.Assert(t, back >= 2*time.Second && back <= 8*time.Second, qt.IsTrue, qt.Commentf("keys are back after %v", back))
+}
--- a/control/supervisor/router.go
+++ b/control/supervisor/router.go
@@ -37,8 +37,11 @@
 	stalled  int
 	work     work
 	// pace is that of its backend server, for services with ranges.
-	pace  pace
-	drain drainPace
+	pace pace
+	// conduct is how often it fails requests, and born when it started.
+	conduct conduct
+	born    int64
+	drain   drainPace
 	// unreached are the sessions that it cannot reach.
 	unreached []uint64
 	// unreachedAt is when a majority of the others could not reach it last;
--- a/kernel/messenger/ranges.go
+++ b/kernel/messenger/ranges.go
@@ -57,4 +57,8 @@
 	// is the slot time that they took.
 	Finished uint64
 	Busy     time.Duration
+	// Judged counts the requests whose end speaks for or against the backend
+	// server, and Failed those of them that it failed.
+	Judged uint64
+	Failed uint64
 }
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -40,6 +40,7 @@
 type Sampler interface {
 	Arrived(key uint32)
 	Finished(took time.Duration)
+	Judged(failed bool)
 }
 
 // Backend brings requests to the backend server.
@@ -161,6 +162,9 @@
 	if result.Outcome != messenger.OutcomeDone {
 		cancel()
 		slot.Release(false)
+		if isVerdict(result) {
+			o.options.Sampler.Judged(true)
+		}
 		if isSlow(result) {
 			// A server that turned slow is known by what it does not answer.
 			o.options.Sampler.Finished(time.Since(sent))
@@ -172,7 +176,9 @@
 	finish := func(served bool) {
 		cancel()
 		took := time.Since(sent)
-		slot.Release(served && result.Status < http.StatusInternalServerError)
+		well := served && result.Status < http.StatusInternalServerError
+		slot.Release(well)
+		o.options.Sampler.Judged(!well)
 		if served {
 			o.options.Sampler.Finished(took)
 			o.took.Update(took.Seconds())
@@ -199,6 +205,17 @@
 	return answer, io.NopCloser(bytes.NewReader(content))
 }
 
+// isVerdict reports whether a result without an answer speaks against the server.
+// One that refuses connections is gone, which the attendant tells, and it is not
+// to blame for callers that left or for times that were over before.
+func isVerdict(result courier.Result) bool {
+	switch result.Reason {
+	case messenger.ReasonExpired, messenger.ReasonCrashed, messenger.ReasonTruncated, messenger.ReasonShed:
+		return true
+	}
+	return false
+}
+
 // isSlow reports whether a request ran until its time was over.
 func isSlow(result courier.Result) bool {
 	return result.Outcome == messenger.OutcomeUnknown && result.Reason == messenger.ReasonExpired
--- a/router/relayer/owner_test.go
+++ b/router/relayer/owner_test.go
@@ -44,10 +44,12 @@
 type fakeSampler struct {
 	arrived  int
 	finished []time.Duration
+	judged   []bool
 }
 
 func (f *fakeSampler) Arrived(uint32)              { f.arrived++ }
 func (f *fakeSampler) Finished(took time.Duration) { f.finished = append(f.finished, took) }
+func (f *fakeSampler) Judged(failed bool)          { f.judged = append(f.judged, failed) }
 
 // owner is an Owner with fakes around it.
 type owner struct {
@@ -101,13 +103,14 @@
 		reason  messenger.Reason
 		body    string
 		sent    int
+		judged  []bool
 	}{
-		{name: "answered", key: 7, result: done(200, strings.NewReader("body"), 4), want: messenger.OutcomeDone, body: "body", sent: 1},
-		{name: "server failed it", key: 7, result: done(500, strings.NewReader("no"), 2), want: messenger.OutcomeDone, body: "no", sent: 1},
-		{name: "cut short", key: 7, result: done(200, broken{strings.NewReader("bo")}, 4), want: messenger.OutcomeUnknown, reason: messenger.ReasonTruncated, sent: 1},
-		{name: "shed", key: 7, result: courier.Result{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonShed, Sent: true}, want: messenger.OutcomeRefused, reason: messenger.ReasonShed, sent: 1},
+		{name: "answered", key: 7, result: done(200, strings.NewReader("body"), 4), want: messenger.OutcomeDone, body: "body", sent: 1, judged: []bool{false}},
+		{name: "server failed it", key: 7, result: done(500, strings.NewReader("no"), 2), want: messenger.OutcomeDone, body: "no", sent: 1, judged: []bool{true}},
+		{name: "cut short", key: 7, result: done(200, broken{strings.NewReader("bo")}, 4), want: messenger.OutcomeUnknown, reason: messenger.ReasonTruncated, sent: 1, judged: []bool{true}},
+		{name: "shed", key: 7, result: courier.Result{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonShed, Sent: true}, want: messenger.OutcomeRefused, reason: messenger.ReasonShed, sent: 1, judged: []bool{true}},
 		{name: "key is not held", key: 7, prepare: func(o *owner) { o.keys.reason = messenger.ReasonMoving }, want: messenger.OutcomeRefused, reason: messenger.ReasonMoving},
-		{name: "other service", key: messenger.NoKey, prepare: func(o *owner) { o.server.Withdraw(timer.Now(), "s1") }, result: done(200, strings.NewReader("body"), 4), want: messenger.OutcomeDone, body: "body", sent: 1},
+		{name: "other service", key: messenger.NoKey, prepare: func(o *owner) { o.server.Withdraw(timer.Now(), "s1") }, result: done(200, strings.NewReader("body"), 4), want: messenger.OutcomeDone, body: "body", sent: 1, judged: []bool{false}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -127,6 +130,7 @@
 				qt.Assert(t, body.Close(), qt.IsNil)
 			}
 			qt.Assert(t, o.gate.Work().Running, qt.Equals, 0)
+			qt.Assert(t, o.sampler.judged, qt.DeepEquals, test.judged)
 		})
 	}
 }
--- a/router/sampler/sampler.go
+++ b/router/sampler/sampler.go
@@ -6,6 +6,7 @@
 //	sample := sampler.New()
 //	sample.Arrived(4711)
 //	sample.Finished(120 * time.Millisecond)
+//	sample.Judged(false)
 //	report := sample.Report(now, rows) // once a second
 package sampler
 
@@ -32,6 +33,8 @@
 	total    uint64
 	finished uint64
 	busy     time.Duration
+	judged   uint64
+	failed   uint64
 	since    timer.Instant
 }
 
@@ -56,6 +59,16 @@
 	s.busy += took
 }
 
+// Judged counts a request whose end speaks for or against the server.
+func (s *Sampler) Judged(failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.judged++
+	if failed {
+		s.failed++
+	}
+}
+
 // Report sums up what came since the last report, nil when that was just now.
 func (s *Sampler) Report(now timer.Instant, rows []messenger.RangeRow) *messenger.RangeReport {
 	s.mu.Lock()
@@ -64,13 +77,14 @@
 	if span < minSpan || len(rows) == 0 {
 		return nil
 	}
-	report := &messenger.RangeReport{Span: span, Finished: s.finished, Busy: s.busy}
+	report := &messenger.RangeReport{Span: span, Finished: s.finished, Busy: s.busy, Judged: s.judged, Failed: s.failed}
 	step := s.total/maxParts + 1
 	for _, row := range rows {
 		report.Loads = append(report.Loads, s.divide(row.From, row.To, step)...)
 	}
 	s.arrivals = [messenger.LastKey + 1]uint32{}
 	s.total, s.finished, s.busy, s.since = 0, 0, 0, now
+	s.judged, s.failed = 0, 0
 	return report
 }
 
