Send a lost opening packet of a link again after 200 ms

Cause: a router that dials a control VM while that is dark waits for the packet that the operating system sends a second later, and all that want the same link wait with it.

Change: Dial starts another connection beside those under way each 200 ms and uses the first that opens.

Test: TestLostOpeningPacketIsSentAgain.

--- a/kernel/linker/fault_test.go
+++ b/kernel/linker/fault_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +20,7 @@
 	"marigoldhill/kernel/hasher"
 	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/networker"
 )
 
 func counted(set *metrics.Set, name, reason string) uint64 {
@@ -285,3 +287,50 @@
 	<-s.closed
 	return nil, net.ErrClosed
 }
+
+// lossyNetwork loses the first opening packets.
+type lossyNetwork struct {
+	networker.Network
+	lost  int
+	dials atomic.Int64
+}
+
+func (n *lossyNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if n.dials.Add(1) <= int64(n.lost) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return n.Network.Dial(ctx, address)
+}
+
+// A peer that was dark when the first opening packet came is reached by the next.
+func TestLostOpeningPacketIsSentAgain(t *testing.T) {
+	tests := []struct {
+		name  string
+		lost  int
+		limit time.Duration
+		fails bool
+	}{
+		{name: "none", lost: 0, limit: 50 * time.Millisecond},
+		{name: "first", lost: 1, limit: 300 * time.Millisecond},
+		{name: "two", lost: 2, limit: 500 * time.Millisecond},
+		{name: "all", lost: 100, limit: linker.DialTime + 50*time.Millisecond, fails: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				world := disrupter.New(time.Millisecond)
+				server, err := linker.Listen(world.Node("b"), "b:1", linker.Options{Hello: hello, Handler: echo})
+				qt.Assert(t, err, qt.IsNil)
+				defer func() { _ = server.Close() }()
+				begun := time.Now()
+				link, err := linker.Dial(t.Context(), &lossyNetwork{Network: world.Node("a"), lost: test.lost}, "b:1", linker.Options{Hello: hello})
+				qt.Assert(t, err != nil, qt.Equals, test.fails)
+				qt.Assert(t, time.Since(begun) <= test.limit, qt.IsTrue, qt.Commentf("%v", time.Since(begun)))
+				if err == nil {
+					link.Close()
+				}
+			})
+		})
+	}
+}
--- a/kernel/linker/link.go
+++ b/kernel/linker/link.go
@@ -50,7 +50,7 @@
 func Dial(ctx context.Context, network networker.Network, address string, options Options) (*Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, DialTime)
 	defer cancel()
-	conn, err := network.Dial(ctx, address)
+	conn, err := connect(ctx, network, address)
 	if err != nil {
 		options.count("dial_failures", "network")
 		return nil, Error.New("%w: %w", ErrDial, err)
