Ask again soon while a session is being opened

Cause: a router that is told to wait for its session asks again at its next heartbeat, 300 ms later, though the commit takes a few milliseconds.

Change: the first three such answers are followed by a heartbeat after 75 ms; a group that needs longer is asked at the usual pace.

Test: TestOpeningIsAwaited.

--- a/router/keeper/core.go
+++ b/router/keeper/core.go
@@ -29,8 +29,15 @@
 	pending  *attempt
 	// unanswered is how many heartbeats went out since an answer came in.
 	unanswered int
+	// waits is how many answers in a row said that the session is being opened.
+	waits int
 }
 
+// waitTries is how many heartbeats go out early while a session is being opened.
+// A commit takes less than one HastenInterval; a group that needs longer is busy,
+// and is asked at the usual pace.
+const waitTries = 3
+
 // attempt is a heartbeat that was sent and not answered yet.
 type attempt struct {
 	sequence uint64
@@ -47,6 +54,8 @@
 	publish bool
 	// send asks for another heartbeat at once.
 	send bool
+	// soon asks for another heartbeat after HastenInterval.
+	soon bool
 	// lapsed is the session that ended.
 	lapsed uint64
 	// reason is the reason to count, if any.
@@ -168,6 +177,7 @@
 		return before
 	}
 	c.session = answer.Session
+	c.waits = 0
 	c.heard = pending.sent
 	before.apply = true
 	before.publish = before.publish || opened
@@ -193,6 +203,8 @@
 		before.send = c.tries <= len(c.members)
 	case messenger.HeartbeatWait:
 		before.reason = "wait"
+		c.waits++
+		before.soon = c.waits <= waitTries
 	case messenger.HeartbeatExpired:
 		if c.session == 0 {
 			before.reason = "expired"
--- a/router/keeper/keeper.go
+++ b/router/keeper/keeper.go
@@ -276,6 +276,9 @@
 	if step.send {
 		k.send(ctx)
 	}
+	if step.soon {
+		time.AfterFunc(HastenInterval, k.Nudge)
+	}
 }
 
 // publish makes a lease known to traffic, and ends the one before unless it
--- a/router/keeper/keeper_test.go
+++ b/router/keeper/keeper_test.go
@@ -23,6 +23,9 @@
 	mu     sync.Mutex
 	leader string
 	next   uint64
+	// opening is how many heartbeats are told to wait for their session.
+	opening int
+	asked   int
 	// heard are the heartbeats that the leader accepted.
 	heard []messenger.Heartbeat
 }
@@ -34,7 +37,12 @@
 	if member != c.leader {
 		return &messenger.HeartbeatAnswer{Status: messenger.HeartbeatRedirect, Leader: c.leader}
 	}
+	c.asked++
 	session := heartbeat.Session
+	if session == 0 && c.opening > 0 {
+		c.opening--
+		return &messenger.HeartbeatAnswer{Status: messenger.HeartbeatWait}
+	}
 	if session == 0 {
 		c.next++
 		session = c.next
@@ -132,6 +140,38 @@
 	})
 }
 
+// A session is open as soon as its opening is committed, and a group that needs
+// long is not asked more often than usual.
+func TestOpeningIsAwaited(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		open := func(waits int) (took time.Duration, asked int) {
+			w.CutBoth("r", "a")
+			time.Sleep(2 * messenger.LeaseTime)
+			qt.Assert(t, w.alive(), qt.IsFalse)
+			w.control.mu.Lock()
+			w.control.opening, w.control.asked = waits, 0
+			w.control.mu.Unlock()
+			w.HealBoth("r", "a")
+			begun := time.Time{}
+			for !w.alive() {
+				time.Sleep(10 * time.Millisecond)
+				w.control.mu.Lock()
+				if begun.IsZero() && w.control.asked > 0 {
+					begun = time.Now()
+				}
+				w.control.mu.Unlock()
+			}
+			return time.Since(begun), w.control.asked
+		}
+		took, _ := open(1)
+		qt.Check(t, took <= keeper.HastenInterval+20*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", took))
+		_, asked := open(10)
+		qt.Check(t, asked, qt.Equals, 11)
+		took, _ = open(10)
+		qt.Check(t, took >= 6*messenger.HeartbeatInterval, qt.IsTrue, qt.Commentf("took %v", took))
+	})
+}
+
 func TestLapseOpensANewSession(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		lease := w.keeper.Lease()
