Let a replica that starts on a full disk wait for room

Cause: a replica ends when a write fails, is started again, joins the group and fails at its first write: seven or eight ends for each full disk of five seconds, each with connections opened and votes asked for.

Change: a starting replica writes and syncs one block first, and waits until that works (events 206 and 207), as long as a start may take. A signal while a process is starting ends it with status 0.

Tests: TestProbe, TestStartOnAFullDisk, TestStartOnAFullDiskIsGivenUp.

--- a/control/assembler/assembler_test.go
+++ b/control/assembler/assembler_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,3 +139,47 @@
 		return world.Node("desk").Dial(ctx, address)
 	}
 }
+
+// fullDisk takes no writes until it has room.
+type fullDisk struct {
+	journaler.OS
+	room atomic.Bool
+}
+
+func (d *fullDisk) Create(path string) (journaler.File, error) {
+	if !d.room.Load() {
+		return nil, syscall.ENOSPC
+	}
+	return d.OS.Create(path)
+}
+
+// A replica that starts on a full disk waits for room instead of ending.
+func TestStartOnAFullDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := disrupter.New(time.Millisecond)
+		settings := settingsOf(t.TempDir(), "a")
+		qt.Assert(t, os.Mkdir(settings.Data, 0o700), qt.IsNil)
+		disk := new(fullDisk)
+		process, err := assembler.New(settings, assembler.Options{Network: world.Node("a"), Disk: disk})
+		qt.Assert(t, err, qt.IsNil)
+		time.AfterFunc(5*time.Second, func() { disk.room.Store(true) })
+		begun := time.Now()
+		qt.Assert(t, process.Start(t.Context()), qt.IsNil)
+		qt.Check(t, time.Since(begun) < 6*time.Second, qt.IsTrue, qt.Commentf("took %v", time.Since(begun)))
+		qt.Assert(t, process.Stop(t.Context()), qt.IsNil)
+	})
+}
+
+// A start that is given up while the disk is full says why.
+func TestStartOnAFullDiskIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := settingsOf(t.TempDir(), "a")
+		qt.Assert(t, os.Mkdir(settings.Data, 0o700), qt.IsNil)
+		process, err := assembler.New(settings, assembler.Options{Network: disrupter.New(time.Millisecond).Node("a"), Disk: new(fullDisk)})
+		qt.Assert(t, err, qt.IsNil)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		err = process.Start(ctx)
+		qt.Check(t, errors.Is(err, journaler.ErrWrite), qt.IsTrue, qt.Commentf("got %v", err))
+	})
+}
--- a/control/assembler/journal.go
+++ b/control/assembler/journal.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"time"
 
 	"marigoldhill/control/journaler"
 	"marigoldhill/kernel/logger"
@@ -39,7 +40,10 @@
 func (s *journalService) Needs() []string { return nil }
 
 // Start implements [registrar.Service].
-func (s *journalService) Start(context.Context, *registrar.Registrar) error {
+func (s *journalService) Start(ctx context.Context, _ *registrar.Registrar) error {
+	if err := s.awaitDisk(ctx); err != nil {
+		return Error.New("waiting for the disk: %w", err)
+	}
 	journal, stored, err := journaler.Open(s.options.Disk, s.settings.Data, s.identity())
 	if err != nil {
 		return Error.New("opening the data folder: %w", err)
@@ -52,6 +56,32 @@
 	return nil
 }
 
+// probeInterval is the time between two looks whether a disk takes writes again.
+const probeInterval = 500 * time.Millisecond
+
+// awaitDisk waits until the disk takes writes. A replica that starts on a full disk
+// would join the group and fail at its first write, again and again.
+func (s *journalService) awaitDisk(ctx context.Context) error {
+	err := journaler.Probe(s.options.Disk, s.settings.Data)
+	if err == nil {
+		return nil
+	}
+	s.options.Log.Emit(logger.DiskLost, "folder", s.settings.Data, "error", err)
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return err
+		}
+		if err = journaler.Probe(s.options.Disk, s.settings.Data); err == nil {
+			s.options.Log.Emit(logger.DiskFound, "folder", s.settings.Data)
+			return nil
+		}
+	}
+}
+
 // identity is the one that an empty data folder gets.
 func (s *journalService) identity() journaler.Identity {
 	return journaler.Identity{
--- a/control/journaler/journaler_test.go
+++ b/control/journaler/journaler_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"path/filepath"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -267,3 +268,16 @@
 		qt.Assert(t, again, qt.DeepEquals, log)
 	})
 }
+
+func TestProbe(t *testing.T) {
+	disk := newMemoryDisk()
+	qt.Assert(t, journaler.Probe(disk, folder), qt.IsNil)
+	names, err := disk.List(folder)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, names, qt.HasLen, 0)
+	disk.failAt = disk.steps + 1
+	err = journaler.Probe(disk, folder)
+	qt.Assert(t, errors.Is(err, journaler.ErrWrite), qt.IsTrue, qt.Commentf("got %v", err))
+	// What a folder lacks is for Open to say.
+	qt.Assert(t, journaler.Probe(journaler.OS{}, filepath.Join(t.TempDir(), "missing")), qt.IsNil)
+}
--- a/kernel/commander/cmd_run.go
+++ b/kernel/commander/cmd_run.go
@@ -34,6 +34,11 @@
 	// A second signal ends the process at once.
 	context.AfterFunc(ctx, cancel)
 	if err := program.start(ctx, process); err != nil {
+		if ctx.Err() != nil {
+			// A signal came while the process was starting; it has undone that.
+			log.Emit(logger.ProcessStopped, "error", err)
+			return nil
+		}
 		log.Emit(logger.ProcessFailed, "error", err)
 		return err
 	}
--- a/kernel/logger/replica.go
+++ b/kernel/logger/replica.go
@@ -9,8 +9,10 @@
 	SnapshotInstalled = Event{202, hclog.Info, "replica took over a snapshot of the leader"}
 	ReplicaFailed     = Event{203, hclog.Error, "replica cannot go on"}
 	TornRecordCut     = Event{204, hclog.Warn, "torn last record was removed from the log"}
+	DiskLost          = Event{206, hclog.Error, "disk takes no writes"}
+	DiskFound         = Event{207, hclog.Info, "disk takes writes again"}
 )
 
 func replicaEvents() []Event {
-	return []Event{LeaderElected, LeaderLost, SnapshotInstalled, ReplicaFailed, TornRecordCut}
+	return []Event{LeaderElected, LeaderLost, SnapshotInstalled, ReplicaFailed, TornRecordCut, DiskLost, DiskFound}
 }
