Take whole configurations through the operator interface and the command line

Cause: only the platform's calls could set the routes, services and ranges of a configuration; marigold-control and marigold had no way to.

Change: PUT and GET /v1/configuration with the product's own YAML, checked like the platform's, and marigold configuration show and apply. The bytes that an operator wrote are kept, with their comments.

--- a/control/administrator/administrator.go
+++ b/control/administrator/administrator.go
@@ -19,6 +19,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/zeebo/errs"
 
+	"marigoldhill/control/configurer"
 	"marigoldhill/control/replicator"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
@@ -35,6 +36,9 @@
 	memberTime = 30 * time.Second
 	// maxBody is the largest body of a call in bytes.
 	maxBody = 256 << 10
+	// maxConfiguration is the largest configuration in bytes: some 100,000
+	// routes.
+	maxConfiguration = 32 << 20
 	// retryAfter is the value of Retry-After without a leader, in seconds.
 	retryAfter = "1"
 )
@@ -54,15 +58,18 @@
 
 // Options are the settings of an Administrator.
 type Options struct {
-	Log *logger.Log
+	// Losses is how many disks may be lost at once without a configuration.
+	Losses int
+	Log    *logger.Log
 	// Metrics gets the counters; nil counts nothing.
 	Metrics *metrics.Set
 }
 
 // Administrator serves operators. It is safe for concurrent use.
 type Administrator struct {
-	replica Replica
-	options Options
+	replica        Replica
+	options        Options
+	configurations *configurer.Configurer
 }
 
 // New returns an Administrator over replica.
@@ -73,15 +80,20 @@
 	if options.Log == nil {
 		options.Log = logger.Discard()
 	}
-	return &Administrator{replica: replica, options: options}
+	return &Administrator{
+		replica:        replica,
+		options:        options,
+		configurations: configurer.New(replica, configurer.Options{Losses: options.Losses, Log: options.Log}),
+	}
 }
 
 // Handler returns the handler of all calls.
 func (a *Administrator) Handler() http.Handler {
 	server := echo.New()
 	server.HTTPErrorHandler = a.fail
-	server.Use(limitBody)
-	api := server.Group("/v1")
+	server.Group("/v1", limitBody(maxConfiguration)).PUT("/configuration", a.putConfiguration)
+	api := server.Group("/v1", limitBody(maxBody))
+	api.GET("/configuration", a.getConfiguration)
 	api.GET("/status", a.getStatus)
 	api.GET("/profiles", a.listProfiles)
 	api.GET("/profiles/:name", a.getProfile)
@@ -103,11 +115,13 @@
 	return server
 }
 
-// limitBody ends the reading of a body that is too large.
-func limitBody(next echo.HandlerFunc) echo.HandlerFunc {
-	return func(c echo.Context) error {
-		request := c.Request()
-		request.Body = http.MaxBytesReader(c.Response(), request.Body, maxBody)
-		return next(c)
+// limitBody ends the reading of a body that is larger than limit bytes.
+func limitBody(limit int64) echo.MiddlewareFunc {
+	return func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			request := c.Request()
+			request.Body = http.MaxBytesReader(c.Response(), request.Body, limit)
+			return next(c)
+		}
 	}
 }
--- a/control/administrator/configuration.go
+++ b/control/administrator/configuration.go
@@ -97,13 +97,9 @@
 	if err != nil {
 		return condition, nil, err
 	}
-	data, err := io.ReadAll(c.Request().Body)
-	var oversize *http.MaxBytesError
-	if errors.As(err, &oversize) {
-		return condition, nil, refuse(http.StatusRequestEntityTooLarge, "oversize", "the body is too large")
-	}
+	data, err := readBody(c)
 	if err != nil {
-		return condition, nil, Error.New("reading the body: %w", err)
+		return condition, nil, err
 	}
 	value, err := parse("body", data)
 	var mistake *parser.Mistake
@@ -116,6 +112,18 @@
 	return condition, value, nil
 }
 
+func readBody(c echo.Context) ([]byte, error) {
+	data, err := io.ReadAll(c.Request().Body)
+	var oversize *http.MaxBytesError
+	if errors.As(err, &oversize) {
+		return nil, refuse(http.StatusRequestEntityTooLarge, "oversize", "the body is too large")
+	}
+	if err != nil {
+		return nil, Error.New("reading the body: %w", err)
+	}
+	return data, nil
+}
+
 // change commits a change and answers it. T is the type of the changed value.
 func change[T any](a *Administrator, c echo.Context, command *assigner.Command) error {
 	result, err := a.propose(c, command)
--- a/control/administrator/problem.go
+++ b/control/administrator/problem.go
@@ -8,6 +8,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"marigoldhill/control/configurer"
 	"marigoldhill/control/replicator"
 	"marigoldhill/kernel/messenger"
 )
@@ -67,9 +68,12 @@
 		return found
 	}
 	var status *echo.HTTPError
+	var invalid *configurer.InvalidError
 	switch {
 	case errors.As(err, &status):
 		return refuse(status.Code, "http", http.StatusText(status.Code))
+	case errors.As(err, &invalid):
+		return refuse(http.StatusUnprocessableEntity, "invalid", invalid.Error())
 	case errors.Is(err, replicator.ErrNotLeader), errors.Is(err, replicator.ErrStopped):
 		return refuse(http.StatusServiceUnavailable, "leader", "the leader changed; the change was not made")
 	case errors.Is(err, replicator.ErrBusy):
@@ -82,5 +86,8 @@
 		return refuse(http.StatusGatewayTimeout, "unknown",
 			"it is not known whether the change was made; send it again with the same Idempotency-Key")
 	}
+	if errors.Is(err, configurer.ErrUnavailable) {
+		return refuse(http.StatusServiceUnavailable, "unavailable", "the control group cannot answer for certain: "+err.Error())
+	}
 	return refuse(http.StatusInternalServerError, "internal", err.Error())
 }
--- a/control/assembler/operator.go
+++ b/control/assembler/operator.go
@@ -69,7 +69,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", s.serveMetrics)
 	mux.HandleFunc("GET /health", s.serveHealth)
-	administrate := administrator.New(s.replica, administrator.Options{Log: s.options.Log, Metrics: s.options.Metrics})
+	administrate := administrator.New(s.replica, administrator.Options{
+		Losses: s.settings.Losses, Log: s.options.Log, Metrics: s.options.Metrics,
+	})
 	mux.Handle("/v1/", administrate.Handler())
 	if s.options.Interface == nil {
 		mux.Handle("/", administrate.Handler())
--- a/control/configurer/configurer.go
+++ b/control/configurer/configurer.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	changes := configurer.New(replica, configurer.Options{Losses: 2, Log: log})
-//	err := changes.Put(ctx, source, decode)
+//	revision, err := changes.Put(ctx, source, decode)
 //	var moved *configurer.MovedError
 //	if errors.As(err, &moved) { ... } // ask at moved.Leader.Operator
 package configurer
@@ -83,39 +83,40 @@
 }
 
 // Put puts a configuration into force, unless one of the same or a higher version
-// is. Decode reads what the operator sent. It returns nil once the change is safe.
-func (c *Configurer) Put(ctx context.Context, source []byte, decode func(source []byte) (*messenger.Configuration, error)) error {
+// is. Decode reads what the operator sent. It returns the revision of the change
+// once the change is safe.
+func (c *Configurer) Put(ctx context.Context, source []byte, decode func(source []byte) (*messenger.Configuration, error)) (revision uint64, err error) {
 	configuration, err := decode(source)
 	if err != nil {
-		return c.refuse(0, &InvalidError{Field: "body", Reason: err.Error()})
+		return 0, c.refuse(0, &InvalidError{Field: "body", Reason: err.Error()})
 	}
 	if err := c.checkLead(); err != nil {
-		return err
+		return 0, err
 	}
 	data, err := assigner.Encode(&assigner.Command{
 		Time:      time.Now().UnixMilli(),
 		Configure: &assigner.Configure{Configuration: *configuration, Source: source},
 	})
 	if err != nil {
-		return Error.New("encoding version %d: %w", configuration.Version, err)
+		return 0, Error.New("encoding version %d: %w", configuration.Version, err)
 	}
 	proposal, err := c.replica.Propose(ctx, data)
 	if err != nil {
 		if errors.Is(err, replicator.ErrNotLeader) {
-			return c.moved()
+			return 0, c.moved()
 		}
-		return Error.New("committing version %d: %w: %w", configuration.Version, ErrUnavailable, err)
+		return 0, Error.New("committing version %d: %w: %w", configuration.Version, ErrUnavailable, err)
 	}
 	result, ok := proposal.Result.(assigner.Result)
 	if !ok {
-		return Error.New("result of a change is a %T", proposal.Result)
+		return 0, Error.New("result of a change is a %T", proposal.Result)
 	}
 	if result.Verdict != assigner.VerdictApplied {
-		return c.refuse(configuration.Version, &InvalidError{Field: result.Field, Reason: result.Reason})
+		return 0, c.refuse(configuration.Version, &InvalidError{Field: result.Field, Reason: result.Reason})
 	}
 	c.options.Log.Emit(logger.ConfigurationTaken, "version", configuration.Version,
 		"changed", result.Count > 0, "index", proposal.Index)
-	return nil
+	return proposal.Index, nil
 }
 
 // refuse logs a configuration that was not taken.
--- a/control/configurer/configurer_test.go
+++ b/control/configurer/configurer_test.go
@@ -89,7 +89,7 @@
 				test.change(replica)
 			}
 			changes := configurer.New(replica, configurer.Options{Losses: 2, Log: logger.Discard()})
-			err := changes.Put(t.Context(), []byte(test.source), decode(test.version))
+			_, err := changes.Put(t.Context(), []byte(test.source), decode(test.version))
 			if !test.taken {
 				qt.Assert(t, err, qt.ErrorMatches, test.want)
 				return
--- a/kernel/parser/parser.go
+++ b/kernel/parser/parser.go
@@ -76,6 +76,12 @@
 	if mistake := checkVersion(file, data); mistake != nil {
 		return nil, mistake
 	}
+	return Unversioned[T](file, data)
+}
+
+// Unversioned is Bytes for documents whose field version, if any, is not that of
+// the format.
+func Unversioned[T any](file string, data []byte) (*T, error) {
 	value := new(T)
 	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
 	if err := decoder.Decode(value); err != nil {
--- a/kernel/profiler/configuration.go
+++ b/kernel/profiler/configuration.go
@@ -5,8 +5,27 @@
 	"strings"
 
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/parser"
 )
 
+// configurationFile is a configuration as people write it.
+type configurationFile messenger.Configuration
+
+// ParseConfiguration reads a configuration from YAML or JSON; file stands for the
+// data in mistakes. The error is a *parser.Mistake.
+func ParseConfiguration(file string, data []byte) (*messenger.Configuration, error) {
+	written, err := parser.Unversioned[configurationFile](file, data)
+	if err != nil {
+		return nil, err
+	}
+	return (*messenger.Configuration)(written), nil
+}
+
+// Check implements [parser.Checker].
+func (f *configurationFile) Check() (field, reason string) {
+	return CheckConfiguration((*messenger.Configuration)(f))
+}
+
 // CheckConfiguration returns the first field of a configuration that is wrong,
 // and why, or two empty strings.
 func CheckConfiguration(c *messenger.Configuration) (field, reason string) {
--- a/operator/fake_test.go
+++ b/operator/fake_test.go
@@ -46,6 +46,10 @@
 	mux.HandleFunc("GET /v1/progress", f.progress)
 	mux.HandleFunc("PUT /v1/profiles/lookup", f.change)
 	mux.HandleFunc("PUT /v1/drains/d1", f.change)
+	mux.HandleFunc("PUT /v1/configuration", f.change)
+	mux.HandleFunc("GET /v1/configuration", func(w http.ResponseWriter, r *http.Request) {
+		http.ServeFile(w, r, "testdata/routes.yaml")
+	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		problem(w, messenger.Problem{Title: "not found", Status: http.StatusNotFound})
 	})
--- a/operator/main.go
+++ b/operator/main.go
@@ -31,7 +31,7 @@
 func commands() []command {
 	return []command{
 		cmdStatus(), cmdExplain(), cmdEvents(), cmdWatch(),
-		cmdProfile(), cmdService(),
+		cmdProfile(), cmdService(), cmdConfiguration(),
 		cmdDrain(), cmdUndrain(), cmdMember(), cmdQuarantine(),
 		cmdCompletion(),
 	}
--- a/operator/requester/requester.go
+++ b/operator/requester/requester.go
@@ -39,6 +39,9 @@
 	tryTimeout = 5 * time.Second
 	// bodyMax bounds an answer, in bytes.
 	bodyMax = 64 << 20
+
+	typeJSON = "application/json"
+	typeYAML = "application/yaml"
 )
 
 // Requester calls the operator interface at a list of base URLs.
@@ -84,12 +87,20 @@
 	return got, nil
 }
 
+// Text reads path as it is.
+func (r *Requester) Text(ctx context.Context, path string) ([]byte, error) {
+	answer, err := r.send(ctx, call{method: http.MethodGet, path: path})
+	return answer.body, err
+}
+
 // Change is one change of the configuration or the membership.
 type Change struct {
 	Method string
 	Path   string
 	// Body is sent as JSON unless nil.
 	Body any
+	// Text is sent as YAML in place of Body unless nil.
+	Text []byte
 	// Match is the tag that the change was made from; empty sends none.
 	Match string
 }
@@ -97,8 +108,10 @@
 // Change makes a change and returns the revision that it got.
 func (r *Requester) Change(ctx context.Context, change Change) (messenger.Accepted, error) {
 	var accepted messenger.Accepted
-	call := call{method: change.Method, path: change.Path, match: change.Match, number: rand.Text()}
-	if change.Body != nil {
+	call := call{method: change.Method, path: change.Path, match: change.Match, number: rand.Text(), kind: typeJSON}
+	if change.Text != nil {
+		call.body, call.kind = change.Text, typeYAML
+	} else if change.Body != nil {
 		body, err := json.Marshal(change.Body)
 		if err != nil {
 			return accepted, Error.New("encoding the change: %w", err)
@@ -125,6 +138,8 @@
 	match  string
 	number string
 	body   []byte
+	// kind is the type of the body.
+	kind string
 }
 
 // answer is a whole successful answer.
@@ -163,7 +178,7 @@
 		return answer{}, Error.New("making the request: %w", err)
 	}
 	if call.body != nil {
-		request.Header.Set("Content-Type", "application/json")
+		request.Header.Set("Content-Type", call.kind)
 	}
 	if call.match != "" {
 		request.Header.Set("If-Match", call.match)
