Serve configurations over the product's own interfaces

Cause: only marigold-platform could serve the routes of a configuration. The product's routers knew shards alone, so ranges, holds and routes were out of reach without the platform's names, and no test of the product ran them as a whole.

Change: marigold-router routes, with the product's callers' interface (acceptor.Routed), announcements (announcer.Attended), calls about ranges (granter.Ranges) and dialect (dispatcher.Dialect).

--- a/kernel/messenger/backend.go
+++ b/kernel/messenger/backend.go
@@ -29,6 +29,20 @@
 	State  ServerState `json:"state"`
 	// Shards is how many shards the server holds now.
 	Shards int `json:"shards"`
+	// Ranges is how many ranges of keys it holds now, for services of a
+	// configuration.
+	Ranges int `json:"ranges,omitempty"`
+}
+
+// RangeCall is the body of a grant or a revoke of a range of keys, both ends
+// included.
+type RangeCall struct {
+	From  uint32 `json:"from"`
+	To    uint32 `json:"to"`
+	Fence uint64 `json:"fence"`
+	// Hold is how long a grant lasts from its arrival, in milliseconds.
+	Hold     int64  `json:"hold,omitempty"`
+	Handover string `json:"handover,omitempty"`
 }
 
 // FencedShard is a shard with the fence of its grant.
--- a/kernel/messenger/request.go
+++ b/kernel/messenger/request.go
@@ -29,6 +29,14 @@
 	HeaderShard       = "Marigold-Shard"
 	HeaderDeadline    = "Marigold-Deadline"
 	HeaderIdempotency = "Idempotency-Key"
+	// HeaderRequest is the number of a request, the same in the logs.
+	HeaderRequest = "Marigold-Request"
+	// HeaderKey is a numeric key, from 0 to LastKey.
+	HeaderKey = "Marigold-Key"
+	// HeaderCaller is the service of the VM where a request began.
+	HeaderCaller = "Marigold-Caller"
+	// HeaderHandover is what a holder of keys leaves for the next one.
+	HeaderHandover = "Marigold-Handover"
 	// HeaderRefused is set by a backend server on an answer to a request that
 	// it did not run; its value is a Refusal.
 	HeaderRefused = "Marigold-Refused"
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -19,6 +19,7 @@
 	"marigoldhill/router/attendant"
 	"marigoldhill/router/budgeter"
 	"marigoldhill/router/courier"
+	"marigoldhill/router/granter"
 	"marigoldhill/router/holder"
 	"marigoldhill/router/keeper"
 	"marigoldhill/router/listener"
@@ -56,13 +57,14 @@
 	Network networker.Network
 	Log     *logger.Log
 	Metrics *metrics.Set
-	// Dialect and Grants speak with the backend server.
+	// Dialect and Wire are how the backend server is spoken to; nil takes the
+	// product's own.
 	Dialect courier.Dialect
-	Grants  holder.Caller
-	// Callers, Backend and Ready serve the listeners of these names.
+	Wire    *granter.Wire
+	// Callers and Backend serve the listeners of these names; nil takes the
+	// product's own.
 	Callers func(entry *relayer.Entry) http.Handler
 	Backend func(server *attendant.Attendant) http.Handler
-	Ready   func(ready func() bool) http.Handler
 	// Reload returns the settings as they are now; nil when they never change.
 	Reload func() (*RoutedSettings, error)
 }
@@ -106,6 +108,7 @@
 		options.Metrics = metrics.NewSet()
 	}
 	p := &Routed{settings: settings, options: options, kernel: registrar.New()}
+	p.speakOwn()
 	p.assemble()
 	for _, service := range p.services() {
 		if err := p.kernel.Add(service); err != nil {
@@ -129,7 +132,7 @@
 	})
 	p.paced = pacer.New(options.Network, pacer.NewBucket(p.settings.Link*bytesPerMegabit))
 	p.pool = linker.NewPool(p.paced, p.linkOptions())
-	p.members = p.settings.peersOf(p.settings.Control)
+	p.members = p.settings.replicas()
 	p.keeper = keeper.New(keeper.Settings{
 		Name:    p.settings.Name,
 		Address: p.settings.Peer,
@@ -146,7 +149,7 @@
 		Metrics: options.Metrics,
 	})
 	p.holder = holder.New(holder.Options{
-		Caller:  options.Grants,
+		Caller:  granter.NewRanges(options.Network, *options.Wire),
 		Lease:   p.keeper.Lease,
 		Changed: p.keeper.Nudge,
 		Log:     options.Log,
@@ -330,7 +333,7 @@
 
 func (p *Routed) startReady(context.Context) error {
 	var err error
-	p.ready, err = listener.Listen(p.options.Network, p.settings.Ready, p.options.Ready(p.isReady))
+	p.ready, err = listener.Listen(p.options.Network, p.settings.Ready, p.readyInterface())
 	if err != nil {
 		return Error.New("listening for questions whether callers are welcome: %w", err)
 	}
--- /dev/null
+++ b/router/assembler/routed_own.go
@@ -0,0 +1,43 @@
+package assembler
+
+import (
+	"net/http"
+
+	"marigoldhill/router/acceptor"
+	"marigoldhill/router/announcer"
+	"marigoldhill/router/attendant"
+	"marigoldhill/router/dispatcher"
+	"marigoldhill/router/granter"
+	"marigoldhill/router/relayer"
+)
+
+// speakOwn puts the product's own interfaces where the options name none.
+func (p *Routed) speakOwn() {
+	options := &p.options
+	if options.Dialect == nil {
+		options.Dialect = dispatcher.Dialect{}
+	}
+	if options.Wire == nil {
+		wire := granter.OwnWire()
+		options.Wire = &wire
+	}
+	if options.Callers == nil {
+		options.Callers = func(entry *relayer.Entry) http.Handler { return acceptor.Routed(p.settings.Name, entry) }
+	}
+	if options.Backend == nil {
+		options.Backend = func(server *attendant.Attendant) http.Handler {
+			return announcer.Attended(p.settings.Name, server, p.holder.Count)
+		}
+	}
+}
+
+// readyInterface tells whether callers are welcome.
+func (p *Routed) readyInterface() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !p.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
--- a/router/assembler/routed_settings.go
+++ b/router/assembler/routed_settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"marigoldhill/kernel/logger"
@@ -35,8 +36,10 @@
 	Backend string `yaml:"backend"`
 	Ready   string `yaml:"ready"`
 	Metrics string `yaml:"metrics"`
-	// Control are operator addresses of replicas of the control group, until the
-	// group names its members. Replicas are reached at the port of Peer.
+	// Group are the addresses of replicas of the control group for other processes,
+	// until the group names its members. Where only operator addresses are known,
+	// Control has these, and replicas are reached at the port of Peer.
+	Group   []string `yaml:"group"`
 	Control []string `yaml:"control"`
 	// Timing replaces the default times of leases where it is not zero.
 	Timing messenger.Timing `yaml:"timing"`
@@ -72,6 +75,9 @@
 	if s.Metrics != "" {
 		addresses = append(addresses, struct{ field, value string }{"metrics", s.Metrics})
 	}
+	for n, address := range s.Group {
+		addresses = append(addresses, struct{ field, value string }{fmt.Sprintf("group[%d]", n), address})
+	}
 	for n, address := range s.Control {
 		addresses = append(addresses, struct{ field, value string }{fmt.Sprintf("control[%d]", n), address})
 	}
@@ -85,8 +91,8 @@
 
 func (s *RoutedSettings) checkRest() (field, reason string) {
 	switch {
-	case len(s.Control) == 0:
-		return "control", "must list at least one address"
+	case len(s.Group)+len(s.Control) == 0:
+		return "group", "must list at least one address"
 	case s.Link < 0:
 		return "link", "must not be below 0"
 	case s.Grace <= 0:
@@ -101,14 +107,14 @@
 	return "log", "must be text or json"
 }
 
-// peersOf are the addresses of replicas for other processes.
-func (s *RoutedSettings) peersOf(operators []string) []string {
+// replicas are the addresses of the control group for other processes.
+func (s *RoutedSettings) replicas() []string {
 	_, port, err := net.SplitHostPort(s.Peer)
 	if err != nil {
 		return nil // Check has refused it
 	}
-	peers := make([]string, 0, len(operators))
-	for _, operator := range operators {
+	peers := slices.Clone(s.Group)
+	for _, operator := range s.Control {
 		if host, _, err := net.SplitHostPort(operator); err == nil {
 			peers = append(peers, net.JoinHostPort(host, port))
 		}
--- a/router/assembler/routed_steward.go
+++ b/router/assembler/routed_steward.go
@@ -87,5 +87,5 @@
 		p.options.Log.Emit(logger.SettingsUnread, "error", err)
 		return nil
 	}
-	return settings.peersOf(settings.Control)
+	return settings.replicas()
 }
--- a/router/commander/commander.go
+++ b/router/commander/commander.go
@@ -1,5 +1,6 @@
 // Package commander is the command line of marigold-router; its commands are
-// those of marigoldhill/kernel/commander.
+// those of marigoldhill/kernel/commander. With routes before them they are for a
+// router that serves the routes of a configuration.
 //
 // # Usage
 //
@@ -25,11 +26,18 @@
 	stopTime = 60 * time.Second
 )
 
+// commandRoutes stands before the commands of a router with routes.
+const commandRoutes = "routes"
+
 // Main runs the program and returns its exit code.
 func Main(arguments []string, out, failures io.Writer) int {
+	if len(arguments) > 0 && arguments[0] == commandRoutes {
+		return Routed("marigold-router routes", assembler.RoutedOptions{}).Main(arguments[1:], out, failures)
+	}
 	program := commander.Program[assembler.Settings]{
-		Name:      "marigold-router",
-		Help:      "Router that takes callers' requests and guards the backend server beside it.",
+		Name: "marigold-router",
+		Help: "Router that takes callers' requests and guards the backend server beside it. " +
+			"The same commands behind \"routes\" are for one that serves the routes of a configuration.",
 		StartTime: startTime,
 		StopTime:  stopTime,
 		New:       build,
--- /dev/null
+++ b/router/commander/routed.go
@@ -0,0 +1,30 @@
+package commander
+
+import (
+	"marigoldhill/kernel/commander"
+	"marigoldhill/kernel/logger"
+	"marigoldhill/router/assembler"
+)
+
+// Routed is a program whose processes serve the routes of a configuration, with
+// options.
+func Routed(name string, options assembler.RoutedOptions) *commander.Program[assembler.RoutedSettings] {
+	return &commander.Program[assembler.RoutedSettings]{
+		Name:      name,
+		Help:      "Router that serves the routes of a configuration and guards the backend server beside it.",
+		StartTime: startTime,
+		StopTime:  stopTime,
+		New: func(settings *assembler.RoutedSettings, log *logger.Log) (commander.Process, error) {
+			options.Log = log
+			return assembler.NewRouted(*settings, options)
+		},
+		Describe: func(settings *assembler.RoutedSettings) commander.Description {
+			return commander.Description{
+				Role:    "router",
+				Name:    settings.Name,
+				Cluster: settings.Cluster,
+				Log:     logger.Format(settings.Log),
+			}
+		},
+	}
+}
--- a/router/holder/core.go
+++ b/router/holder/core.go
@@ -387,6 +387,16 @@
 
 // isEmpty reports whether no keys are owned.
 func (c *core) isEmpty() bool {
-	pieces := c.keys.Pieces()
-	return len(pieces) == 1 && pieces[0].Value.phase == phaseNone
+	return c.count() == 0
+}
+
+// count is the number of ranges that are owned.
+func (c *core) count() int {
+	owned := 0
+	for _, piece := range c.keys.Pieces() {
+		if piece.Value.phase != phaseNone {
+			owned++
+		}
+	}
+	return owned
 }
--- a/router/holder/holder.go
+++ b/router/holder/holder.go
@@ -126,6 +126,13 @@
 	return h.core.isEmpty()
 }
 
+// Count is how many ranges the router owns.
+func (h *Holder) Count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.count()
+}
+
 func (h *Holder) signal() {
 	select {
 	case h.wake <- struct{}{}:
