Explain the owner of a key of a service that is divided by ranges

Cause: marigold explain and status knew shards only, so on-call engineers had to read the leader's log to learn who owns a key of a configuration's service and why.

Change: GET /v1/explain answers for ranges with the range, its next owner, the load that the leader weighs, and pace and failures of the server; status shows ranges and failures of each router.

--- a/bench/launcher/routed_test.go
+++ b/bench/launcher/routed_test.go
@@ -229,6 +229,14 @@
 		}
 		qt.Assert(t, ran["s-v1"] > 16 && ran["s-v2"] > 16, qt.IsTrue, qt.Commentf("%v", ran))
 
+		status, body, _ = c.do("v1", "GET", "http://c1:7001/v1/explain?service=findings&key=4711", "", http.Header{})
+		qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+		var explained messenger.Explanation
+		qt.Assert(t, json.Unmarshal([]byte(body), &explained), qt.IsNil)
+		qt.Check(t, explained.Server == "s-v1" || explained.Server == "s-v2", qt.IsTrue, qt.Commentf("%s", body))
+		qt.Check(t, explained.Range.From <= 4711 && 4711 <= explained.Range.To, qt.IsTrue)
+		qt.Check(t, explained.Why, qt.Matches, ".*placed by slots")
+
 		status, body, header := c.do("v1", "GET", "http://v1:8000/nothing/", "", http.Header{"Host": {"desk.example"}})
 		qt.Check(t, status, qt.Equals, http.StatusNotFound)
 		qt.Check(t, header.Get(messenger.HeaderOutcome), qt.Equals, string(messenger.OutcomeRefused))
--- a/control/supervisor/explain.go
+++ b/control/supervisor/explain.go
@@ -3,6 +3,7 @@
 import (
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/timer"
 )
 
 // maxHistory is how many changes of owner an explanation has.
@@ -16,7 +17,10 @@
 }
 
 // explain tells who owns a key and why.
-func (s *Supervisor) explain(question ExplainQuestion) *messenger.Explanation {
+func (s *Supervisor) explain(now timer.Instant, question ExplainQuestion) *messenger.Explanation {
+	if r := s.state.Ranges(question.Service); r != nil {
+		return s.explainRange(now, r, question.Key)
+	}
 	t := s.state.Table(question.Service)
 	if t == nil {
 		return nil
--- /dev/null
+++ b/control/supervisor/explain_range.go
@@ -0,0 +1,72 @@
+package supervisor
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"marigoldhill/control/assigner"
+	"marigoldhill/kernel/logger"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/timer"
+)
+
+// explainRange tells who owns a numeric key and why, nil when it is no such key.
+func (s *Supervisor) explainRange(now timer.Instant, r *assigner.Ranges, text string) *messenger.Explanation {
+	number, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || number > messenger.LastKey {
+		return nil
+	}
+	piece := r.Find(uint32(number))
+	holding := piece.Value
+	explanation := &messenger.Explanation{
+		Service: r.Service,
+		Key:     text,
+		Phase:   phaseNames[holding.Phase],
+		Fence:   holding.Fence,
+		History: s.rangeHistory(r.Service),
+		Range:   &messenger.RangeExplanation{From: piece.From, To: piece.To},
+	}
+	// The grant of a fence has the fence as its revision.
+	for _, event := range explanation.History {
+		if event.Revision == holding.Fence {
+			explanation.Why, explanation.Since = event.Text, event.Time
+		}
+	}
+	known := s.demandOf(r.Service)
+	explanation.Range.KeyRate = known.arrivals[number]
+	for key := piece.From; key <= piece.To; key++ {
+		explanation.Range.Rate += known.arrivals[key]
+	}
+	if next := s.state.Session(holding.Next); next != nil {
+		explanation.Range.Next = next.Row.Router
+	}
+	owner := s.state.Session(holding.Owner)
+	if owner == nil {
+		return explanation
+	}
+	explanation.Router = owner.Row.Router
+	explanation.Domain = owner.Row.Domain
+	if owner.Row.Server != nil {
+		explanation.Server = owner.Row.Server.Name
+	}
+	if beside := s.routers[holding.Owner]; beside != nil {
+		explanation.Range.Pace = time.Duration(beside.pace.seconds * float64(time.Second))
+		explanation.Range.Failing = beside.conduct.failing(now)
+	}
+	return explanation
+}
+
+// rangeHistory lists the newest grants and moves of ranges of a service, newest
+// first.
+func (s *Supervisor) rangeHistory(service string) []messenger.ClusterEvent {
+	history := []messenger.ClusterEvent{}
+	events := s.state.Events(0)
+	for _, event := range slices.Backward(events) {
+		isRanges := event.Number == logger.RangesGranted.Number || event.Number == logger.RangesMoving.Number
+		if isRanges && event.Subject == service && len(history) < maxHistory {
+			history = append(history, event)
+		}
+	}
+	return history
+}
--- a/control/supervisor/question.go
+++ b/control/supervisor/question.go
@@ -59,7 +59,7 @@
 	case ServicesQuestion:
 		return s.serviceList()
 	case ExplainQuestion:
-		return s.explain(question)
+		return s.explain(now, question)
 	case EventsQuestion:
 		return s.state.Events(question.After)
 	case ProgressQuestion:
--- a/control/supervisor/status.go
+++ b/control/supervisor/status.go
@@ -72,6 +72,14 @@
 		status.Revision = known.revision
 		status.Rate = known.work.rate
 		status.Silence = now.Since(known.heard)
+		status.Failing = known.conduct.failing(now)
+	}
+	if r := s.state.Ranges(session.Service()); r != nil {
+		for _, piece := range r.Pieces() {
+			if piece.Value.Owner == session.Row.Session {
+				status.Ranges++
+			}
+		}
 	}
 	return status
 }
--- a/kernel/messenger/operator.go
+++ b/kernel/messenger/operator.go
@@ -43,20 +43,24 @@
 
 // SessionStatus is one router with its backend server.
 type SessionStatus struct {
-	Session   uint64      `json:"session"`
-	Router    string      `json:"router"`
-	Address   string      `json:"address"`
-	Domain    string      `json:"domain"`
-	Server    string      `json:"server"`
-	Service   string      `json:"service"`
-	State     ServerState `json:"state"`
-	Leaving   bool        `json:"leaving"`
-	Shards    int         `json:"shards"`
-	Moving    int         `json:"moving"`
-	Queue     int         `json:"queue"`
-	Stalled   int         `json:"stalled"`
-	Revision  uint64      `json:"revision"`
-	Recorders []string    `json:"recorders"`
+	Session uint64      `json:"session"`
+	Router  string      `json:"router"`
+	Address string      `json:"address"`
+	Domain  string      `json:"domain"`
+	Server  string      `json:"server"`
+	Service string      `json:"service"`
+	State   ServerState `json:"state"`
+	Leaving bool        `json:"leaving"`
+	Shards  int         `json:"shards"`
+	Moving  int         `json:"moving"`
+	// Ranges is how many ranges of keys it owns, Failing the share of requests that
+	// its backend server failed lately.
+	Ranges    int      `json:"ranges"`
+	Failing   float64  `json:"failing"`
+	Queue     int      `json:"queue"`
+	Stalled   int      `json:"stalled"`
+	Revision  uint64   `json:"revision"`
+	Recorders []string `json:"recorders"`
 	// Rate is requests a second over the balancing window.
 	Rate float64 `json:"rate"`
 	// Silence is the time since its last heartbeat.
@@ -87,6 +91,8 @@
 	Service string `json:"service"`
 	Key     string `json:"key"`
 	Shard   uint32 `json:"shard"`
+	// Range is there in place of the shard for a service that is divided by ranges.
+	Range *RangeExplanation `json:"range,omitempty"`
 	// Own says that the key has a shard of its own.
 	Own    bool   `json:"own"`
 	Phase  string `json:"phase"`
@@ -103,6 +109,22 @@
 	History []ClusterEvent `json:"history"`
 }
 
+// RangeExplanation is what the leader weighs of a range of keys, both ends included,
+// and of the backend server that holds it.
+type RangeExplanation struct {
+	From uint32 `json:"from"`
+	To   uint32 `json:"to"`
+	// Next is the router that the range moves to.
+	Next string `json:"next,omitempty"`
+	// Rate is requests a second for the range, KeyRate those for the key.
+	Rate    float64 `json:"rate"`
+	KeyRate float64 `json:"keyrate"`
+	// Pace is the mean time for a request at the server, Failing the share of
+	// requests that it failed lately.
+	Pace    time.Duration `json:"pace"`
+	Failing float64       `json:"failing"`
+}
+
 // ClusterEvent is one numbered event of the control group.
 type ClusterEvent struct {
 	// Revision is the log index that caused it.
--- a/operator/cmd_explain.go
+++ b/operator/cmd_explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/url"
 	"strconv"
 	"strings"
@@ -39,6 +40,9 @@
 
 // explanationText is an explanation for people.
 func explanationText(found messenger.Explanation) string {
+	if found.Range != nil {
+		return rangeText(found)
+	}
 	shard := strconv.FormatUint(uint64(found.Shard), 10)
 	if found.Own {
 		shard += ", of this key alone"
@@ -60,3 +64,27 @@
 	}
 	return text + "\n" + printer.Table(eventColumns(), found.History)
 }
+
+// rangeText is an explanation of a key of a service that is divided by ranges.
+func rangeText(found messenger.Explanation) string {
+	r := found.Range
+	text := printer.Pairs(
+		[2]string{"key", found.Service + "/" + found.Key},
+		[2]string{"range", fmt.Sprintf("%d to %d", r.From, r.To)},
+		[2]string{"phase", found.Phase},
+		[2]string{"server", found.Server},
+		[2]string{"router", found.Router},
+		[2]string{"next", r.Next},
+		[2]string{"domain", found.Domain},
+		[2]string{"fence", strconv.FormatUint(found.Fence, 10)},
+		[2]string{"since", printer.Time(found.Since)},
+		[2]string{"why", found.Why},
+		[2]string{"rate", fmt.Sprintf("%.1f/s, %.1f/s for the key", r.Rate, r.KeyRate)},
+		[2]string{"pace", printer.Duration(r.Pace)},
+		[2]string{"failing", percent(r.Failing)},
+	)
+	if len(found.History) == 0 {
+		return text
+	}
+	return text + "\n" + printer.Table(eventColumns(), found.History)
+}
--- a/operator/cmd_status.go
+++ b/operator/cmd_status.go
@@ -88,6 +88,8 @@
 		{Title: "state", Cell: func(r row) string { return sessionState(r) }},
 		{Title: "shards", Cell: func(r row) string { return strconv.Itoa(r.Shards) }},
 		{Title: "moving", Cell: func(r row) string { return strconv.Itoa(r.Moving) }},
+		{Title: "ranges", Cell: func(r row) string { return strconv.Itoa(r.Ranges) }},
+		{Title: "failing", Cell: func(r row) string { return percent(r.Failing) }},
 		{Title: "queue", Cell: func(r row) string { return strconv.Itoa(r.Queue) }},
 		{Title: "stalled", Cell: func(r row) string { return strconv.Itoa(r.Stalled) }},
 		{Title: "rate", Cell: func(r row) string { return fmt.Sprintf("%.1f", r.Rate) }},
@@ -119,3 +121,8 @@
 		{Title: "total", Cell: func(r row) string { return printer.Duration(r.UnavailableTotal) }},
 	}
 }
+
+// percent is a share for people.
+func percent(share float64) string {
+	return strconv.FormatFloat(share*100, 'f', 0, 64) + "%"
+}
--- a/operator/fake_test.go
+++ b/operator/fake_test.go
@@ -37,7 +37,13 @@
 	answer("/v1/profiles/lookup", sampleProfile())
 	answer("/v1/services", []messenger.Listed[messenger.Service]{{Revision: 17, Value: sampleService()}})
 	answer("/v1/services/findings", sampleService())
-	answer("/v1/explain", sampleExplanation())
+	mux.HandleFunc("GET /v1/explain", func(w http.ResponseWriter, r *http.Request) {
+		explanation := sampleExplanation()
+		if r.URL.Query().Get("service") == "desk" {
+			explanation = sampleRange()
+		}
+		_ = json.NewEncoder(w).Encode(explanation)
+	})
 	answer("/v1/events", sampleExplanation().History)
 	answer("/v1/members", sampleStatus().Members)
 	answer("/v1/quarantines", []messenger.QuarantineRow{{
@@ -118,6 +124,7 @@
 		},
 		Sessions: []messenger.SessionStatus{
 			{Router: "r2", Domain: "hobart", Server: "d2", Service: "findings", State: messenger.ServerReady, Shards: 2048, Rate: 20.25, Revision: 17},
+			{Router: "r3", Domain: "hobart", Server: "d3", Service: "desk", State: messenger.ServerReady, Ranges: 12, Failing: 0.25, Revision: 17},
 			{Router: "r1", Domain: "launceston", Server: "d1", Service: "findings", State: messenger.ServerReady, Leaving: true, Shards: 2048, Moving: 7, Revision: 16},
 		},
 		Services: []messenger.ServiceStatus{{
@@ -134,3 +141,14 @@
 		History: []messenger.ClusterEvent{{Revision: 38, Time: 86_400_000, Number: 240, Subject: "findings/1234", Text: "granted to r1"}},
 	}
 }
+
+func sampleRange() messenger.Explanation {
+	return messenger.Explanation{
+		Service: "desk", Key: "4711", Phase: "moving", Router: "r3", Server: "d3", Domain: "hobart",
+		Fence: 38, Since: 86_400_000, Why: "4096 keys in 1 ranges: load",
+		Range: &messenger.RangeExplanation{
+			From: 4096, To: 8191, Next: "r4", Rate: 31.5, KeyRate: 2, Pace: 120 * time.Millisecond, Failing: 0.25,
+		},
+		History: []messenger.ClusterEvent{{Revision: 38, Time: 86_400_000, Number: 243, Subject: "desk", Text: "4096 keys in 1 ranges: load"}},
+	}
+}
--- a/operator/main_test.go
+++ b/operator/main_test.go
@@ -36,6 +36,7 @@
 		{"status-json", "status -o json", exitDone},
 		{"watch", "watch --count 1", exitDone},
 		{"explain", "explain findings door-17", exitDone},
+		{"explain-range", "explain desk 4711", exitDone},
 		{"events", "events", exitDone},
 		{"profile-list", "profile list", exitDone},
 		{"profile-show", "profile show lookup", exitDone},
