Keep the header limit of a configuration

Cause: the largest header of a configuration was read and not enforced; only the largest body was.

Change: a call whose header is over the limit is refused as oversize, like a body.

Test: TestEntryRefusesAtOnceWhatItCannotServe, header too large (red before).

--- a/router/relayer/entry.go
+++ b/router/relayer/entry.go
@@ -67,6 +67,24 @@
 	return path
 }
 
+// fits reports whether a call keeps the limits of a configuration. The header is
+// counted as it is passed on, without the fields of the connection.
+func (c *Call) fits(limits *messenger.Limits) bool {
+	if limits.BodyBytes > 0 && c.Length > limits.BodyBytes {
+		return false
+	}
+	if limits.HeaderBytes == 0 {
+		return true
+	}
+	size := len(c.Method) + len(c.Target) + len(c.Host)
+	for _, field := range c.Header {
+		for _, value := range field.Values {
+			size += len(field.Name) + len(value)
+		}
+	}
+	return int64(size) <= limits.HeaderBytes
+}
+
 // Answer is the end of a Call.
 type Answer struct {
 	Outcome messenger.Outcome
@@ -146,7 +164,7 @@
 	if route == nil {
 		return e.finish(call, nil, begun, Answer{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonRoute})
 	}
-	if limit := routes.Configuration.Limits.BodyBytes; limit > 0 && call.Length > limit {
+	if !call.fits(&routes.Configuration.Limits) {
 		return e.finish(call, nil, begun, Answer{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonOversize})
 	}
 	trip := &trip{entry: e, call: call, route: route, service: route.Service(), begun: begun}
--- a/router/relayer/entry_test.go
+++ b/router/relayer/entry_test.go
@@ -36,7 +36,7 @@
 					{Name: "issue", Host: "desk", Prefix: "/issue/", Parts: part, Treatment: messenger.Treatment{Timeout: time.Second, Aim: 400 * time.Millisecond, Attempts: 2}},
 				},
 				Services: []messenger.RoutedService{{Name: "findings", Ranged: true}},
-				Limits:   messenger.Limits{BodyBytes: 100},
+				Limits:   messenger.Limits{BodyBytes: 100, HeaderBytes: 64},
 			},
 			Sessions: []messenger.SessionRow{{Session: ownSession, Router: "r1", Server: &messenger.ServerRow{Name: "s1", Service: "findings", Slots: 1}}},
 			Ranges: []messenger.RangeRow{
@@ -59,6 +59,8 @@
 func TestEntryRefusesAtOnceWhatItCannotServe(t *testing.T) {
 	large := call("/find/x", 7)
 	large.Length = 101
+	wordy := call("/find/x", 7)
+	wordy.Header = []messenger.Header{{Name: "Accept", Values: []string{strings.Repeat("a", 40), strings.Repeat("b", 9)}}}
 	tests := []struct {
 		name       string
 		configured bool
@@ -70,6 +72,7 @@
 		{name: "no configuration yet", call: call("/find/x", 7), reason: messenger.ReasonUnready},
 		{name: "no route", configured: true, call: call("/none/x", 7), reason: messenger.ReasonRoute},
 		{name: "body too large", configured: true, call: large, reason: messenger.ReasonOversize},
+		{name: "header too large", configured: true, call: wordy, reason: messenger.ReasonOversize},
 		{name: "key is missing", configured: true, call: call("/find/x", messenger.NoKey), reason: messenger.ReasonMalformed},
 		{name: "key has no owner", configured: true, call: call("/find/x", 150), reason: messenger.ReasonUnowned, longest: 350 * time.Millisecond},
 		{name: "key moves", configured: true, call: call("/find/x", 250), reason: messenger.ReasonMoving, longest: 350 * time.Millisecond},
