Log how much of each backend server is used

Cause: whether a burst was refused for want of slots or because load lay on the wrong servers could not be told from logs.

Change: event 314 each 2 s: share of slots in use, offered, refused and served requests, and ranges held.

Test: TestTotals.

--- a/kernel/logger/router.go
+++ b/kernel/logger/router.go
@@ -12,6 +12,7 @@
 	ServerAnnounced     = Event{310, hclog.Info, "backend server announced itself"}
 	ServerChanged       = Event{311, hclog.Warn, "backend server changed its state"}
 	AnnouncementIgnored = Event{313, hclog.Info, "announcement of a backend server was ignored"}
+	ServerSummed        = Event{314, hclog.Info, "work of the backend server"}
 	ServerCrashed       = Event{312, hclog.Warn, "backend server ended with requests in flight"}
 	RecordsRecovered    = Event{320, hclog.Info, "records of an earlier owner were read"}
 	RecordsCopied       = Event{321, hclog.Info, "records were copied to a joining recorder"}
@@ -21,7 +22,7 @@
 
 func routerEvents() []Event {
 	return []Event{
-		LeaseGained, LeaseLost, LeaseEnded, ControlLost, ControlFound, ServerAnnounced, AnnouncementIgnored, ServerChanged, ServerCrashed,
+		LeaseGained, LeaseLost, LeaseEnded, ControlLost, ControlFound, ServerAnnounced, AnnouncementIgnored, ServerChanged, ServerSummed, ServerCrashed,
 		RecordsRecovered, RecordsCopied, RangeCalled, RequestStalled,
 	}
 }
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -36,6 +37,8 @@
 	callerHeader = 10 * time.Second
 	// watchInterval is the time between two looks at a silent backend server.
 	watchInterval = 250 * time.Millisecond
+	// summaryInterval is the time between two lines on the work of the backend server.
+	summaryInterval = 2 * time.Second
 	// goneTime is how long after the start of a stop callers may still come:
 	// they are told within two questions, one a second.
 	goneTime = 2500 * time.Millisecond
@@ -259,16 +262,32 @@
 func (p *Routed) watch(ctx context.Context) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
+	summary := time.NewTicker(summaryInterval)
+	defer summary.Stop()
+	told := p.gate.Totals()
 	for {
 		select {
 		case <-ticker.C:
 			p.server.Tick(timer.Now())
+		case <-summary.C:
+			told = p.summarize(told)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// summarize logs what became of the work since earlier totals, unless there was none.
+func (p *Routed) summarize(earlier queuer.Totals) queuer.Totals {
+	totals := p.gate.Totals()
+	work := totals.Since(earlier)
+	if work.Offered > 0 && work.Open > 0 {
+		p.options.Log.Emit(logger.ServerSummed, "busy", math.Round(100*work.Busy.Seconds()/work.Open.Seconds())/100,
+			"offered", work.Offered, "refused", work.Refused, "served", work.Served, "ranges", p.holder.Count())
+	}
+	return totals
+}
+
 func (p *Routed) startKeeper(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.abandon = cancel
--- a/router/queuer/gate.go
+++ b/router/queuer/gate.go
@@ -16,6 +16,46 @@
 	mu      sync.Mutex
 	queue   *Queue
 	sleeper map[*Entry]chan turn
+	total   Totals
+	summed  time.Duration
+}
+
+// Totals sum up what a Gate did since it was made.
+type Totals struct {
+	// Busy is the time that slots were in use, Open the time that there were slots,
+	// both summed over all slots.
+	Busy time.Duration
+	Open time.Duration
+	// Offered counts the jobs, Refused those that were turned away, at once or after
+	// they had waited, and Served those whose work was well done.
+	Offered uint64
+	Refused uint64
+	Served  uint64
+}
+
+// Since are the totals since earlier ones.
+func (t Totals) Since(earlier Totals) Totals {
+	return Totals{
+		Busy: t.Busy - earlier.Busy, Open: t.Open - earlier.Open,
+		Offered: t.Offered - earlier.Offered, Refused: t.Refused - earlier.Refused, Served: t.Served - earlier.Served,
+	}
+}
+
+// Totals returns the totals until now.
+func (g *Gate) Totals() Totals {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sum(g.Now())
+	return g.total
+}
+
+// sum adds the time since the last event. The caller holds mu.
+func (g *Gate) sum(now time.Duration) {
+	running, _, slots := g.queue.Load()
+	span := now - g.summed
+	g.total.Busy += time.Duration(min(running, slots)) * span
+	g.total.Open += time.Duration(slots) * span
+	g.summed = now
 }
 
 // turn ends the wait of an entry.
@@ -44,6 +84,7 @@
 func (g *Gate) SetSlots(slots int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.sum(g.Now())
 	g.queue.SetSlots(slots)
 	g.wake(g.queue.Next(g.Now()))
 }
@@ -61,9 +102,12 @@
 func (g *Gate) Acquire(ctx context.Context, job Job) (*Slot, *Refusal) {
 	g.mu.Lock()
 	now := g.Now()
+	g.sum(now)
+	g.total.Offered++
 	g.refuse(now)
 	entry, refusal := g.queue.Offer(now, job)
 	if refusal != nil {
+		g.total.Refused++
 		g.mu.Unlock()
 		return nil, refusal
 	}
@@ -88,6 +132,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.queue.Leave(entry) {
+		g.total.Refused++
 		delete(g.sleeper, entry)
 		return nil, refusal
 	}
@@ -112,6 +157,7 @@
 // refuse ends the wait of jobs without hope. The caller holds mu.
 func (g *Gate) refuse(now time.Duration) {
 	for _, entry := range g.queue.Hopeless(now) {
+		g.total.Refused++
 		g.end(entry, turn{refusal: &Refusal{Reason: messenger.ReasonDeadline}})
 	}
 }
@@ -130,6 +176,10 @@
 		s.gate.mu.Lock()
 		defer s.gate.mu.Unlock()
 		now := s.gate.Now()
+		s.gate.sum(now)
+		if served {
+			s.gate.total.Served++
+		}
 		s.gate.refuse(now)
 		s.gate.wake(s.gate.queue.Done(now, s.entry, served))
 	})
--- a/router/queuer/queue_test.go
+++ b/router/queuer/queue_test.go
@@ -359,3 +359,24 @@
 	_, refusal := offer(now)
 	qt.Assert(t, refusal, qt.IsNotNil)
 }
+
+// Totals tell how much of the slots was in use, and what became of the jobs.
+func TestTotals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := queuer.NewGate(2)
+		job := queuer.Job{Kind: "find", Aim: time.Second, Deadline: time.Second}
+		first, refusal := gate.Acquire(t.Context(), job)
+		qt.Assert(t, refusal, qt.IsNil)
+		time.Sleep(time.Second)
+		first.Release(true)
+		second, refusal := gate.Acquire(t.Context(), queuer.Job{Kind: "find", Aim: 3 * time.Second, Deadline: 3 * time.Second})
+		qt.Assert(t, refusal, qt.IsNil)
+		_, refusal = gate.Acquire(t.Context(), job)
+		qt.Assert(t, refusal, qt.IsNotNil)
+		earlier := gate.Totals()
+		time.Sleep(time.Second)
+		second.Release(false)
+		qt.Assert(t, earlier, qt.Equals, queuer.Totals{Busy: time.Second, Open: 2 * time.Second, Offered: 3, Refused: 1, Served: 1})
+		qt.Assert(t, gate.Totals().Since(earlier), qt.Equals, queuer.Totals{Busy: time.Second, Open: 2 * time.Second})
+	})
+}
