Level hot keys again 0.8 s after the last moves

Cause: the mean load on keys had a window of 2 s and moves had 1.5 s between them. Hot keys last four to five seconds in bursts: a second set of them was spread after 3 s, when it was nearly over.

Change: a window of 1 s, 0.8 s between moves.

--- a/control/supervisor/ranges.go
+++ b/control/supervisor/ranges.go
@@ -19,10 +19,10 @@
 	demandInterval = 500 * time.Millisecond
 	// demandWindow is the time constant of the mean load on keys. A hot key is
 	// seen within two reports.
-	demandWindow = 2 * time.Second
-	// settleMoves is the time after moves of a service in which no more start,
-	// so that their effect is measured first.
-	settleMoves = 1500 * time.Millisecond
+	demandWindow = time.Second
+	// settleMoves is the time after moves of a service in which no more start, so
+	// that their effect is measured first: a move takes two heartbeats.
+	settleMoves = 800 * time.Millisecond
 )
 
 // demand is what the leader knows of the load on the ranges of a service.
--- a/control/supervisor/ranges_test.go
+++ b/control/supervisor/ranges_test.go
@@ -195,3 +195,75 @@
 	back := serve(12*time.Second, 0)
 	qt.Assert(t, back >= 2*time.Second && back <= 8*time.Second, qt.IsTrue, qt.Commentf("keys are back after %v", back))
 }
+
+// carry reports the work that callers ask of the keys of a router, with so many
+// requests a second for each key.
+func (r *rangedRouter) carry(rate func(key uint32) float64) float64 {
+	// A router reports with every second heartbeat.
+	span := 2 * messenger.HeartbeatInterval
+	report := &messenger.RangeReport{Span: span}
+	sum := 0.0
+	const part = 64
+	for _, row := range r.rows() {
+		for from := row.From; from <= row.To; from += part {
+			to := min(from+part-1, row.To)
+			asked := 0.0
+			for key := from; key <= to; key++ {
+				asked += rate(key)
+			}
+			sum += asked
+			report.Loads = append(report.Loads, messenger.RangeLoad{From: from, To: to, Arrivals: uint64(asked * span.Seconds())})
+		}
+	}
+	report.Finished = uint64(sum * span.Seconds())
+	report.Busy = time.Duration(float64(report.Finished) * float64(150*time.Millisecond))
+	r.beat.Work = report
+	return sum
+}
+
+// A third of all requests turns to keys that lie close together, and a moment after
+// these were spread to others, for four seconds. The load is even again within half
+// of that time.
+func TestHotKeysAreLevelledInTime(t *testing.T) {
+	h := rangedHarness(t)
+	routers := []*rangedRouter{newRanged(h, 1), newRanged(h, 2), newRanged(h, 3), newRanged(h, 4)}
+	runRanged(h, 4*time.Second, routers...)
+	const (
+		total = 40_000 // requests a second, so that rounding is small
+		hot   = 256    // keys
+	)
+	hotFrom := func(first uint32) func(key uint32) float64 {
+		return func(key uint32) float64 {
+			if key >= first && key < first+hot {
+				return total*2.0/3/allKeys + total/3.0/hot
+			}
+			return total * 2.0 / 3 / allKeys
+		}
+	}
+	play := func(length time.Duration, rate func(key uint32) float64) (level time.Duration) {
+		level = -1
+		for passed := time.Duration(0); passed < length; passed += 2 * messenger.HeartbeatInterval {
+			most, sum := 0.0, 0.0
+			for _, router := range routers {
+				load := router.carry(rate)
+				most, sum = max(most, load), sum+load
+			}
+			switch mean := sum / float64(len(routers)); {
+			case most > 1.25*mean:
+				level = -1
+			case level < 0:
+				level = passed
+			}
+			runRanged(h, messenger.HeartbeatInterval, routers...)
+			for _, router := range routers {
+				router.beat.Work = nil
+			}
+			runRanged(h, messenger.HeartbeatInterval, routers...)
+		}
+		return level
+	}
+	play(4*time.Second, func(uint32) float64 { return total / allKeys })
+	play(1200*time.Millisecond, hotFrom(30_000))
+	level := play(4*time.Second, hotFrom(10_000))
+	qt.Assert(t, level >= 0 && level <= 2*time.Second, qt.IsTrue, qt.Commentf("level after %v", level))
+}
