Compare servers by their time for like requests, not by what they have to do

Cause: a server's pace was the mean time of whatever ran at it. One that had two long requests looked five times slower than its neighbours, so downloads left their failure domain though home had free slots.

Change: routers report how slow their server is: the time for each kind of request as a part of its aim, the mean over kinds. The choice multiplies that by the aim of the request; the time of what runs now only counts for the wait when all slots are in use.

Test: TestChoice, long work of others does not drive large answers away (red before).

--- a/kernel/messenger/relay.go
+++ b/kernel/messenger/relay.go
@@ -68,6 +68,10 @@
 	Running int
 	Waiting int
 	Slots   int
-	// Pace is the mean time that the server takes for a request.
+	// Pace is the mean time that the server takes for what it has to do now.
 	Pace time.Duration
+	// Slowness is the time that the server takes for a request, as a part of the aim
+	// of its route: with the same aims everywhere it compares servers, whatever
+	// kinds of requests each of them has. It is 0 when nothing is known.
+	Slowness float32
 }
--- a/router/chooser/chooser.go
+++ b/router/chooser/chooser.go
@@ -1,9 +1,9 @@
 // Package chooser chooses the backend server for a request that any server of a
 // service can run.
 //
-// Each choice weighs the time that the request would take at a server, by its
-// pace, what it is known to have to do and how often it failed lately, against
-// the cost of bytes that cross the border of a failure domain. What is known of a
+// Each choice weighs the time that the request would take at a server, by how slow
+// it is, what it is known to have to do and how often it failed lately, against the
+// cost of bytes that cross the border of a failure domain. What is known of a
 // server is what it said in its answers to this router, and what this router has
 // sent it since.
 //
@@ -41,8 +41,10 @@
 	loadWeight = 0.5
 	// staleTime is how long what a server said of its load counts.
 	staleTime = time.Second
-	// defaultPace is the pace of a server of which nothing is known.
-	defaultPace = 100 * time.Millisecond
+	// defaultSlowness is the slowness of a server of which nothing is known, and
+	// defaultAim the aim of a request that has none.
+	defaultSlowness = 0.3
+	defaultAim      = 400 * time.Millisecond
 	// noise is the part by which times are blurred, so that many routers do not
 	// choose the same server.
 	noise = 0.2
@@ -63,6 +65,8 @@
 type Wish struct {
 	// Domain is the failure domain of the entry.
 	Domain string
+	// Aim is the time within which an answer is worth most.
+	Aim time.Duration
 	// Bytes is the expected size of request and answer.
 	Bytes int
 	// Patience bounds how much longer the request may take at home.
@@ -131,24 +135,28 @@
 // cost is the expected time of a request at a server.
 func (b *Board) cost(now time.Duration, candidate Candidate, wish Wish) time.Duration {
 	known := b.of(candidate.Session)
-	pace := defaultPace
-	if known.known && known.work.Pace > 0 {
-		pace = known.work.Pace
+	slowness := defaultSlowness
+	if known.known && known.work.Slowness > 0 {
+		slowness = float64(known.work.Slowness)
 	}
 	if candidate.Cold {
-		pace *= coldTimes
+		slowness *= coldTimes
+	}
+	aim := wish.Aim
+	if aim <= 0 {
+		aim = defaultAim
 	}
 	slots := max(candidate.Slots, 1)
 	load := known.load(now)
 	turns := 1 + loadWeight*float64(load)/float64(slots)
-	if load >= slots {
-		turns += float64(load+1-slots) / float64(slots)
-	}
 	if known.failing > 0 && now-known.failed < forgetTime {
 		turns += failWeight * known.failing
 	}
 	turns *= 1 + noise*(rand.Float64()-0.5)
-	cost := time.Duration(turns * float64(pace))
+	cost := time.Duration(turns * slowness * float64(aim))
+	if load >= slots {
+		cost += known.work.Pace * time.Duration(load+1-slots) / time.Duration(slots)
+	}
 	if candidate.Domain != wish.Domain {
 		cost += min(time.Duration(wish.Bytes)*toll, wish.Patience)
 	}
--- a/router/chooser/chooser_test.go
+++ b/router/chooser/chooser_test.go
@@ -42,8 +42,8 @@
 		{
 			name: "a slow server gets less", count: 18,
 			prepare: func(board *chooser.Board) {
-				for session, pace := range map[uint64]time.Duration{1: 100, 2: 100, 3: 300} {
-					say(board, session, messenger.ServerWork{Slots: 6, Pace: pace * time.Millisecond})
+				for session, slowness := range map[uint64]float32{1: 0.25, 2: 0.25, 3: 0.75} {
+					say(board, session, messenger.ServerWork{Slots: 6, Slowness: slowness})
 				}
 			},
 			check: func(got map[uint64]int) bool { return got[3] <= 2 },
@@ -57,6 +57,17 @@
 			name: "large answers stay at home", count: 6, wish: chooser.Wish{Domain: "b", Bytes: 90_000, Patience: 200 * time.Millisecond},
 			check: func(got map[uint64]int) bool { return got[2] == 6 },
 		},
+		{
+			// What home has to do takes long; this request does not.
+			name: "long work of others does not drive large answers away", count: 4,
+			wish: chooser.Wish{Domain: "b", Bytes: 90_000, Aim: 400 * time.Millisecond, Patience: 160 * time.Millisecond},
+			prepare: func(board *chooser.Board) {
+				for session, pace := range map[uint64]time.Duration{1: 40, 2: 640, 3: 40} {
+					say(board, session, messenger.ServerWork{Running: 2, Slots: 6, Pace: pace * time.Millisecond, Slowness: 0.3})
+				}
+			},
+			check: func(got map[uint64]int) bool { return got[2] == 4 },
+		},
 		{
 			name: "large answers leave a full home", count: 8, wish: chooser.Wish{Domain: "b", Bytes: 90_000, Patience: 200 * time.Millisecond},
 			prepare: func(board *chooser.Board) { say(board, 2, messenger.ServerWork{Running: 6, Waiting: 20, Slots: 6}) },
--- a/router/queuer/gate.go
+++ b/router/queuer/gate.go
@@ -94,7 +94,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	running, waiting, slots := g.queue.Load()
-	return messenger.ServerWork{Running: running, Waiting: waiting, Slots: slots, Pace: g.queue.Pace()}
+	return messenger.ServerWork{Running: running, Waiting: waiting, Slots: slots, Pace: g.queue.Pace(), Slowness: float32(g.queue.Slowness())}
 }
 
 // Acquire returns a slot, or why there is none. It returns at once when the job
--- a/router/queuer/queue.go
+++ b/router/queuer/queue.go
@@ -71,6 +71,9 @@
 	running map[*Entry]struct{}
 	waiting []*Entry
 	costs   map[string]time.Duration
+	// aims is the longest time that jobs of a kind had for their aim: those that
+	// were refused before have less of it left.
+	aims    map[string]time.Duration
 	offered map[int]*flow
 }
 
@@ -111,7 +114,7 @@
 
 // NewQueue returns a Queue for a server with so many slots.
 func NewQueue(slots int) *Queue {
-	return &Queue{slots: slots, running: make(map[*Entry]struct{}), costs: make(map[string]time.Duration), offered: make(map[int]*flow)}
+	return &Queue{slots: slots, running: make(map[*Entry]struct{}), costs: make(map[string]time.Duration), aims: make(map[string]time.Duration), offered: make(map[int]*flow)}
 }
 
 // Refusal says why a job was turned away, and when to come back.
@@ -162,6 +165,22 @@
 	return sum / time.Duration(count)
 }
 
+// Slowness is the mean cost of all kinds as a part of their aims, 0 when none is
+// known.
+func (q *Queue) Slowness() float64 {
+	sum, count := 0.0, 0
+	for kind, cost := range q.costs {
+		if aim := q.aims[kind]; aim > 0 {
+			sum += cost.Seconds() / aim.Seconds()
+			count++
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / float64(count)
+}
+
 // Offer takes a job in, to run at once or to wait, or refuses it.
 func (q *Queue) Offer(now time.Duration, job Job) (*Entry, *Refusal) {
 	entry := &Entry{Job: job, cost: q.Cost(job.Kind)}
@@ -169,6 +188,7 @@
 		q.offered[job.Rank] = new(flow)
 	}
 	q.offered[job.Rank].add(now, entry.cost)
+	q.aims[job.Kind] = max(q.aims[job.Kind], job.Aim-now)
 	if now+entry.cost > job.Deadline {
 		return nil, &Refusal{Reason: messenger.ReasonDeadline}
 	}
--- a/router/relayer/trip.go
+++ b/router/relayer/trip.go
@@ -111,6 +111,7 @@
 	}
 	session := t.entry.board.Choose(t.entry.now(), candidates, chooser.Wish{
 		Domain:   t.entry.options.Domain,
+		Aim:      t.route.Treatment.Aim,
 		Bytes:    t.entry.sizeOf(t.route.Name) + headBytes,
 		Patience: time.Duration(homePart * float64(t.route.Treatment.Aim)),
 		Avoid:    t.tried,
