Ask new servers, and slow ones again after a while

Cause: a server of which nothing is known counted with a fixed slowness, above that of the known ones, and one that was slow once kept that until it was asked again.

Change: an unknown server counts as the fastest known one; what is known of a slow server fades with a time constant of 15 s. A full server costs at least one turn of this request, also when it said nothing of its pace.

Tests: TestChoice, a new server is asked; TestSlownessFades.

--- a/router/chooser/chooser.go
+++ b/router/chooser/chooser.go
@@ -17,6 +17,7 @@
 package chooser
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -41,10 +42,13 @@
 	loadWeight = 0.5
 	// staleTime is how long what a server said of its load counts.
 	staleTime = time.Second
-	// defaultSlowness is the slowness of a server of which nothing is known, and
+	// defaultSlowness is the slowness of servers of which nothing is known, and
 	// defaultAim the aim of a request that has none.
 	defaultSlowness = 0.3
 	defaultAim      = 400 * time.Millisecond
+	// fadeTime is the time constant with which a slow server that is not asked any
+	// more is taken for a fast one again, so that it is asked.
+	fadeTime = 15 * time.Second
 	// noise is the part by which times are blurred, so that many routers do not
 	// choose the same server.
 	noise = 0.2
@@ -111,11 +115,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	best, least := uint64(0), time.Duration(0)
+	fastest := b.fastest(candidates)
 	for _, candidate := range candidates {
 		if contains(wish.Avoid, candidate.Session) {
 			continue
 		}
-		cost := b.cost(now, candidate, wish)
+		cost := b.cost(now, candidate, wish, fastest)
 		if best == 0 || cost < least {
 			best, least = candidate.Session, cost
 		}
@@ -123,6 +128,34 @@
 	return best
 }
 
+// fastest is the least slowness that is known of a candidate.
+func (b *Board) fastest(candidates []Candidate) float64 {
+	least := 0.0
+	for _, candidate := range candidates {
+		known := b.servers[candidate.Session]
+		if known == nil || known.work.Slowness <= 0 {
+			continue
+		}
+		if slowness := float64(known.work.Slowness); least == 0 || slowness < least {
+			least = slowness
+		}
+	}
+	if least == 0 {
+		return defaultSlowness
+	}
+	return least
+}
+
+// slowness is that of a server as it was when it answered last. One that was never
+// heard of counts as fast as the fastest: it is found out by asking it.
+func (s *standing) slowness(now time.Duration, fastest float64) float64 {
+	if s.work.Slowness <= 0 {
+		return fastest
+	}
+	kept := math.Exp(-(now - s.said).Seconds() / fadeTime.Seconds())
+	return fastest + (float64(s.work.Slowness)-fastest)*kept
+}
+
 func contains(sessions []uint64, session uint64) bool {
 	for _, other := range sessions {
 		if other == session {
@@ -133,12 +166,9 @@
 }
 
 // cost is the expected time of a request at a server.
-func (b *Board) cost(now time.Duration, candidate Candidate, wish Wish) time.Duration {
+func (b *Board) cost(now time.Duration, candidate Candidate, wish Wish, fastest float64) time.Duration {
 	known := b.of(candidate.Session)
-	slowness := defaultSlowness
-	if known.known && known.work.Slowness > 0 {
-		slowness = float64(known.work.Slowness)
-	}
+	slowness := known.slowness(now, fastest)
 	if candidate.Cold {
 		slowness *= coldTimes
 	}
@@ -155,7 +185,8 @@
 	turns *= 1 + noise*(rand.Float64()-0.5)
 	cost := time.Duration(turns * slowness * float64(aim))
 	if load >= slots {
-		cost += known.work.Pace * time.Duration(load+1-slots) / time.Duration(slots)
+		pace := max(known.work.Pace, time.Duration(slowness*float64(aim)))
+		cost += pace * time.Duration(load+1-slots) / time.Duration(slots)
 	}
 	if candidate.Domain != wish.Domain {
 		cost += min(time.Duration(wish.Bytes)*toll, wish.Patience)
--- a/router/chooser/chooser_test.go
+++ b/router/chooser/chooser_test.go
@@ -48,6 +48,14 @@
 			},
 			check: func(got map[uint64]int) bool { return got[3] <= 2 },
 		},
+		{
+			name: "a new server is asked", count: 6,
+			prepare: func(board *chooser.Board) {
+				say(board, 1, messenger.ServerWork{Slots: 6, Slowness: 0.15})
+				say(board, 2, messenger.ServerWork{Slots: 6, Slowness: 0.15})
+			},
+			check: func(got map[uint64]int) bool { return got[3] >= 1 },
+		},
 		{
 			name: "a full server gets nothing", count: 6,
 			prepare: func(board *chooser.Board) { say(board, 1, messenger.ServerWork{Running: 6, Waiting: 9, Slots: 6}) },
@@ -103,3 +111,21 @@
 		})
 	}
 }
+
+// A server that was slow once is asked again after a while.
+func TestSlownessFades(t *testing.T) {
+	board := chooser.New()
+	for session, slowness := range map[uint64]float32{1: 0.2, 2: 0.2, 3: 0.5} {
+		say(board, session, messenger.ServerWork{Slots: 6, Slowness: slowness})
+	}
+	asked := func(now time.Duration) bool {
+		for range 50 {
+			if board.Choose(now, fleet, chooser.Wish{}) == 3 {
+				return true
+			}
+		}
+		return false
+	}
+	qt.Assert(t, asked(time.Second), qt.IsFalse)
+	qt.Assert(t, asked(time.Minute), qt.IsTrue)
+}
