Let large answers stay at home as long as they can be in time

Cause: a download left its failure domain when home took 0.4 of its aim longer.

Change: homePart 0.8.

--- a/router/relayer/trip.go
+++ b/router/relayer/trip.go
@@ -29,8 +29,9 @@
 	// headBytes is about the size of the heads of a request and its answer.
 	headBytes = 600
 	// homePart is the part of its aim that a request may take longer in its own
-	// failure domain than elsewhere.
-	homePart = 0.4
+	// failure domain than elsewhere. A server takes about a third of the aim, so
+	// that the answer is mostly still in time; home refuses what would be late.
+	homePart = 0.8
 	// busyTries is how many servers that are full a request asks.
 	busyTries = 3
 	// shedAfter is when a caller should come back that nobody had room for and
