Give a key that overloads its owner to the fastest server

Levelling took everything else away from its owner and left the key there, on a server of 23 requests a second, while others run 52.

Change: when nothing can be levelled, a key that alone is more than its owner can run moves to the server that ends requests fastest, if that takes at most 0.75 of the time. The other keys of that server move away by levelling.

Test: TestHotKeyGoesToTheFastestServer (red before).

--- a/control/balancer/range.go
+++ b/control/balancer/range.go
@@ -38,6 +38,9 @@
 	shunPart = 1.0 / 3
 	// mostExcess bounds how far failures lower the weight of a server.
 	mostExcess = 0.9
+	// fasterPart is the time for a request, as a part of that at the owner, below
+	// which a server is worth the move of a key that overloads its owner alone.
+	fasterPart = 0.75
 	// keyWeight is the load of all keys together, in slots, when nobody asks for
 	// them: enough to tell idle servers apart, and nothing beside real load.
 	keyWeight = 1e-3
@@ -344,13 +347,17 @@
 
 // Level moves ranges from busy servers to idle ones. It answers keys that turn
 // hot and servers that turn slow: from the busiest server goes the shortest run
-// of keys that carries about half of the difference to the idlest.
+// of keys that carries about half of the difference to the idlest. A key that is
+// too much for any server goes to the fastest.
 func Level(ranges []Range, holders []Holder, arrivals []float64) []Placed {
 	scale := newScale(ranges, holders, arrivals)
 	ranges = slices.Clone(ranges)
 	var moves []Placed
 	for range levelMoves {
 		move, n := scale.relieve(ranges)
+		if n < 0 {
+			move, n = scale.hasten(ranges)
+		}
 		if n < 0 {
 			break
 		}
@@ -402,6 +409,51 @@
 	return best, at
 }
 
+// hasten chooses the move of a key that alone is more than its owner can run to a
+// server that runs more of it, and returns the index of the range that it is part of,
+// -1 when there is none. No split would help such a key.
+func (s *scale) hasten(ranges []Range) (Placed, int) {
+	busiest, _, _ := s.extremes()
+	if busiest == 0 {
+		return Placed{}, -1
+	}
+	fastest := s.fastest()
+	turn := s.turn(busiest)
+	if s.turn(fastest) > fasterPart*turn {
+		return Placed{}, -1
+	}
+	for n, r := range ranges {
+		if r.Owner != busiest || r.Next != 0 {
+			continue
+		}
+		for key := r.From; key <= r.To; key++ {
+			if s.arrivals[key]*turn > 1 {
+				return Placed{Session: fastest, From: key, To: key}, n
+			}
+		}
+	}
+	return Placed{}, -1
+}
+
+// turn is the time in which a server with all slots in use ends one request.
+func (s *scale) turn(session uint64) float64 {
+	return s.paceOf(session) / s.slotsOf(s.holders[session])
+}
+
+// fastest is the server that ends requests fastest of those that may get ranges.
+func (s *scale) fastest() uint64 {
+	best := uint64(0)
+	for session, holder := range s.holders {
+		if !holder.Takes || s.excess(holder) >= failsMost {
+			continue
+		}
+		if best == 0 || s.turn(session) < s.turn(best) || (s.turn(session) == s.turn(best) && session < best) {
+			best = session
+		}
+	}
+	return best
+}
+
 // largest chooses the whole range that carries most of what is wanted, for load
 // that is spread over many ranges.
 func (s *scale) largest(ranges []Range, busiest, idlest uint64, wanted float64) (Placed, int) {
--- a/control/balancer/range_test.go
+++ b/control/balancer/range_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -258,3 +259,41 @@
 		})
 	}
 }
+
+// Half of all requests are about one key, more than any server can run. It goes to
+// the fastest server, which gives its other keys away.
+func TestHotKeyGoesToTheFastestServer(t *testing.T) {
+	tests := []struct {
+		name  string
+		paces []float64
+		rate  float64
+		// owner is who has the key at last.
+		owner uint64
+	}{
+		{name: "a server is twice as fast", paces: []float64{0.2, 0.16, 0.16, 0.16, 0.08}, rate: 90, owner: 5},
+		{name: "all alike", paces: []float64{0.16, 0.16, 0.17, 0.15, 0.16}, rate: 90, owner: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			holders := holdersOf(test.paces...)
+			owners := ownersOf(nil, balancer.Found(holders))
+			key := slices.Index(owners, 1)
+			arrivals := make([]float64, keys)
+			for n := range arrivals {
+				arrivals[n] = 60.0 / keys
+			}
+			arrivals[key] = test.rate
+			for range 6 {
+				owners = ownersOf(rangesOf(owners), balancer.Level(rangesOf(owners), holders, arrivals))
+			}
+			qt.Assert(t, owners[key], qt.Equals, test.owner)
+			others := 0.0
+			for n, owner := range owners {
+				if owner == test.owner && n != key {
+					others += arrivals[n]
+				}
+			}
+			qt.Assert(t, others < 3, qt.IsTrue, qt.Commentf("%.1f requests a second beside the hot key", others))
+		})
+	}
+}
