--- a/kernel/timer/instant.go
+++ b/kernel/timer/instant.go
@@ -18,7 +18,10 @@
 // itself, so tests drive it with plain values.
 package timer
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // Instant is one reading of both clocks. The zero value is the start of both.
 type Instant struct {
@@ -30,12 +33,21 @@
 
 var processStart = time.Now()
 
+// step is by how much Step moved the wall clock.
+var step atomic.Int64
+
+// Step moves the wall clock that Now reads, as an operator or a time service may.
+// Only fault tests call it.
+func Step(by time.Duration) {
+	step.Add(int64(by))
+}
+
 // Now reads both clocks.
 func Now() Instant {
 	now := time.Now()
 	return Instant{
 		Mono: now.Sub(processStart),
-		Wall: time.Duration(now.UnixNano()),
+		Wall: time.Duration(now.UnixNano() + step.Load()),
 	}
 }
 
