Serve requests for a key whose new owner learns of it late

Change: such a request goes to its owner again each 80 ms while it may wait, and an owner that is asked for a key it does not know asks the control group for news.

Test: TestEntryWaitsForALateOwner (red before).

--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -163,6 +163,7 @@
 		Gate:    p.gate,
 		Backend: p.backend,
 		Sampler: p.sampler,
+		Hasten:  p.keeper.Hasten,
 		Log:     options.Log,
 		Metrics: options.Metrics,
 	})
--- a/router/relayer/entry_test.go
+++ b/router/relayer/entry_test.go
@@ -156,3 +156,20 @@
 		qt.Assert(t, answer.Body.Close(), qt.IsNil)
 	})
 }
+
+// The map of an entry may be newer than that of the new owner of a key. The request
+// is served once the owner has the key, though the entry gets no newer map.
+func TestEntryWaitsForALateOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOwner(func(context.Context) courier.Result { return done(200, strings.NewReader("ok"), 2) })
+		o.keys.reason = messenger.ReasonMisrouted
+		time.AfterFunc(150*time.Millisecond, func() { o.keys.reason = messenger.ReasonNone })
+		entry, _ := newEntry(t, o, true)
+		begun := time.Now()
+		answer := entry.Serve(t.Context(), call("/issue/x", 7))
+		qt.Assert(t, answer.Outcome, qt.Equals, messenger.OutcomeDone)
+		qt.Assert(t, time.Since(begun) <= 250*time.Millisecond, qt.IsTrue, qt.Commentf("served after %s", time.Since(begun)))
+		qt.Assert(t, o.backend.sent, qt.Equals, 1)
+		qt.Assert(t, o.hastened > 0, qt.IsTrue, qt.Commentf("the owner asks for no news"))
+	})
+}
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -55,6 +55,9 @@
 	Gate    *queuer.Gate
 	Backend Backend
 	Sampler Sampler
+	// Hasten asks for news of the control group: others know of a key here of which
+	// this router does not know yet.
+	Hasten  func()
 	Log     *logger.Log
 	Metrics *metrics.Set
 }
@@ -142,6 +145,9 @@
 	}
 	if ranged {
 		if reason := o.options.Keys.Holds(now, uint32(relay.Key)); reason != messenger.ReasonNone {
+			if reason == messenger.ReasonMisrouted {
+				o.options.Hasten()
+			}
 			return nil, reason
 		}
 	}
--- a/router/relayer/owner_test.go
+++ b/router/relayer/owner_test.go
@@ -59,6 +59,8 @@
 	sampler *fakeSampler
 	server  *attendant.Attendant
 	gate    *queuer.Gate
+	// hastened counts how often the owner asked for news.
+	hastened int
 }
 
 const serverAddress = "10.0.0.1:8080"
@@ -69,7 +71,8 @@
 	o.server.Announce(timer.Now(), attendant.Announcement{Row: messenger.ServerRow{Name: "s1", Service: "findings", URL: serverAddress, Slots: 1, Born: 1}})
 	o.Owner = relayer.NewOwner(relayer.OwnerOptions{
 		Server: o.server, Keys: o.keys, Gate: o.gate, Backend: o.backend, Sampler: o.sampler,
-		Log: logger.Discard(), Metrics: metrics.NewSet(),
+		Hasten: func() { o.hastened++ },
+		Log:    logger.Discard(), Metrics: metrics.NewSet(),
 	})
 	return o
 }
--- a/router/relayer/trip.go
+++ b/router/relayer/trip.go
@@ -168,6 +168,12 @@
 			return true
 		case <-hasten.C:
 			t.entry.options.Hasten()
+			if reason == messenger.ReasonMisrouted {
+				// The owner may learn of the key later than this router did, and
+				// then no newer map comes.
+				t.tried = nil
+				return true
+			}
 		case <-expiry.C:
 			return false
 		case <-ctx.Done():
