Tell soon what changes while a heartbeat is on its way

Cause, found by a test of a stopped router: twelve ranges are released within a millisecond, the first wakes the keeper, and the other eleven find a heartbeat on its way and were told with the regular one, 300 ms later. Their keys had no owner meanwhile.

Change: a wake-up that finds a heartbeat on its way comes again after 75 ms.

Test: TestChangeDuringAHeartbeatIsToldSoon (red before).

--- a/router/keeper/core.go
+++ b/router/keeper/core.go
@@ -87,6 +87,17 @@
 	return step
 }
 
+// nudge is the event that something in the heartbeat changed. When one is on its way
+// without the change, the next follows soon.
+func (c *core) nudge(now timer.Instant) step {
+	if c.pending == nil {
+		return c.tick(now)
+	}
+	step := c.check(now)
+	step.soon = true
+	return step
+}
+
 // check ends the session, or only the lease, when its time is over.
 func (c *core) check(now timer.Instant) step {
 	if c.session == 0 {
--- a/router/keeper/keeper.go
+++ b/router/keeper/keeper.go
@@ -181,7 +181,7 @@
 		case <-ticker.C:
 			k.act(ctx, k.core.tick(timer.Now()))
 		case <-k.nudge:
-			k.act(ctx, k.core.tick(timer.Now()))
+			k.act(ctx, k.core.nudge(timer.Now()))
 		case <-lapse.C:
 			k.act(ctx, k.core.check(timer.Now()))
 		case result := <-k.results:
--- a/router/keeper/keeper_test.go
+++ b/router/keeper/keeper_test.go
@@ -205,3 +205,17 @@
 		qt.Assert(t, last.Session, qt.Equals, uint64(1))
 	})
 }
+
+// A change that comes while a heartbeat is on its way is told with the next one, and
+// that does not wait for the usual interval.
+func TestChangeDuringAHeartbeatIsToldSoon(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		time.Sleep(3*messenger.HeartbeatInterval - 60*time.Millisecond)
+		before := len(w.control.accepted())
+		w.keeper.Nudge()
+		time.Sleep(500 * time.Microsecond)
+		w.keeper.Nudge()
+		time.Sleep(keeper.HastenInterval + 5*time.Millisecond)
+		qt.Assert(t, len(w.control.accepted())-before, qt.Equals, 2)
+	})
+}
