Serve a key that moves until its owner has released it

Cause: an entry whose map said that a key moves held its requests until the next owner was known. The owner learns of the move up to a heartbeat later, and serves until then.

Change: such requests go to the owner, and wait only once it refuses.

Tests: TestEntryServesAMovingKey (red before); two tests now let the owner refuse, which they took for granted.

--- a/router/relayer/trip.go
+++ b/router/relayer/trip.go
@@ -136,12 +136,21 @@
 	switch {
 	case server == nil:
 		return nil, messenger.ReasonUnowned
+	case !slices.Contains(t.tried, server.Session):
+		// The owner of a key that moves serves it until it has released it.
+		return server, messenger.ReasonNone
 	case holding.Phase == messenger.PhaseMoving:
 		return nil, messenger.ReasonMoving
-	case slices.Contains(t.tried, server.Session):
-		return nil, messenger.ReasonMisrouted
 	}
-	return server, messenger.ReasonNone
+	return nil, messenger.ReasonMisrouted
+}
+
+// awaited is what a request waits for that the owner of its key did not take.
+func (t *trip) awaited(routes *mapper.Map) messenger.Reason {
+	if _, holding := routes.Owner(t.service, uint32(t.call.Key)); holding.Phase == messenger.PhaseMoving {
+		return messenger.ReasonMoving
+	}
+	return messenger.ReasonMisrouted
 }
 
 // wait waits for a newer map, when the request can still be served then.
@@ -269,7 +278,8 @@
 		if t.keyless {
 			return Answer{}, true
 		}
-		if t.wait(ctx, t.entry.options.Mapper.Load(), messenger.ReasonMisrouted) {
+		routes := t.entry.options.Mapper.Load()
+		if t.wait(ctx, routes, t.awaited(routes)) {
 			return Answer{}, true
 		}
 	case messenger.ReasonQueue, messenger.ReasonDeadline:
