--- a/bench/launcher/routed_test.go
+++ b/bench/launcher/routed_test.go
@@ -263,3 +263,45 @@
 		}
 	})
 }
+
+// A router that is stopped beside a living backend server works on while callers find
+// another, and gives its keys away before it ends. No request fails meanwhile.
+func TestStoppedRouterWorksOnAtFirst(t *testing.T) {
+	folder := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		c := &routes{t: t, world: disrupter.New(latency), routers: map[string]*router.Routed{}, servers: map[string]*rangedServer{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c.startControl(folder)
+		time.Sleep(2 * time.Second)
+		beside, gone := context.WithCancel(ctx)
+		defer gone()
+		c.startVM(beside, "v1")
+		c.startVM(ctx, "v2")
+		status, body, _ := c.do("v1", "PUT", "http://c1:7001/v1/configuration", deskConfiguration, http.Header{})
+		qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+		time.Sleep(4 * time.Second)
+
+		stopped := make(chan error, 1)
+		begun := time.Now()
+		go func() { stopped <- c.routers["v1"].Stop(context.Background()) }()
+		last := time.Duration(0)
+		for time.Since(begun) < 4*time.Second {
+			for key := 512; key <= messenger.LastKey; key += 4096 {
+				status, body, _ := c.ask("v2", key)
+				qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("key %d after %v: %s", key, time.Since(begun), body))
+				if strings.HasPrefix(body, "s-v1 ") {
+					last = time.Since(begun)
+				}
+			}
+			time.Sleep(20 * time.Millisecond)
+			if time.Since(begun) > 1900*time.Millisecond {
+				gone()
+			}
+		}
+		qt.Assert(t, last >= 1500*time.Millisecond && last <= 2700*time.Millisecond, qt.IsTrue, qt.Commentf("server worked for %v", last))
+		qt.Assert(t, <-stopped, qt.IsNil)
+		cancel()
+		qt.Assert(t, c.routers["v2"].Stop(context.Background()), qt.IsNil)
+	})
+}
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -50,6 +50,9 @@
 	// stopMargin is the part of the grace that the process does not use, since it
 	// is killed at its end.
 	stopMargin = 250 * time.Millisecond
+	// yieldPart is the part of the grace after which a stopping router gives its keys
+	// away. Until callers have gone, which takes goneTime, its server can work on.
+	yieldPart = 0.3
 	// stopReserve is the part of the grace that is left for requests in flight
 	// when no new ones are taken any more.
 	stopReserve = 0.35
@@ -77,7 +80,10 @@
 	settings RoutedSettings
 	options  RoutedOptions
 	kernel   *registrar.Registrar
+	// leaving says that callers are to go elsewhere, yielding that keys and requests
+	// of other routers are.
 	leaving  atomic.Bool
+	yielding atomic.Bool
 	// abandon ends the keeper without a word to the control group.
 	abandon context.CancelFunc
 
@@ -377,19 +383,22 @@
 	return p.ready.Stop(ctx)
 }
 
-// drain gives the keys away and lets callers find another router. Requests are
+// drain lets callers find another router and gives the keys away. Requests are
 // served as before meanwhile.
 func (p *Routed) drain(ctx context.Context) error {
 	begun := time.Now()
 	p.leaving.Store(true)
 	p.callers.SetKeepAlivesEnabled(false)
-	p.keeper.Nudge()
 	limit := time.Duration((1 - stopReserve) * float64(p.settings.Grace))
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	yield := time.Duration(yieldPart * float64(p.settings.Grace))
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
 	for time.Since(begun) < goneTime || !p.holder.IsEmpty() || !p.isIdle() {
+		if time.Since(begun) >= yield && !p.yielding.Swap(true) {
+			p.keeper.Nudge()
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/router/assembler/routed_steward.go
+++ b/router/assembler/routed_steward.go
@@ -20,7 +20,7 @@
 	heartbeat.Server = view.Row
 	heartbeat.State = view.State
 	heartbeat.Revision = routes.Revision
-	heartbeat.Leaving = p.leaving.Load()
+	heartbeat.Leaving = p.yielding.Load()
 	heartbeat.Freed = p.holder.Freed()
 	heartbeat.Members = messenger.SumOf(p.members)
 	heartbeat.Unreached = p.unreached()
