Send routers the members of the control group

Cause: the answer to a heartbeat is encoded by a type of its own, which had no field for the members, so routers never learned them. They knew the seeds of their settings, what redirects named and, once nobody answered, the settings as they were then.

Change: the type has all fields of the answer.

Test: TestHeartbeatIsAnsweredAsAsked with members (red before). Found when fields were to be sent without their names, which this type did not survive.

--- a/control/receiver/encoder.go
+++ b/control/receiver/encoder.go
@@ -11,8 +11,8 @@
 // maxEncoded is how many encoded deltas are kept.
 const maxEncoded = 32
 
-// wireAnswer is a messenger.HeartbeatAnswer whose delta is encoded already. The
-// names of its fields are those of the message.
+// wireAnswer is a messenger.HeartbeatAnswer whose delta is encoded already. It has the
+// same fields in the same order.
 type wireAnswer struct {
 	Status   messenger.HeartbeatStatus
 	Session  uint64
@@ -20,6 +20,7 @@
 	Leader   string
 	Delta    msgpack.RawMessage
 	More     bool
+	Members  []string
 }
 
 // encoder encodes each delta once, however many routers get it: the state
@@ -49,6 +50,7 @@
 		Sequence: answer.Sequence,
 		Leader:   answer.Leader,
 		More:     answer.More,
+		Members:  answer.Members,
 	}
 	if answer.Delta == nil {
 		wire.Delta = encodedNil
--- a/control/receiver/receiver_test.go
+++ b/control/receiver/receiver_test.go
@@ -51,6 +51,7 @@
 	tests := []*messenger.HeartbeatAnswer{
 		{Status: messenger.HeartbeatAlive, Session: 5, Sequence: 9, Delta: delta, More: true},
 		{Status: messenger.HeartbeatAlive, Session: 6, Sequence: 2, Delta: delta},
+		{Status: messenger.HeartbeatAlive, Session: 6, Sequence: 3, Members: []string{"127.0.0.1:7", "127.0.0.1:8"}},
 		{Status: messenger.HeartbeatRedirect, Leader: "127.0.0.1:9"},
 	}
 	replica := &fakeReplica{}
