--- a/control/supervisor/slope_test.go
+++ b/control/supervisor/slope_test.go
@@ -1,6 +1,7 @@
 package supervisor_test
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"testing"
@@ -59,10 +60,13 @@
 	return answer
 }
 
+// size is the size of a message as it is sent over a link.
 func size(b *testing.B, message any) float64 {
-	data, err := msgpack.Marshal(message)
-	qt.Assert(b, err, qt.IsNil)
-	return float64(len(data))
+	var data bytes.Buffer
+	encoder := msgpack.NewEncoder(&data)
+	encoder.UseArrayEncodedStructs(true)
+	qt.Assert(b, encoder.Encode(message), qt.IsNil)
+	return float64(data.Len())
 }
 
 func BenchmarkHeartbeat(b *testing.B) {
