Answer requests on their way on idle connections when a router is stopped

A connection on which a request is being read counts as idle until its header is whole. The request was passed on 2 ms after its connection had been closed.

Change: answers of a stopping router say Connection: close, and idle connections stay until callers have gone.

Test: TestStopAnswersARequestOnItsWay.

--- a/bench/launcher/routed_test.go
+++ b/bench/launcher/routed_test.go
@@ -1,6 +1,7 @@
 package launcher_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -305,3 +306,48 @@
 		qt.Assert(t, c.routers["v2"].Stop(context.Background()), qt.IsNil)
 	})
 }
+
+// A request that is on its way when its router is told to stop is answered, also on a
+// connection that was idle before. The answer says that the connection ends.
+func TestStopAnswersARequestOnItsWay(t *testing.T) {
+	folder := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		c := &routes{t: t, world: disrupter.New(latency), routers: map[string]*router.Routed{}, servers: map[string]*rangedServer{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c.startControl(folder)
+		time.Sleep(2 * time.Second)
+		c.startVM(ctx, "v1")
+		status, body, _ := c.do("v1", "PUT", "http://c1:7001/v1/configuration", deskConfiguration, http.Header{})
+		qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+		time.Sleep(4 * time.Second)
+
+		conn, err := c.world.Node("v1").Dial(t.Context(), "v1:8000")
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		const request = "GET /certificates/1 HTTP/1.1\r\nHost: desk.example\r\nMarigold-Key: 7\r\n\r\n"
+		answered := func() *http.Response {
+			answer, err := http.ReadResponse(reader, nil)
+			qt.Assert(t, err, qt.IsNil)
+			_, err = io.ReadAll(answer.Body)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, answer.StatusCode, qt.Equals, http.StatusOK)
+			return answer
+		}
+		_, err = io.WriteString(conn, request)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, answered().Close, qt.IsFalse)
+		_, err = io.WriteString(conn, request[:40])
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(10 * time.Millisecond)
+		stopped := make(chan error, 1)
+		go func() { stopped <- c.routers["v1"].Stop(context.Background()) }()
+		time.Sleep(50 * time.Millisecond)
+		_, err = io.WriteString(conn, request[40:])
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, answered().Close, qt.IsTrue)
+		cancel()
+		qt.Assert(t, <-stopped, qt.IsNil)
+	})
+}
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -334,7 +334,7 @@
 		return Error.New("listening for callers: %w", err)
 	}
 	p.callers = &http.Server{
-		Handler:           p.options.Callers(p.entry),
+		Handler:           p.parting(p.options.Callers(p.entry)),
 		ReadHeaderTimeout: callerHeader,
 		IdleTimeout:       callerIdle,
 	}
@@ -342,6 +342,18 @@
 	return nil
 }
 
+// parting ends the connections of callers with an answer once the process stops.
+// SetKeepAlivesEnabled would close idle ones at once, and with them requests that are
+// being read.
+func (p *Routed) parting(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 func (p *Routed) serveCallers(socket net.Listener) {
 	// Serve always ends with an error; after a stop it says nothing.
 	if err := p.callers.Serve(socket); err != nil && !p.leaving.Load() {
@@ -388,7 +400,6 @@
 func (p *Routed) drain(ctx context.Context) error {
 	begun := time.Now()
 	p.leaving.Store(true)
-	p.callers.SetKeepAlivesEnabled(false)
 	limit := time.Duration((1 - stopReserve) * float64(p.settings.Grace))
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
