--- a/router/relayer/entry_test.go
+++ b/router/relayer/entry_test.go
@@ -84,7 +84,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				o := newOwner(func(context.Context) courier.Result { return done(200, strings.NewReader("ok"), 2) })
 				if test.released {
-					o.keys.reason = messenger.ReasonMoving
+					o.keys.set(messenger.ReasonMoving)
 				}
 				entry, _ := newEntry(t, o, test.configured)
 				begun := time.Now()
@@ -148,10 +148,10 @@
 func TestEntryWaitsForTheNewOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := newOwner(func(context.Context) courier.Result { return done(200, strings.NewReader("ok"), 2) })
-		o.keys.reason = messenger.ReasonMoving
+		o.keys.set(messenger.ReasonMoving)
 		entry, routes := newEntry(t, o, true)
 		time.AfterFunc(200*time.Millisecond, func() {
-			o.keys.reason = messenger.ReasonNone
+			o.keys.set(messenger.ReasonNone)
 			qt.Check(t, routes.Apply(&messenger.TableDelta{From: 1, To: 2, Ranges: []messenger.RangeRow{
 				{Service: "findings", From: 200, To: 299, Phase: messenger.PhaseOwned, Owner: ownSession, Fence: 3},
 			}}), qt.IsNil)
@@ -169,8 +169,8 @@
 func TestEntryWaitsForALateOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := newOwner(func(context.Context) courier.Result { return done(200, strings.NewReader("ok"), 2) })
-		o.keys.reason = messenger.ReasonMisrouted
-		time.AfterFunc(150*time.Millisecond, func() { o.keys.reason = messenger.ReasonNone })
+		o.keys.set(messenger.ReasonMisrouted)
+		time.AfterFunc(150*time.Millisecond, func() { o.keys.set(messenger.ReasonNone) })
 		entry, _ := newEntry(t, o, true)
 		begun := time.Now()
 		answer := entry.Serve(t.Context(), call("/issue/x", 7))
--- a/router/relayer/owner_test.go
+++ b/router/relayer/owner_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,9 +38,14 @@
 	return f.act(ctx)
 }
 
-type fakeKeys struct{ reason messenger.Reason }
+type fakeKeys struct{ reason atomic.Value }
 
-func (f *fakeKeys) Holds(timer.Instant, uint32) messenger.Reason { return f.reason }
+func (f *fakeKeys) set(reason messenger.Reason) { f.reason.Store(reason) }
+
+func (f *fakeKeys) Holds(timer.Instant, uint32) messenger.Reason {
+	reason, _ := f.reason.Load().(messenger.Reason)
+	return reason
+}
 
 type fakeSampler struct {
 	arrived  int
@@ -112,7 +118,7 @@
 		{name: "server failed it", key: 7, result: done(500, strings.NewReader("no"), 2), want: messenger.OutcomeDone, body: "no", sent: 1, judged: []bool{true}},
 		{name: "cut short", key: 7, result: done(200, broken{strings.NewReader("bo")}, 4), want: messenger.OutcomeUnknown, reason: messenger.ReasonTruncated, sent: 1, judged: []bool{true}},
 		{name: "shed", key: 7, result: courier.Result{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonShed, Sent: true}, want: messenger.OutcomeRefused, reason: messenger.ReasonShed, sent: 1, judged: []bool{true}},
-		{name: "key is not held", key: 7, prepare: func(o *owner) { o.keys.reason = messenger.ReasonMoving }, want: messenger.OutcomeRefused, reason: messenger.ReasonMoving},
+		{name: "key is not held", key: 7, prepare: func(o *owner) { o.keys.set(messenger.ReasonMoving) }, want: messenger.OutcomeRefused, reason: messenger.ReasonMoving},
 		{name: "other service", key: messenger.NoKey, prepare: func(o *owner) { o.server.Withdraw(timer.Now(), "s1") }, result: done(200, strings.NewReader("body"), 4), want: messenger.OutcomeDone, body: "body", sent: 1, judged: []bool{false}},
 	}
 	for _, test := range tests {
