Take an answer that came before the request was sent whole

A peer that answers and leaves before the caller has ended its side resets the stream; the caller took the failed end of its own side for the end of the call, with the answer already there. Between routers that turns a refusal into an unknown outcome.

Change: a caller whose sending was reset still receives, in linker.Call and where a request goes to the router of its owner.

Test: TestCallTakesAnEarlyAnswer, 300 calls whose answers come first (red before).

--- a/kernel/linker/linker_test.go
+++ b/kernel/linker/linker_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -150,3 +151,25 @@
 		qt.Check(t, counter.Get(), qt.Equals, uint64(1), qt.Commentf("%s", test.reason))
 	}
 }
+
+// A peer may answer and leave before the caller has ended its side of the stream.
+func TestCallTakesAnEarlyAnswer(t *testing.T) {
+	early := func(_ context.Context, _ *linker.Link, stream *linker.Stream) {
+		_ = stream.Send(&messenger.OutcomeAnswer{Body: []byte("early")})
+		_ = stream.CloseWrite()
+	}
+	server, err := linker.Listen(networker.TCP{}, "127.0.0.1:0", linker.Options{Hello: hello, Handler: early})
+	qt.Assert(t, err, qt.IsNil)
+	pool := linker.NewPool(networker.TCP{}, linker.Options{Hello: hello})
+	t.Cleanup(func() {
+		pool.Close()
+		qt.Check(t, server.Close(), qt.IsNil)
+	})
+	query := &messenger.OutcomeQuery{Key: strings.Repeat("k", 200_000)}
+	for range 300 {
+		answer, err := linker.Call[messenger.OutcomeQuery, messenger.OutcomeAnswer](
+			t.Context(), pool, server.Address(), messenger.KindOutcome, query)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(answer.Body), qt.Equals, "early")
+	}
+}
--- a/kernel/linker/pool.go
+++ b/kernel/linker/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -141,11 +142,14 @@
 		return nil, err
 	}
 	defer stream.Close()
-	if err := stream.Send(query); err != nil {
-		return nil, err
-	}
-	if err := stream.CloseWrite(); err != nil {
-		return nil, err
+	sending := stream.Send(query)
+	if sending == nil {
+		sending = stream.CloseWrite()
+	}
+	// A peer that has answered early leaves the stream, which resets it; its answer is
+	// there all the same.
+	if sending != nil && !errors.Is(sending, ErrReset) {
+		return nil, sending
 	}
 	answer := new(A)
 	if err := stream.Receive(answer); err != nil {
--- a/router/relayer/trip.go
+++ b/router/relayer/trip.go
@@ -393,11 +393,14 @@
 		return nil, Error.New("sending the head: %w: %w", errUnsent, err)
 	}
 	if whole {
-		if _, err := io.Copy(stream, body); err != nil {
-			return nil, Error.New("sending the body: %w", err)
+		_, err := io.Copy(stream, body)
+		if err == nil {
+			err = stream.CloseWrite()
 		}
-		if err := stream.CloseWrite(); err != nil {
-			return nil, Error.New("ending the body: %w", err)
+		// An owner that refuses answers before it has read the body and leaves the
+		// stream, which resets it.
+		if err != nil && !errors.Is(err, linker.ErrReset) {
+			return nil, Error.New("sending the body: %w", err)
 		}
 	} else {
 		go pump(stream, body)
