Keep the leader alive when the only server that takes keys fails them

Cause, found by reading the change: failures were judged against the middle of all servers that do not leave, those that are down with their 0 among them. A last ready server that failed most requests was then the exception, no server was left to choose, and the search for the fastest one dereferenced nil: the leader would have crashed, and each leader after it. Free keys would have stayed without an owner.

Change: only servers that take ranges are compared, and without a fastest one nothing moves. hasten is now called toFastest.

Test: TestLastServerKeepsItsKeysThoughItFails (a panic before).

--- a/control/balancer/range.go
+++ b/control/balancer/range.go
@@ -144,9 +144,8 @@
 	load map[uint64]float64
 	keys map[uint64]float64
 	pace float64
-	// failing is the middle share of failures of all servers. A server is judged
-	// by how far it is above that: all fail alike when a service that they call
-	// does.
+	// failing is the middle share of failures. A server is judged by how far it is
+	// above that: all fail alike when a service that they call does.
 	failing float64
 }
 
@@ -184,10 +183,12 @@
 	return sum / float64(count)
 }
 
+// middleFailing is the middle share of failures of the servers that take ranges. At
+// least half of them are then no worse than it, so that some can always be chosen.
 func middleFailing(holders []Holder) float64 {
 	var shares []float64
 	for _, holder := range holders {
-		if !holder.Leaves {
+		if holder.Takes {
 			shares = append(shares, holder.Failing)
 		}
 	}
@@ -356,7 +357,7 @@
 	for range levelMoves {
 		move, n := scale.relieve(ranges)
 		if n < 0 {
-			move, n = scale.hasten(ranges)
+			move, n = scale.toFastest(ranges)
 		}
 		if n < 0 {
 			break
@@ -409,15 +410,15 @@
 	return best, at
 }
 
-// hasten chooses the move of a key that alone is more than its owner can run to a
+// toFastest chooses the move of a key that alone is more than its owner can run to a
 // server that runs more of it, and returns the index of the range that it is part of,
 // -1 when there is none. No split would help such a key.
-func (s *scale) hasten(ranges []Range) (Placed, int) {
+func (s *scale) toFastest(ranges []Range) (Placed, int) {
 	busiest, _, _ := s.extremes()
-	if busiest == 0 {
+	fastest := s.fastest()
+	if busiest == 0 || fastest == 0 {
 		return Placed{}, -1
 	}
-	fastest := s.fastest()
 	turn := s.turn(busiest)
 	if s.turn(fastest) > fasterPart*turn {
 		return Placed{}, -1
@@ -444,7 +445,7 @@
 func (s *scale) fastest() uint64 {
 	best := uint64(0)
 	for session, holder := range s.holders {
-		if !holder.Takes || s.excess(holder) >= failsMost {
+		if !holder.Takes || holder.Slots <= 0 || s.excess(holder) >= failsMost {
 			continue
 		}
 		if best == 0 || s.turn(session) < s.turn(best) || (s.turn(session) == s.turn(best) && session < best) {
--- a/control/balancer/range_test.go
+++ b/control/balancer/range_test.go
@@ -297,3 +297,26 @@
 		})
 	}
 }
+
+// The only server that takes keys fails them, and the others are down: it keeps what it
+// has and gets what is free, since nobody else would serve it.
+func TestLastServerKeepsItsKeysThoughItFails(t *testing.T) {
+	holders := holdersOf(0.1, 0.1, 0.1, 0.1)
+	for n := range holders[1:] {
+		holders[n+1].Takes = false
+	}
+	holders[0].Failing = 0.9
+	arrivals := make([]float64, keys)
+	arrivals[7] = 500
+	owned := make([]uint64, keys)
+	for key := range owned[:keys/2] {
+		owned[key] = 1
+	}
+	ranges := rangesOf(owned)
+	qt.Assert(t, balancer.Shun(ranges, holders, arrivals), qt.HasLen, 0)
+	qt.Assert(t, balancer.Level(ranges, holders, arrivals), qt.HasLen, 0)
+	filled := ownersOf(ranges, balancer.Fill(ranges, holders, arrivals))
+	for key, owner := range filled {
+		qt.Assert(t, owner, qt.Equals, uint64(1), qt.Commentf("key %d", key))
+	}
+}
