Judge a server only by what it ends

Cause, found by reading the change: a caller that left in the middle of a large answer counted as a failure of the server, which lowers its weight and may take its keys.

Change: an answer counts when it is whole, or when the server's connection ended it and the caller was still there.

Test: TestOnlyTheServerIsJudgedByItsAnswers, caller leaves (red before).

--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -179,12 +179,15 @@
 		o.log(relay, answer, "no answer of the server", result.Err)
 		return answer, nil
 	}
-	finish := func(served bool) {
+	finish := func(served bool, failure error) {
+		left := errors.Is(ctx.Err(), context.Canceled)
 		cancel()
 		took := time.Since(sent)
 		well := served && result.Status < http.StatusInternalServerError
 		slot.Release(well)
-		o.options.Sampler.Judged(!well)
+		if served || (failure != nil && !left) {
+			o.options.Sampler.Judged(!well)
+		}
 		if served {
 			o.options.Sampler.Finished(took)
 			o.took.Update(took.Seconds())
@@ -202,7 +205,7 @@
 	}
 	content, err := io.ReadAll(result.Body)
 	_ = result.Body.Close()
-	finish(err == nil)
+	finish(err == nil, err)
 	if err != nil {
 		answer = &messenger.RelayAnswer{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonTruncated, Ran: true}
 		o.log(relay, answer, "answer broke off", err)
@@ -246,17 +249,22 @@
 	return &messenger.RelayAnswer{Outcome: messenger.OutcomeRefused, Reason: reason, RetryAfter: after}
 }
 
-// tail is a large body; finish is called once at its end.
+// tail is a large body; finish is called once at its end, with the error of the server's
+// connection that ended it, if any.
 type tail struct {
 	io.ReadCloser
-	finish func(served bool)
-	whole  bool
-	closed bool
+	finish  func(served bool, failure error)
+	failure error
+	whole   bool
+	closed  bool
 }
 
 // Read implements io.Reader.
 func (t *tail) Read(data []byte) (int, error) {
 	n, err := t.ReadCloser.Read(data)
+	if err != nil && !errors.Is(err, io.EOF) {
+		t.failure = err
+	}
 	t.whole = t.whole || errors.Is(err, io.EOF)
 	return n, err
 }
@@ -268,6 +276,6 @@
 	}
 	t.closed = true
 	err := t.ReadCloser.Close()
-	t.finish(t.whole)
+	t.finish(t.whole, t.failure)
 	return err
 }
--- a/router/relayer/owner_test.go
+++ b/router/relayer/owner_test.go
@@ -194,3 +194,30 @@
 		qt.Assert(t, o.backend.sent, qt.Equals, 1)
 	})
 }
+
+// A caller that leaves in the middle of a large answer says nothing of the server; an
+// answer that the server breaks off does.
+func TestOnlyTheServerIsJudgedByItsAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		body   io.Reader
+		read   bool
+		judged []bool
+	}{
+		{name: "whole", body: strings.NewReader("body"), read: true, judged: []bool{false}},
+		{name: "caller leaves", body: strings.NewReader("body")},
+		{name: "server breaks off", body: broken{strings.NewReader("bo")}, read: true, judged: []bool{true}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			o := newOwner(func(context.Context) courier.Result { return done(200, test.body, -1) })
+			_, body := o.Run(t.Context(), relay(7), nil)
+			if test.read {
+				_, _ = io.ReadAll(body)
+			}
+			qt.Assert(t, body.Close(), qt.IsNil)
+			qt.Assert(t, o.sampler.judged, qt.DeepEquals, test.judged)
+			qt.Assert(t, o.gate.Work().Running, qt.Equals, 0)
+		})
+	}
+}
