--- a/bench/launcher/routed_test.go
+++ b/bench/launcher/routed_test.go
@@ -114,6 +114,21 @@
 	servers map[string]*rangedServer
 }
 
+// newRoutes starts a control group.
+func newRoutes(t *testing.T, folder string) *routes {
+	c := &routes{t: t, world: disrupter.New(latency), routers: map[string]*router.Routed{}, servers: map[string]*rangedServer{}}
+	c.startControl(folder)
+	time.Sleep(2 * time.Second) // for an election
+	return c
+}
+
+// configure puts the configuration into force and waits until keys are granted.
+func (c *routes) configure() {
+	status, body, _ := c.do("c1", "PUT", "http://c1:7001/v1/configuration", deskConfiguration, http.Header{})
+	qt.Assert(c.t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+	time.Sleep(4 * time.Second)
+}
+
 func (c *routes) startControl(folder string) {
 	names := []string{"c1", "c2", "c3"}
 	for _, name := range names {
@@ -205,20 +220,16 @@
 func TestRoutesOfAConfiguration(t *testing.T) {
 	folder := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
-		c := &routes{t: t, world: disrupter.New(latency), routers: map[string]*router.Routed{}, servers: map[string]*rangedServer{}}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		c.startControl(folder)
-		time.Sleep(2 * time.Second)
+		c := newRoutes(t, folder)
 		leaving, leave := context.WithCancel(ctx)
 		defer leave()
 		c.startVM(leaving, "v1")
 		c.startVM(ctx, "v2")
 		status, _, _ := c.ask("v1", 7)
 		qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
-		status, body, _ := c.do("v1", "PUT", "http://c1:7001/v1/configuration", deskConfiguration, http.Header{})
-		qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
-		time.Sleep(4 * time.Second)
+		c.configure()
 		status, _, _ = c.do("v1", "GET", "http://v1:8004/ready", "", http.Header{})
 		qt.Assert(t, status, qt.Equals, http.StatusOK)
 
@@ -232,7 +243,7 @@
 		}
 		qt.Assert(t, ran["s-v1"] > 16 && ran["s-v2"] > 16, qt.IsTrue, qt.Commentf("%v", ran))
 
-		status, body, _ = c.do("v1", "GET", "http://c1:7001/v1/explain?service=findings&key=4711", "", http.Header{})
+		status, body, _ := c.do("v1", "GET", "http://c1:7001/v1/explain?service=findings&key=4711", "", http.Header{})
 		qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
 		var explained messenger.Explanation
 		qt.Assert(t, json.Unmarshal([]byte(body), &explained), qt.IsNil)
@@ -274,18 +285,14 @@
 func TestStoppedRouterWorksOnAtFirst(t *testing.T) {
 	folder := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
-		c := &routes{t: t, world: disrupter.New(latency), routers: map[string]*router.Routed{}, servers: map[string]*rangedServer{}}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		c.startControl(folder)
-		time.Sleep(2 * time.Second)
+		c := newRoutes(t, folder)
 		beside, gone := context.WithCancel(ctx)
 		defer gone()
 		c.startVM(beside, "v1")
 		c.startVM(ctx, "v2")
-		status, body, _ := c.do("v1", "PUT", "http://c1:7001/v1/configuration", deskConfiguration, http.Header{})
-		qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
-		time.Sleep(4 * time.Second)
+		c.configure()
 
 		stopped := make(chan error, 1)
 		begun := time.Now()
@@ -316,15 +323,11 @@
 func TestStopAnswersARequestOnItsWay(t *testing.T) {
 	folder := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
-		c := &routes{t: t, world: disrupter.New(latency), routers: map[string]*router.Routed{}, servers: map[string]*rangedServer{}}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		c.startControl(folder)
-		time.Sleep(2 * time.Second)
+		c := newRoutes(t, folder)
 		c.startVM(ctx, "v1")
-		status, body, _ := c.do("v1", "PUT", "http://c1:7001/v1/configuration", deskConfiguration, http.Header{})
-		qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
-		time.Sleep(4 * time.Second)
+		c.configure()
 
 		conn, err := c.world.Node("v1").Dial(t.Context(), "v1:8000")
 		qt.Assert(t, err, qt.IsNil)
--- a/control/administrator/operation.go
+++ b/control/administrator/operation.go
@@ -42,7 +42,7 @@
 		return settled(err)
 	}
 	if found == nil {
-		return refuse(http.StatusNotFound, "absent", "no service is named "+question.Service)
+		return refuse(http.StatusNotFound, "absent", "no service is named "+question.Service+", or it has no such key")
 	}
 	return c.JSON(http.StatusOK, found)
 }
