Log which server a range call was for and why ranges became free

The logs could not tell apart whether a server took a range under the fence of its predecessor, whether a grant arrived late, or whether keys were reported free too early: accepted grants left no line, no line named the server or its start, and none gave the cause for which keys were free.

Event 322 has server, born and took, and is also written for the first accepted grant of a range; event 323 gives the cause of each freed range. Both are counted (marigold_range_calls_total, marigold_ranges_freed_total). Decisions are the same, except that freed keys keep their handover when the server ends afterwards.

--- a/kernel/logger/router.go
+++ b/kernel/logger/router.go
@@ -17,12 +17,13 @@
 	RecordsRecovered    = Event{320, hclog.Info, "records of the previous owner recovered"}
 	RecordsCopied       = Event{321, hclog.Info, "records copied to a joining recorder"}
 	RangeCallCompleted  = Event{322, hclog.Info, "backend server called to grant or release a key range"}
+	RangesFreed         = Event{323, hclog.Info, "key range is free: the backend server no longer holds it"}
 	RequestStalled      = Event{330, hclog.Warn, "background request stalled"}
 )
 
 func routerEvents() []Event {
 	return []Event{
 		LeaseAcquired, LeaseLost, LeaseReleased, ControlUnreachable, ControlReachable, ServerAnnounced, AnnouncementIgnored, ServerStateChanged, ServerLoad, ServerTerminated,
-		RecordsRecovered, RecordsCopied, RangeCallCompleted, RequestStalled,
+		RecordsRecovered, RecordsCopied, RangeCallCompleted, RangesFreed, RequestStalled,
 	}
 }
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -166,6 +166,7 @@
 		Lease:    p.keeper.Lease,
 		OnChange: p.keeper.RequestHeartbeat,
 		Log:      options.Log,
+		Metrics:  options.Metrics,
 	})
 	p.owner = relayer.NewOwner(relayer.OwnerOptions{
 		Server:        p.server,
--- a/router/holder/holder.go
+++ b/router/holder/holder.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/zeebo/errs"
 
 	"marigoldhill/kernel/logger"
@@ -59,6 +60,8 @@
 	// OnChange is called when keys have become free.
 	OnChange func()
 	Log      *logger.Log
+	// Metrics gets the counters of calls and of freed ranges.
+	Metrics *metrics.Set
 }
 
 // Holder grants and releases the keys of one backend server. It is safe for concurrent
@@ -74,6 +77,9 @@
 
 // New returns a Holder without keys.
 func New(options Options) *Holder {
+	if options.Metrics == nil {
+		options.Metrics = metrics.NewSet()
+	}
 	return &Holder{options: options, wake: make(chan struct{}, 1), stateMachine: newStateMachine("")}
 }
 
@@ -92,6 +98,7 @@
 	}
 	h.server = server
 	h.stateMachine.setRanges(timer.Now(), rows, server.Born)
+	h.logFreed()
 	h.signal()
 }
 
@@ -100,6 +107,7 @@
 func (h *Holder) ServerTerminated() {
 	h.mu.Lock()
 	h.stateMachine.serverTerminated()
+	h.logFreed()
 	h.mu.Unlock()
 	h.options.OnChange()
 }
@@ -167,6 +175,7 @@
 	freedBefore := len(h.stateMachine.freed())
 	if server != nil {
 		calls = h.stateMachine.plan(now, leaseRemaining)
+		h.logFreed()
 	}
 	changed := len(h.stateMachine.freed()) != freedBefore
 	h.mu.Unlock()
@@ -193,12 +202,10 @@
 	} else {
 		result, err = h.options.Caller.Grant(ctx, server.URL, call)
 	}
-	if result != Accepted || call.Release {
-		h.options.Log.Emit(logger.RangeCallCompleted, "service", call.Service, "from", call.From, "to", call.To,
-			"fence", call.Fence, "release", call.Release, "verdict", result.String(), "hold", call.Hold.String(), "error", err)
-	}
+	h.logCall(server, call, result, err)
 	h.mu.Lock()
 	stateMachine.endCall(timer.Now(), call, result, handover)
+	h.logFreed()
 	hasFreed := len(h.stateMachine.freed()) > 0
 	h.mu.Unlock()
 	if hasFreed {
@@ -207,6 +214,33 @@
 	h.signal()
 }
 
+// logCall counts a call and logs it unless it is a renewal that was accepted.
+func (h *Holder) logCall(server *messenger.ServerRow, call *Call, result CallResult, err error) {
+	kind := "grant"
+	if call.Release {
+		kind = "release"
+	}
+	h.options.Metrics.GetOrCreateCounter(`marigold_range_calls_total{call="` + kind + `",verdict="` + result.String() + `"}`).Inc()
+	if result == Accepted && !call.Release && !call.First {
+		return
+	}
+	h.options.Log.Emit(logger.RangeCallCompleted, "service", call.Service, "from", call.From, "to", call.To,
+		"fence", call.Fence, "server", server.Name, "born", server.Born, "release", call.Release, "verdict", result.String(),
+		"hold", call.Hold.String(), "took", timer.Now().Since(call.sentAt).String(), "error", err)
+}
+
+// logFreed counts and logs the ranges that became free. The caller holds h.mu.
+func (h *Holder) logFreed() {
+	if h.server == nil {
+		return
+	}
+	for _, freed := range h.stateMachine.unloggedFreed() {
+		h.options.Metrics.GetOrCreateCounter(`marigold_ranges_freed_total{cause="` + string(freed.cause) + `"}`).Inc()
+		h.options.Log.Emit(logger.RangesFreed, "service", h.stateMachine.service, "from", freed.from, "to", freed.to,
+			"fence", freed.fence, "server", h.server.Name, "born", h.server.Born, "cause", string(freed.cause))
+	}
+}
+
 // String returns the value of the field verdict in log lines.
 func (v CallResult) String() string {
 	switch v {
--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -45,10 +45,24 @@
 	phaseFreed
 )
 
+// freeCause is why keys became free.
+type freeCause string
+
+const (
+	causeReleased   freeCause = "released"
+	causeExpired    freeCause = "expired"
+	causeFenced     freeCause = "fenced"
+	causeTerminated freeCause = "terminated"
+	causeReplaced   freeCause = "replaced"
+)
+
 // keyState is the state of a range of keys.
 type keyState struct {
 	phase phase
 	fence uint64
+	// cause is why freed keys are free; logged is set once that was logged.
+	cause  freeCause
+	logged bool
 	// handover is the handover token of the previous holder or, for freed keys, the
 	// token of this one.
 	handover string
@@ -62,6 +76,10 @@
 	due timer.Instant
 }
 
+func freedState(fence uint64, cause freeCause) keyState {
+	return keyState{phase: phaseFreed, fence: fence, cause: cause}
+}
+
 // isHeld reports whether the backend server is certain to hold the keys.
 func (s keyState) isHeld(now timer.Instant) bool {
 	return !s.grantedAt.IsZero() && now.Since(s.grantedAt) < s.hold
@@ -89,6 +107,8 @@
 	// Hold and Handover are for grants.
 	Hold     time.Duration
 	Handover string
+	// First is set for a grant of keys that the server does not hold yet.
+	First bool
 
 	sentAt timer.Instant
 }
@@ -154,7 +174,10 @@
 		state = keyState{phase: phaseOwned, fence: row.Fence, handover: row.Handover, receivedAt: now}
 	}
 	if row.Life != incarnation {
-		return keyState{phase: phaseFreed, fence: row.Fence}
+		if state.phase == phaseFreed {
+			return state
+		}
+		return freedState(row.Fence, causeReplaced)
 	}
 	if row.Phase == messenger.PhaseMoving && state.phase == phaseOwned {
 		state.phase = phaseReleasing
@@ -168,10 +191,10 @@
 func (m *stateMachine) serverTerminated() {
 	m.unconfirmedGrants = nil
 	m.keys.Update(0, messenger.LastKey, func(v keyState) keyState {
-		if v.phase == phaseNone {
+		if v.phase == phaseNone || v.phase == phaseFreed {
 			return v
 		}
-		return keyState{phase: phaseFreed, fence: v.fence}
+		return freedState(v.fence, causeTerminated)
 	})
 }
 
@@ -259,6 +282,7 @@
 		value := piece.Value
 		needsGrant := value.grantedAt.IsZero() || now.Since(value.grantedAt) >= time.Duration(renewFraction*float64(value.hold))
 		due = due || (needsGrant && isDue(now, value.due))
+		call.First = call.First || value.grantedAt.IsZero()
 	}
 	if !due {
 		return nil
@@ -317,7 +341,7 @@
 			expired = now.SinceMonotonic(value.receivedAt) >= max(grantFailureTimeout, time.Duration(clockDriftFactor*float64(m.longestHold))+maxDeliveryDelay)
 		}
 		if keyRange := (fencedRange{from: piece.From, to: piece.To}); expired && !m.hasUnconfirmedGrant(keyRange) && !m.hasCallInFlight(keyRange) {
-			m.keys.Set(piece.From, piece.To, keyState{phase: phaseFreed, fence: value.fence})
+			m.keys.Set(piece.From, piece.To, freedState(value.fence, causeExpired))
 			return
 		}
 	}
@@ -346,9 +370,11 @@
 func stateAfterCall(now timer.Instant, v keyState, call *Call, result CallResult, handover string) keyState {
 	switch {
 	case result == Fenced:
-		return keyState{phase: phaseFreed, fence: v.fence}
+		return freedState(v.fence, causeFenced)
 	case result == Accepted && call.Release && v.phase == phaseReleasing:
-		return keyState{phase: phaseFreed, fence: v.fence, handover: handover}
+		freed := freedState(v.fence, causeReleased)
+		freed.handover = handover
+		return freed
 	case result == Accepted && !call.Release:
 		v.grantedAt = call.sentAt
 		v.hold = call.Hold
@@ -377,6 +403,27 @@
 	return refs
 }
 
+// freedRange is a range that became free.
+type freedRange struct {
+	fencedRange
+	cause freeCause
+}
+
+// unloggedFreed returns the ranges that became free since the last call.
+func (m *stateMachine) unloggedFreed() []freedRange {
+	var ranges []freedRange
+	for _, piece := range m.keys.Pieces() {
+		value := piece.Value
+		if value.phase != phaseFreed || value.logged {
+			continue
+		}
+		ranges = append(ranges, freedRange{fencedRange{piece.From, piece.To, value.fence}, value.cause})
+		value.logged = true
+		m.keys.Set(piece.From, piece.To, value)
+	}
+	return ranges
+}
+
 // checkHeld returns ReasonNone if the server holds a key and may receive requests for
 // it, or the reason why not.
 func (m *stateMachine) checkHeld(now timer.Instant, key uint32) messenger.Reason {
--- a/router/holder/statemachine_test.go
+++ b/router/holder/statemachine_test.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -105,18 +106,19 @@
 
 func TestKeysAreFreedWithoutACall(t *testing.T) {
 	tests := []struct {
-		name string
-		act  func(machine *stateMachine)
+		name  string
+		cause freeCause
+		act   func(machine *stateMachine)
 	}{
-		{name: "server restarted", act: func(machine *stateMachine) {
+		{name: "server restarted", cause: causeReplaced, act: func(machine *stateMachine) {
 			machine.setRanges(at(time.Second), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, incarnation+1)
 		}},
-		{name: "server terminated", act: func(machine *stateMachine) { machine.serverTerminated() }},
-		{name: "server has seen a higher fence", act: func(machine *stateMachine) {
+		{name: "server terminated", cause: causeTerminated, act: func(machine *stateMachine) { machine.serverTerminated() }},
+		{name: "server has seen a higher fence", cause: causeFenced, act: func(machine *stateMachine) {
 			calls := machine.plan(at(1300*time.Millisecond), lease)
 			machine.endCall(at(1400*time.Millisecond), calls[0], Fenced, "")
 		}},
-		{name: "all renewals failed", act: func(machine *stateMachine) {
+		{name: "all renewals failed", cause: causeExpired, act: func(machine *stateMachine) {
 			for n := range 60 {
 				now := at(1300*time.Millisecond + time.Duration(n)*200*time.Millisecond)
 				for _, call := range machine.plan(now, max(lease-time.Duration(n)*200*time.Millisecond, 0)) {
@@ -132,6 +134,9 @@
 		qt.Assert(t, refs, qt.HasLen, 1, qt.Commentf(test.name))
 		qt.Check(t, refs[0], qt.Equals, messenger.RangeRef{Service: "findings", From: 0, To: 99, Fence: 5}, qt.Commentf(test.name))
 		qt.Check(t, machine.checkHeld(at(1500*time.Millisecond), 50), qt.Equals, messenger.ReasonMoving, qt.Commentf(test.name))
+		wantLogged := []freedRange{{fencedRange{from: 0, to: 99, fence: 5}, test.cause}}
+		qt.Check(t, slices.Equal(machine.unloggedFreed(), wantLogged), qt.IsTrue, qt.Commentf(test.name))
+		qt.Check(t, machine.unloggedFreed(), qt.HasLen, 0, qt.Commentf(test.name))
 	}
 }
 
