Name the server in grants and releases

Callers saw keys served by two servers: a server that restarts at the address of its predecessor took renewals of the predecessor's grants, under the same fence, until its announcement was processed. The router then reported the keys as free, since the announced server held none of them, and they were granted to others while the new server held them for up to three seconds.

A grant went to an address, and ownership is granted to one start of a server. Grants and releases now name the server that they are for, and another server at the address refuses them with 421, as requests already did. After a call that did not reach the server, the next one waits for the retry interval, whatever its range.

--- a/router/granter/ranges.go
+++ b/router/granter/ranges.go
@@ -28,6 +28,9 @@
 	// GrantPath and ReleasePath are the paths of the calls. Both use POST.
 	GrantPath   string
 	ReleasePath string
+	// ServerHeader is the header with the name of the server that a call is for. A
+	// server with another name must respond with status 421 and not carry it out.
+	ServerHeader string
 	// Body returns the value that is encoded as the JSON body of a call.
 	Body func(call *holder.Call) any
 	// Handover returns the handover token for the next holder from the header of a
@@ -37,7 +40,7 @@
 
 // RangeClient makes the calls that grant and release ranges of keys. Status 200 means that
 // the call was carried out, 409 that the server has seen a higher fence for some of
-// the keys.
+// the keys, 421 that the call is for another server.
 type RangeClient struct {
 	protocol RangeProtocol
 	client   *http.Client
@@ -59,8 +62,9 @@
 // specifies.
 func NativeRangeProtocol() RangeProtocol {
 	return RangeProtocol{
-		GrantPath:   messenger.PathGrants,
-		ReleasePath: messenger.PathRevokes,
+		GrantPath:    messenger.PathGrants,
+		ReleasePath:  messenger.PathRevokes,
+		ServerHeader: messenger.HeaderServer,
 		Body: func(call *holder.Call) any {
 			return messenger.RangeCall{
 				From: call.From, To: call.To, Fence: call.Fence, Hold: call.Hold.Milliseconds(), Handover: call.Handover,
@@ -91,6 +95,7 @@
 		return holder.NotSent, "", Error.New("creating the request of a range call: %w", err)
 	}
 	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(r.protocol.ServerHeader, call.Server)
 	response, err := r.client.Do(request)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return holder.NotSent, "", Error.New("connecting to the backend server for a range call: %w", err)
@@ -107,6 +112,8 @@
 		return holder.Accepted, r.protocol.Handover(response.Header), nil
 	case http.StatusConflict:
 		return holder.Fenced, "", nil
+	case http.StatusMisdirectedRequest:
+		return holder.Misdirected, "", nil
 	}
-	return holder.Unanswered, "", Error.New("backend server answered a range call with status %s, want 200 or 409", response.Status)
+	return holder.Unanswered, "", Error.New("backend server answered a range call with status %s, want 200, 409 or 421", response.Status)
 }
--- a/router/holder/holder.go
+++ b/router/holder/holder.go
@@ -1,7 +1,9 @@
 // Package holder grants the ranges of keys that a router owns to its backend server,
 // and revokes them.
 //
-// Each grant tells the server how long it may hold the keys. The Holder renews grants
+// Each call names the server that it is for, since the next start of the server may
+// listen at the same address before the router learns of it. Each grant tells the server
+// how long it may hold the keys. The Holder renews grants
 // while the lease of the router is valid and never beyond its end, releases keys when
 // the control group moves them, and reports which keys are free. An unanswered grant
 // may still take effect; its keys are not reported as free until that is impossible.
@@ -97,7 +99,7 @@
 		h.stateMachine = newStateMachine(server.Service)
 	}
 	h.server = server
-	h.stateMachine.setRanges(timer.Now(), rows, server.Born)
+	h.stateMachine.setRanges(timer.Now(), rows, incarnation{name: server.Name, born: server.Born})
 	h.logFreed()
 	h.signal()
 }
@@ -248,6 +250,8 @@
 		return "taken"
 	case Fenced:
 		return "outrun"
+	case Misdirected:
+		return "misdirected"
 	case Unanswered:
 		return "unanswered"
 	}
--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -99,9 +99,12 @@
 // Call is a call to the backend server.
 type Call struct {
 	Service string
-	From    uint32
-	To      uint32
-	Fence   uint64
+	// Server is the name of the backend server that the call is for. Any other server
+	// at its address refuses the call.
+	Server string
+	From   uint32
+	To     uint32
+	Fence  uint64
 	// Release revokes the keys; otherwise they are granted.
 	Release bool
 	// Hold and Handover are for grants.
@@ -125,6 +128,8 @@
 	Accepted CallResult = iota
 	// Fenced means that the server has seen a higher fence.
 	Fenced
+	// Misdirected means that another server is at the address, which refused the call.
+	Misdirected
 	// Unanswered means that the call failed but that the server may still carry it
 	// out.
 	Unanswered
@@ -140,9 +145,17 @@
 	validFor time.Duration
 }
 
+// incarnation identifies one start of a backend server.
+type incarnation struct {
+	name string
+	// born is when it started, in Unix milliseconds.
+	born int64
+}
+
 // stateMachine decides on grants and releases. It does no I/O and reads no clock.
 type stateMachine struct {
 	service           string
+	server            incarnation
 	keys              *splitter.Map[keyState]
 	calls             []*Call
 	unconfirmedGrants []unconfirmedGrant
@@ -150,6 +163,9 @@
 	// range for that long if the range returns to this router after the session was
 	// lost.
 	longestHold time.Duration
+	// resumeAt is the earliest time of the next call, after one that did not reach the
+	// server.
+	resumeAt timer.Instant
 }
 
 func newStateMachine(service string) *stateMachine {
@@ -159,21 +175,25 @@
 // setRanges updates the ranges that the session of this router owns. Ranges that were
 // granted for another incarnation of the server are freed immediately: the current one
 // holds none of its predecessor's keys.
-func (m *stateMachine) setRanges(now timer.Instant, rows []messenger.RangeRow, incarnation int64) {
+func (m *stateMachine) setRanges(now timer.Instant, rows []messenger.RangeRow, server incarnation) {
+	if m.server != server {
+		m.server = server
+		m.resumeAt = timer.Instant{}
+	}
 	next := splitter.New[keyState](messenger.LastKey)
 	for _, row := range rows {
 		for _, part := range m.keys.Within(row.From, row.To) {
-			next.Set(part.From, part.To, updatedState(now, part.Value, row, incarnation))
+			next.Set(part.From, part.To, updatedState(now, part.Value, row, server))
 		}
 	}
 	m.keys = next
 }
 
-func updatedState(now timer.Instant, state keyState, row messenger.RangeRow, incarnation int64) keyState {
+func updatedState(now timer.Instant, state keyState, row messenger.RangeRow, server incarnation) keyState {
 	if state.phase == phaseNone || state.fence != row.Fence {
 		state = keyState{phase: phaseOwned, fence: row.Fence, handover: row.Handover, receivedAt: now}
 	}
-	if row.Life != incarnation {
+	if row.Life != server.born {
 		if state.phase == phaseFreed {
 			return state
 		}
@@ -201,6 +221,9 @@
 // plan returns the calls that are due. No hold outlasts the lease.
 func (m *stateMachine) plan(now timer.Instant, leaseRemaining time.Duration) []*Call {
 	m.expire(now)
+	if !isDue(now, m.resumeAt) {
+		return nil
+	}
 	var due []*Call
 	grants := 0
 	for _, call := range m.calls {
@@ -249,6 +272,7 @@
 	first := group[0]
 	call := &Call{
 		Service: m.service,
+		Server:  m.server.name,
 		From:    first.From,
 		To:      group[len(group)-1].To,
 		Fence:   first.Value.fence,
@@ -359,6 +383,9 @@
 		validFor := now.SinceMonotonic(call.sentAt) + maxDeliveryDelay + time.Duration(clockDriftFactor*float64(call.Hold))
 		m.unconfirmedGrants = append(m.unconfirmedGrants, unconfirmedGrant{fencedRange: call.fencedRange(), sentAt: call.sentAt, validFor: validFor})
 	}
+	if result == NotSent || result == Misdirected {
+		m.resumeAt = now.Add(retryInterval)
+	}
 	m.keys.Update(call.From, call.To, func(v keyState) keyState {
 		if v.phase == phaseNone || v.fence != call.Fence {
 			return v
--- a/router/holder/statemachine_test.go
+++ b/router/holder/statemachine_test.go
@@ -11,9 +11,11 @@
 	"marigoldhill/kernel/timer"
 )
 
-const (
-	incarnation = int64(1000)
-	lease       = 3 * time.Second
+const lease = 3 * time.Second
+
+var (
+	server    = incarnation{name: "d1", born: 1000}
+	restarted = incarnation{name: "d2", born: 1001}
 )
 
 func at(d time.Duration) timer.Instant {
@@ -21,14 +23,14 @@
 }
 
 func row(from, to uint32, fence uint64, phase messenger.Phase) messenger.RangeRow {
-	return messenger.RangeRow{Service: "findings", From: from, To: to, Fence: fence, Phase: phase, Life: incarnation}
+	return messenger.RangeRow{Service: "findings", From: from, To: to, Fence: fence, Phase: phase, Life: server.born}
 }
 
 // newGranted returns a state machine whose server holds the keys 0 to 99 from the
 // start.
 func newGranted(t *testing.T) *stateMachine {
 	machine := newStateMachine("findings")
-	machine.setRanges(at(0), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, incarnation)
+	machine.setRanges(at(0), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, server)
 	calls := machine.plan(at(0), lease)
 	qt.Assert(t, calls, qt.HasLen, 1)
 	qt.Assert(t, calls[0].Release, qt.IsFalse)
@@ -49,7 +51,7 @@
 	}
 	for _, test := range tests {
 		machine := newStateMachine("findings")
-		machine.setRanges(at(0), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, incarnation)
+		machine.setRanges(at(0), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, server)
 		calls := machine.plan(at(0), test.leaseRemaining)
 		qt.Check(t, len(calls) == 1, qt.Equals, test.wantGrant, qt.Commentf(test.name))
 		for _, call := range calls {
@@ -76,7 +78,7 @@
 	machine := newGranted(t)
 	renewal := machine.plan(at(1300*time.Millisecond), lease)
 	machine.endCall(at(1700*time.Millisecond), renewal[0], Unanswered, "")
-	machine.setRanges(at(1800*time.Millisecond), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseMoving)}, incarnation)
+	machine.setRanges(at(1800*time.Millisecond), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseMoving)}, server)
 	qt.Assert(t, machine.checkHeld(at(1800*time.Millisecond), 50), qt.Equals, messenger.ReasonMoving)
 	qt.Assert(t, machine.plan(at(1800*time.Millisecond), lease), qt.HasLen, 0)
 	qt.Assert(t, machine.plan(at(4500*time.Millisecond), lease), qt.HasLen, 0)
@@ -91,16 +93,16 @@
 	machine := newGranted(t)
 	machine.setRanges(at(100*time.Millisecond), []messenger.RangeRow{
 		row(0, 39, 5, messenger.PhaseOwned), row(40, 59, 5, messenger.PhaseMoving), row(60, 99, 5, messenger.PhaseOwned),
-	}, incarnation)
+	}, server)
 	calls := machine.plan(at(100*time.Millisecond), lease)
 	qt.Assert(t, calls, qt.HasLen, 1)
-	qt.Assert(t, *calls[0] == Call{Service: "findings", From: 40, To: 59, Fence: 5, Release: true, sentAt: at(100 * time.Millisecond)}, qt.IsTrue)
+	qt.Assert(t, *calls[0] == Call{Service: "findings", Server: "d1", From: 40, To: 59, Fence: 5, Release: true, sentAt: at(100 * time.Millisecond)}, qt.IsTrue)
 	qt.Assert(t, machine.freed(), qt.HasLen, 0)
 	machine.endCall(at(200*time.Millisecond), calls[0], Accepted, "warm")
 	qt.Assert(t, machine.freed(), qt.DeepEquals, []messenger.RangeRef{{Service: "findings", From: 40, To: 59, Fence: 5, Handover: "warm"}})
 	qt.Assert(t, machine.checkHeld(at(200*time.Millisecond), 39), qt.Equals, messenger.ReasonNone)
 	qt.Assert(t, machine.checkHeld(at(200*time.Millisecond), 60), qt.Equals, messenger.ReasonNone)
-	machine.setRanges(at(300*time.Millisecond), []messenger.RangeRow{row(0, 39, 5, messenger.PhaseOwned), row(60, 99, 5, messenger.PhaseOwned)}, incarnation)
+	machine.setRanges(at(300*time.Millisecond), []messenger.RangeRow{row(0, 39, 5, messenger.PhaseOwned), row(60, 99, 5, messenger.PhaseOwned)}, server)
 	qt.Assert(t, machine.checkHeld(at(300*time.Millisecond), 50), qt.Equals, messenger.ReasonMisrouted)
 }
 
@@ -111,7 +113,7 @@
 		act   func(machine *stateMachine)
 	}{
 		{name: "server restarted", cause: causeReplaced, act: func(machine *stateMachine) {
-			machine.setRanges(at(time.Second), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, incarnation+1)
+			machine.setRanges(at(time.Second), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, restarted)
 		}},
 		{name: "server terminated", cause: causeTerminated, act: func(machine *stateMachine) { machine.serverTerminated() }},
 		{name: "server has seen a higher fence", cause: causeFenced, act: func(machine *stateMachine) {
@@ -151,8 +153,8 @@
 		qt.Assert(t, machine.freed(), qt.HasLen, 0)
 	}
 	// The session is lost and opened again.
-	machine.setRanges(at(3*time.Second), nil, incarnation)
-	machine.setRanges(at(3*time.Second), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, incarnation)
+	machine.setRanges(at(3*time.Second), nil, server)
+	machine.setRanges(at(3*time.Second), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, server)
 	machine.plan(at(5*time.Second), 0)
 	qt.Assert(t, machine.freed(), qt.HasLen, 0)
 	machine.plan(at(7*time.Second), 0)
@@ -165,7 +167,7 @@
 	for n := range uint32(12) {
 		rows = append(rows, row(n*100, n*100+99, uint64(5+n%2), messenger.PhaseOwned))
 	}
-	machine.setRanges(at(0), rows, incarnation)
+	machine.setRanges(at(0), rows, server)
 	granted := 0
 	for granted < 12 {
 		calls := machine.plan(at(0), lease)
@@ -182,7 +184,7 @@
 
 func TestAdjacentRangesShareACall(t *testing.T) {
 	machine := newStateMachine("findings")
-	machine.setRanges(at(0), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned), row(100, 199, 5, messenger.PhaseOwned), row(200, 299, 6, messenger.PhaseOwned)}, incarnation)
+	machine.setRanges(at(0), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned), row(100, 199, 5, messenger.PhaseOwned), row(200, 299, 6, messenger.PhaseOwned)}, server)
 	calls := machine.plan(at(0), lease)
 	qt.Assert(t, calls, qt.HasLen, 2)
 	qt.Assert(t, calls[0].To, qt.Equals, uint32(199))
