Free no keys while a grant can still reach the restarted server

A server may start again under the name that it had. When its port had refused connections, or its new start was announced, the router reported all keys as free at once, also those of a grant that was in flight or that the new start had accepted before it announced itself. The keys then had two holders until that grant ended.

Keys are now free only when no grant in flight can give them to the server any more; one that is accepted meanwhile is revoked first. A server of another name refuses calls for its predecessor, so nothing waits there.

TestTerminatedServerFreesNothingWhileAGrantIsInFlight and TestServerRestartedUnderItsNameReleasesWhatItTook failed before: the keys were reported as free at once in each case.

--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -173,31 +173,33 @@
 }
 
 // setRanges updates the ranges that the session of this router owns. Ranges that were
-// granted for another incarnation of the server are freed immediately: the current one
-// holds none of its predecessor's keys.
+// granted for another incarnation of the server are given up.
 func (m *stateMachine) setRanges(now timer.Instant, rows []messenger.RangeRow, server incarnation) {
-	if m.server != server {
+	previous := m.server
+	if previous != server {
 		m.server = server
 		m.resumeAt = timer.Instant{}
 	}
+	if previous.name != server.name {
+		m.unconfirmedGrants = nil
+	}
 	next := splitter.New[keyState](messenger.LastKey)
 	for _, row := range rows {
 		for _, part := range m.keys.Within(row.From, row.To) {
-			next.Set(part.From, part.To, updatedState(now, part.Value, row, server))
+			next.Set(part.From, part.To, updatedState(now, part.Value, row, previous, server))
 		}
 	}
 	m.keys = next
 }
 
-func updatedState(now timer.Instant, state keyState, row messenger.RangeRow, server incarnation) keyState {
+// updatedState returns the state of a part of a range, given its row. previous is the
+// server that the state is about.
+func updatedState(now timer.Instant, state keyState, row messenger.RangeRow, previous, server incarnation) keyState {
 	if state.phase == phaseNone || state.fence != row.Fence {
 		state = keyState{phase: phaseOwned, fence: row.Fence, handover: row.Handover, receivedAt: now}
 	}
 	if row.Life != server.born {
-		if state.phase == phaseFreed {
-			return state
-		}
-		return freedState(row.Fence, causeReplaced)
+		return stateAfterRestart(state, previous, server)
 	}
 	if row.Phase == messenger.PhaseMoving && state.phase == phaseOwned {
 		state.phase = phaseReleasing
@@ -206,6 +208,22 @@
 	return state
 }
 
+// stateAfterRestart returns the state of keys that were granted for another start of the
+// server than the current one. A server with another name has refused all calls for its
+// predecessor. One with the same name may have accepted them before it announced itself,
+// so it must release the keys.
+func stateAfterRestart(state keyState, previous, server incarnation) keyState {
+	switch {
+	case state.phase == phaseFreed || state.phase == phaseReleasing && previous == server:
+		return state
+	case previous.name == server.name && !state.grantedAt.IsZero():
+		state.phase = phaseReleasing
+		state.due = timer.Instant{}
+		return state
+	}
+	return freedState(state.fence, causeReplaced)
+}
+
 // serverTerminated frees all keys, since the server has terminated and holds nothing any
 // more.
 func (m *stateMachine) serverTerminated() {
@@ -296,6 +314,17 @@
 	return false
 }
 
+// hasGrantInFlight reports whether a grant of some of the keys to the current server, or
+// to one of the same name, is in flight.
+func (m *stateMachine) hasGrantInFlight(keys fencedRange) bool {
+	for _, call := range m.calls {
+		if !call.Release && call.Server == m.server.name && call.fencedRange().overlaps(keys) {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *stateMachine) planGrant(now timer.Instant, leaseRemaining time.Duration, group []splitter.Piece[keyState], call *Call) *Call {
 	hold := time.Duration(float64(leaseRemaining) / clockDriftFactor)
 	if hold < minHold {
@@ -379,7 +408,7 @@
 			break
 		}
 	}
-	if result == Unanswered && !call.Release {
+	if result == Unanswered && !call.Release && call.Server == m.server.name {
 		validFor := now.SinceMonotonic(call.sentAt) + maxDeliveryDelay + time.Duration(clockDriftFactor*float64(call.Hold))
 		m.unconfirmedGrants = append(m.unconfirmedGrants, unconfirmedGrant{fencedRange: call.fencedRange(), sentAt: call.sentAt, validFor: validFor})
 	}
@@ -390,11 +419,11 @@
 		if v.phase == phaseNone || v.fence != call.Fence {
 			return v
 		}
-		return stateAfterCall(now, v, call, result, handover)
+		return stateAfterCall(now, v, call, result, handover, m.server)
 	})
 }
 
-func stateAfterCall(now timer.Instant, v keyState, call *Call, result CallResult, handover string) keyState {
+func stateAfterCall(now timer.Instant, v keyState, call *Call, result CallResult, handover string, server incarnation) keyState {
 	switch {
 	case result == Fenced:
 		return freedState(v.fence, causeFenced)
@@ -403,6 +432,10 @@
 		freed.handover = handover
 		return freed
 	case result == Accepted && !call.Release:
+		if v.phase == phaseFreed && call.Server == server.name {
+			// The next start of the server accepted it.
+			v.phase = phaseReleasing
+		}
 		v.grantedAt = call.sentAt
 		v.hold = call.Hold
 		v.due = timer.Instant{}
@@ -412,11 +445,13 @@
 	return v
 }
 
-// freed returns the ranges that the server no longer holds.
+// freed returns the ranges that the server no longer holds, and that no grant in flight
+// can give to it any more.
 func (m *stateMachine) freed() []messenger.RangeRef {
 	var refs []messenger.RangeRef
 	for _, piece := range m.keys.Pieces() {
-		if piece.Value.phase != phaseFreed {
+		keyRange := fencedRange{from: piece.From, to: piece.To}
+		if piece.Value.phase != phaseFreed || m.hasUnconfirmedGrant(keyRange) || m.hasGrantInFlight(keyRange) {
 			continue
 		}
 		refs = append(refs, messenger.RangeRef{
--- a/router/holder/statemachine_test.go
+++ b/router/holder/statemachine_test.go
@@ -142,6 +142,78 @@
 	}
 }
 
+// TestTerminatedServerFreesNothingWhileAGrantIsInFlight terminates the server while a
+// renewal is in flight. The next start of the server, under the same name, may accept it.
+func TestTerminatedServerFreesNothingWhileAGrantIsInFlight(t *testing.T) {
+	restartedInPlace := incarnation{name: server.name, born: restarted.born}
+	tests := []struct {
+		name   string
+		result CallResult
+		// freed reports whether the keys are free once the call has ended.
+		freed bool
+	}{
+		{name: "not sent", result: NotSent, freed: true},
+		{name: "refused by another server", result: Misdirected, freed: true},
+		{name: "accepted", result: Accepted},
+		{name: "unanswered", result: Unanswered},
+	}
+	terminations := []struct {
+		name string
+		act  func(machine *stateMachine)
+	}{
+		{name: "port refuses connections", act: func(machine *stateMachine) { machine.serverTerminated() }},
+		{name: "next start announced", act: func(machine *stateMachine) {
+			machine.setRanges(at(1310*time.Millisecond), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, restartedInPlace)
+		}},
+	}
+	for _, termination := range terminations {
+		for _, test := range tests {
+			comment := qt.Commentf("%s, %s", termination.name, test.name)
+			machine := newGranted(t)
+			renewal := machine.plan(at(1300*time.Millisecond), lease)
+			qt.Assert(t, renewal, qt.HasLen, 1, comment)
+			termination.act(machine)
+			qt.Check(t, machine.freed(), qt.HasLen, 0, comment)
+			machine.endCall(at(1350*time.Millisecond), renewal[0], test.result, "")
+			if test.freed && termination.name == "port refuses connections" {
+				qt.Check(t, machine.freed(), qt.HasLen, 1, comment)
+				continue
+			}
+			// The keys are revoked, or wait for the end of the grant.
+			qt.Check(t, machine.freed(), qt.HasLen, 0, comment)
+			calls := machine.plan(at(1600*time.Millisecond), lease)
+			if test.result == Unanswered {
+				qt.Check(t, calls, qt.HasLen, 0, comment)
+				machine.plan(at(6*time.Second), lease)
+				qt.Check(t, machine.freed(), qt.HasLen, 1, comment)
+				continue
+			}
+			qt.Assert(t, calls, qt.HasLen, 1, comment)
+			qt.Check(t, calls[0].Release, qt.IsTrue, comment)
+			machine.endCall(at(1610*time.Millisecond), calls[0], Accepted, "")
+			qt.Check(t, machine.freed(), qt.HasLen, 1, comment)
+		}
+	}
+}
+
+// TestServerRestartedUnderItsNameReleasesWhatItTook restarts the server under its name
+// between two renewals. It may have accepted the second one before its announcement.
+func TestServerRestartedUnderItsNameReleasesWhatItTook(t *testing.T) {
+	machine := newGranted(t)
+	renewal := machine.plan(at(1300*time.Millisecond), lease)
+	machine.endCall(at(1310*time.Millisecond), renewal[0], Accepted, "")
+	rows := []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}
+	for _, now := range []timer.Instant{at(1320 * time.Millisecond), at(1330 * time.Millisecond)} {
+		machine.setRanges(now, rows, incarnation{name: server.name, born: restarted.born})
+		qt.Check(t, machine.freed(), qt.HasLen, 0)
+	}
+	calls := machine.plan(at(1340*time.Millisecond), lease)
+	qt.Assert(t, calls, qt.HasLen, 1)
+	qt.Check(t, calls[0].Release, qt.IsTrue)
+	machine.endCall(at(1350*time.Millisecond), calls[0], Accepted, "")
+	qt.Check(t, machine.freed(), qt.HasLen, 1)
+}
+
 // TestClockJumpFreesNothing makes the wall clock of the router's VM jump ahead: its
 // lease expires immediately, but the server still holds the keys, so they are not
 // free.
