Count what an earlier process of a router granted by the whole lease

A router process that had just started, and whose grants failed, reported the keys of its resumed session as free after 2 s: it bounded the time for which the server may still hold them by the longest hold that it had granted itself, none. Grants of the process before may last a whole lease, and so the keys could have two holders.

The bound is the duration of a lease now. TestRestartedRouterFreesNothingBeforeTheLeaseEnds failed before (free after 2 s of a lease of 3 s).

--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -162,11 +162,12 @@
 		Metrics:          options.Metrics,
 	})
 	p.holder = holder.New(holder.Options{
-		Caller:   granter.NewRangeClient(options.Network, *options.RangeProtocol),
-		Lease:    p.keeper.Lease,
-		OnChange: p.keeper.RequestHeartbeat,
-		Log:      options.Log,
-		Metrics:  options.Metrics,
+		Caller:        granter.NewRangeClient(options.Network, *options.RangeProtocol),
+		Lease:         p.keeper.Lease,
+		LeaseDuration: p.settings.Timing.WithDefaults().Lease,
+		OnChange:      p.keeper.RequestHeartbeat,
+		Log:           options.Log,
+		Metrics:       options.Metrics,
 	})
 	p.owner = relayer.NewOwner(relayer.OwnerOptions{
 		Server:        p.server,
--- a/router/granter/ranges_test.go
+++ b/router/granter/ranges_test.go
@@ -80,10 +80,11 @@
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{network: disrupter.New(0)}
 	f.Holder = holder.New(holder.Options{
-		Caller:   granter.NewRangeClient(f.network.Node("vm1"), granter.NativeRangeProtocol()),
-		Lease:    func() *keeper.Lease { return keeper.NewTestLease(7, timer.Now()) },
-		OnChange: func() {},
-		Log:      logger.Discard(),
+		Caller:        granter.NewRangeClient(f.network.Node("vm1"), granter.NativeRangeProtocol()),
+		Lease:         func() *keeper.Lease { return keeper.NewTestLease(7, timer.Now()) },
+		LeaseDuration: messenger.LeaseDuration,
+		OnChange:      func() {},
+		Log:           logger.Discard(),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
--- a/router/holder/holder.go
+++ b/router/holder/holder.go
@@ -11,7 +11,8 @@
 //
 // # Usage
 //
-//	keys := holder.New(holder.Options{Caller: caller, Lease: keeper.Lease, OnChange: keeper.RequestHeartbeat, Log: log})
+//	keys := holder.New(holder.Options{Caller: caller, Lease: keeper.Lease,
+//		LeaseDuration: timing.Lease, OnChange: keeper.RequestHeartbeat, Log: log})
 //	go keys.Run(ctx)
 //	keys.SetRows(rows, server)
 //	if reason := keys.CheckHeld(timer.Now(), 4711); reason != messenger.ReasonNone { ... }
@@ -59,6 +60,8 @@
 	Caller Caller
 	// Lease returns the lease of the router.
 	Lease func() *keeper.Lease
+	// LeaseDuration is the duration of a lease.
+	LeaseDuration time.Duration
 	// OnChange is called when keys have become free.
 	OnChange func()
 	Log      *logger.Log
@@ -82,7 +85,7 @@
 	if options.Metrics == nil {
 		options.Metrics = metrics.NewSet()
 	}
-	return &Holder{options: options, wake: make(chan struct{}, 1), stateMachine: newStateMachine("")}
+	return &Holder{options: options, wake: make(chan struct{}, 1), stateMachine: newStateMachine("", options.LeaseDuration)}
 }
 
 // SetRows updates the ranges that the router owns and its backend server. The server is
@@ -96,7 +99,7 @@
 		return
 	}
 	if h.stateMachine.service != server.Service {
-		h.stateMachine = newStateMachine(server.Service)
+		h.stateMachine = newStateMachine(server.Service, h.options.LeaseDuration)
 	}
 	h.server = server
 	h.stateMachine.setRanges(timer.Now(), rows, incarnation{name: server.Name, born: server.Born})
--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -159,17 +159,16 @@
 	keys              *splitter.Map[keyState]
 	calls             []*Call
 	unconfirmedGrants []unconfirmedGrant
-	// longestHold is the longest hold that was granted. The server may still hold a
-	// range for that long if the range returns to this router after the session was
-	// lost.
-	longestHold time.Duration
+	// leaseDuration is the longest time for which the server may hold keys that an earlier
+	// session, or an earlier process of this router, granted to it.
+	leaseDuration time.Duration
 	// resumeAt is the earliest time of the next call, after one that did not reach the
 	// server.
 	resumeAt timer.Instant
 }
 
-func newStateMachine(service string) *stateMachine {
-	return &stateMachine{service: service, keys: splitter.New[keyState](messenger.LastKey)}
+func newStateMachine(service string, leaseDuration time.Duration) *stateMachine {
+	return &stateMachine{service: service, leaseDuration: leaseDuration, keys: splitter.New[keyState](messenger.LastKey)}
 }
 
 // setRanges updates the ranges that the session of this router owns. Ranges that were
@@ -186,7 +185,7 @@
 	next := splitter.New[keyState](messenger.LastKey)
 	for _, row := range rows {
 		for _, part := range m.keys.Within(row.From, row.To) {
-			next.Set(part.From, part.To, updatedState(now, part.Value, row, previous, server))
+			next.Set(part.From, part.To, m.updatedState(now, part.Value, row, previous))
 		}
 	}
 	m.keys = next
@@ -194,12 +193,12 @@
 
 // updatedState returns the state of a part of a range, given its row. previous is the
 // server that the state is about.
-func updatedState(now timer.Instant, state keyState, row messenger.RangeRow, previous, server incarnation) keyState {
+func (m *stateMachine) updatedState(now timer.Instant, state keyState, row messenger.RangeRow, previous incarnation) keyState {
 	if state.phase == phaseNone || state.fence != row.Fence {
 		state = keyState{phase: phaseOwned, fence: row.Fence, handover: row.Handover, receivedAt: now}
 	}
-	if row.Life != server.born {
-		return stateAfterRestart(state, previous, server)
+	if row.Life != m.server.born {
+		return stateAfterRestart(state, previous, m.server)
 	}
 	if row.Phase == messenger.PhaseMoving && state.phase == phaseOwned {
 		state.phase = phaseReleasing
@@ -258,7 +257,6 @@
 			grants++
 		}
 		call.sentAt = now
-		m.longestHold = max(m.longestHold, call.Hold)
 		m.calls = append(m.calls, call)
 		due = append(due, call)
 	}
@@ -391,7 +389,7 @@
 		}
 		expired := now.SinceMonotonic(value.grantedAt) >= time.Duration(clockDriftFactor*float64(value.hold))+maxDeliveryDelay
 		if value.grantedAt.IsZero() {
-			expired = now.SinceMonotonic(value.receivedAt) >= max(grantFailureTimeout, time.Duration(clockDriftFactor*float64(m.longestHold))+maxDeliveryDelay)
+			expired = now.SinceMonotonic(value.receivedAt) >= max(grantFailureTimeout, m.leaseDuration+maxDeliveryDelay)
 		}
 		if keyRange := (fencedRange{from: piece.From, to: piece.To}); expired && !m.hasUnconfirmedGrant(keyRange) && !m.hasCallInFlight(keyRange) {
 			m.keys.Set(piece.From, piece.To, freedState(value.fence, causeExpired))
--- a/router/holder/statemachine_test.go
+++ b/router/holder/statemachine_test.go
@@ -26,10 +26,17 @@
 	return messenger.RangeRow{Service: "findings", From: from, To: to, Fence: fence, Phase: phase, Life: server.born}
 }
 
+// newLeased returns a state machine of a router that has a lease.
+func newLeased() *stateMachine {
+	machine := newStateMachine("findings", lease)
+	machine.plan(at(0), lease)
+	return machine
+}
+
 // newGranted returns a state machine whose server holds the keys 0 to 99 from the
 // start.
 func newGranted(t *testing.T) *stateMachine {
-	machine := newStateMachine("findings")
+	machine := newLeased()
 	machine.setRanges(at(0), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, server)
 	calls := machine.plan(at(0), lease)
 	qt.Assert(t, calls, qt.HasLen, 1)
@@ -50,7 +57,7 @@
 		{name: "no lease"},
 	}
 	for _, test := range tests {
-		machine := newStateMachine("findings")
+		machine := newStateMachine("findings", lease)
 		machine.setRanges(at(0), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, server)
 		calls := machine.plan(at(0), test.leaseRemaining)
 		qt.Check(t, len(calls) == 1, qt.Equals, test.wantGrant, qt.Commentf(test.name))
@@ -214,6 +221,23 @@
 	qt.Check(t, machine.freed(), qt.HasLen, 1)
 }
 
+// TestRestartedRouterFreesNothingBeforeTheLeaseEnds makes all grants of a new process
+// fail. The server may hold the keys by a grant of the process before.
+func TestRestartedRouterFreesNothingBeforeTheLeaseEnds(t *testing.T) {
+	machine := newStateMachine("findings", lease)
+	machine.setRanges(at(0), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, server)
+	freedAt := time.Duration(0)
+	for passed := time.Duration(0); freedAt == 0 && passed < 2*lease; passed += 100 * time.Millisecond {
+		for _, call := range machine.plan(at(passed), minHold) {
+			machine.endCall(at(passed), call, NotSent, "")
+		}
+		if len(machine.freed()) > 0 {
+			freedAt = passed
+		}
+	}
+	qt.Check(t, freedAt > lease, qt.IsTrue, qt.Commentf("freed at %s", freedAt))
+}
+
 // TestClockJumpFreesNothing makes the wall clock of the router's VM jump ahead: its
 // lease expires immediately, but the server still holds the keys, so they are not
 // free.
@@ -234,7 +258,7 @@
 }
 
 func TestConcurrentGrantsAreLimited(t *testing.T) {
-	machine := newStateMachine("findings")
+	machine := newStateMachine("findings", lease)
 	var rows []messenger.RangeRow
 	for n := range uint32(12) {
 		rows = append(rows, row(n*100, n*100+99, uint64(5+n%2), messenger.PhaseOwned))
@@ -255,7 +279,7 @@
 }
 
 func TestAdjacentRangesShareACall(t *testing.T) {
-	machine := newStateMachine("findings")
+	machine := newStateMachine("findings", lease)
 	machine.setRanges(at(0), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned), row(100, 199, 5, messenger.PhaseOwned), row(200, 299, 6, messenger.PhaseOwned)}, server)
 	calls := machine.plan(at(0), lease)
 	qt.Assert(t, calls, qt.HasLen, 2)
