Free ranges that were granted to a server that has ended

When servers crash together, the control group grants keys that one router reports as free to another one whose server is down as well, of which it does not know yet. That router tried to grant them to the server's address until its next start took them, or for 2 s or more, in which nobody served them.

The holder knows that the server has ended and frees such ranges at once, until the server announces itself. TestRangesOfATerminatedServerAreFreedAtOnce failed before: the grants were planned and nothing was free.

--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -217,12 +217,12 @@
 // updateRanges passes the key ranges that the session of this router owns to the
 // holder.
 func (p *Routed) updateRanges() {
-	row := p.server.View().Row
-	if row == nil {
-		p.holder.SetRows(nil, nil)
+	view := p.server.View()
+	if view.Row == nil {
+		p.holder.SetRows(nil, nil, view.State)
 		return
 	}
-	p.holder.SetRows(p.mapper.Load().OwnedRanges(row.Service, p.keeper.Session()), row)
+	p.holder.SetRows(p.mapper.Load().OwnedRanges(view.Row.Service, p.keeper.Session()), view.Row, view.State)
 }
 
 // isReady reports whether the router accepts requests of callers.
--- a/router/granter/ranges_test.go
+++ b/router/granter/ranges_test.go
@@ -113,7 +113,7 @@
 		f := newFixture(t)
 		first, second := &rangeServer{name: "d1"}, &rangeServer{name: "d2"}
 		stop := first.start(t, f.network)
-		f.SetRows(grantedRows(), serverRow("d1", firstBorn))
+		f.SetRows(grantedRows(), serverRow("d1", firstBorn), messenger.ServerReady)
 		time.Sleep(2 * time.Second)
 		qt.Assert(t, first.granted() >= 2, qt.IsTrue)
 		stop()
@@ -121,7 +121,7 @@
 		defer stop()
 		time.Sleep(2 * time.Second)
 		qt.Check(t, second.granted(), qt.Equals, 0)
-		f.SetRows(grantedRows(), serverRow("d2", secondBorn))
+		f.SetRows(grantedRows(), serverRow("d2", secondBorn), messenger.ServerReady)
 		time.Sleep(time.Second)
 		qt.Check(t, second.granted(), qt.Equals, 0)
 		qt.Check(t, f.Freed(), qt.DeepEquals, []messenger.RangeRef{{Service: "findings", From: 0, To: 99, Fence: 5}})
--- a/router/holder/holder.go
+++ b/router/holder/holder.go
@@ -14,7 +14,7 @@
 //	keys := holder.New(holder.Options{Caller: caller, Lease: keeper.Lease,
 //		LeaseDuration: timing.Lease, OnChange: keeper.RequestHeartbeat, Log: log})
 //	go keys.Run(ctx)
-//	keys.SetRows(rows, server)
+//	keys.SetRows(rows, server, messenger.ServerReady)
 //	if reason := keys.CheckHeld(timer.Now(), 4711); reason != messenger.ReasonNone { ... }
 package holder
 
@@ -88,10 +88,10 @@
 	return &Holder{options: options, wake: make(chan struct{}, 1), stateMachine: newStateMachine("", options.LeaseDuration)}
 }
 
-// SetRows updates the ranges that the router owns and its backend server. The server is
-// nil before it has announced itself; until then nothing is granted and nothing is
-// reported as free.
-func (h *Holder) SetRows(rows []messenger.RangeRow, server *messenger.ServerRow) {
+// SetRows updates the ranges that the router owns, its backend server and the state of
+// that server. The server is nil before it has announced itself; until then nothing is
+// granted and nothing is reported as free.
+func (h *Holder) SetRows(rows []messenger.RangeRow, server *messenger.ServerRow, state messenger.ServerState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if server == nil {
@@ -102,6 +102,9 @@
 		h.stateMachine = newStateMachine(server.Service, h.options.LeaseDuration)
 	}
 	h.server = server
+	if state != messenger.ServerDown {
+		h.stateMachine.serverRecovered()
+	}
 	h.stateMachine.setRanges(timer.Now(), rows, incarnation{name: server.Name, born: server.Born})
 	h.logFreed()
 	h.signal()
--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -154,8 +154,10 @@
 
 // stateMachine decides on grants and releases. It does no I/O and reads no clock.
 type stateMachine struct {
-	service           string
-	server            incarnation
+	service string
+	server  incarnation
+	// terminated is set while the server is known to have ended.
+	terminated        bool
 	keys              *splitter.Map[keyState]
 	calls             []*Call
 	unconfirmedGrants []unconfirmedGrant
@@ -177,6 +179,7 @@
 	previous := m.server
 	if previous != server {
 		m.server = server
+		m.terminated = false
 		m.resumeAt = timer.Instant{}
 	}
 	if previous.name != server.name {
@@ -200,6 +203,9 @@
 	if row.Life != m.server.born {
 		return stateAfterRestart(state, previous, m.server)
 	}
+	if m.terminated && state.phase == phaseOwned {
+		return freedState(row.Fence, causeTerminated)
+	}
 	if row.Phase == messenger.PhaseMoving && state.phase == phaseOwned {
 		state.phase = phaseReleasing
 		state.due = timer.Instant{}
@@ -226,6 +232,7 @@
 // serverTerminated frees all keys, since the server has terminated and holds nothing any
 // more.
 func (m *stateMachine) serverTerminated() {
+	m.terminated = true
 	m.unconfirmedGrants = nil
 	m.keys.Update(0, messenger.LastKey, func(v keyState) keyState {
 		if v.phase == phaseNone || v.phase == phaseFreed {
@@ -235,6 +242,12 @@
 	})
 }
 
+// serverRecovered ends the effect of serverTerminated: the server has announced itself
+// again.
+func (m *stateMachine) serverRecovered() {
+	m.terminated = false
+}
+
 // plan returns the calls that are due. No hold outlasts the lease.
 func (m *stateMachine) plan(now timer.Instant, leaseRemaining time.Duration) []*Call {
 	m.expire(now)
--- a/router/holder/statemachine_test.go
+++ b/router/holder/statemachine_test.go
@@ -221,6 +221,23 @@
 	qt.Check(t, machine.freed(), qt.HasLen, 1)
 }
 
+// TestRangesOfATerminatedServerAreFreedAtOnce gives ranges to a router whose server has
+// terminated: the control group did not know of it yet.
+func TestRangesOfATerminatedServerAreFreedAtOnce(t *testing.T) {
+	machine := newGranted(t)
+	rows := []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned), row(100, 199, 6, messenger.PhaseOwned)}
+	machine.serverTerminated()
+	machine.setRanges(at(100*time.Millisecond), rows, server)
+	qt.Check(t, machine.plan(at(100*time.Millisecond), lease), qt.HasLen, 0)
+	qt.Check(t, machine.freed(), qt.HasLen, 2)
+	// It announces itself again: a port that refused connections is open again.
+	machine.serverRecovered()
+	machine.setRanges(at(200*time.Millisecond), append(rows[:1:1], row(100, 199, 7, messenger.PhaseOwned)), server)
+	calls := machine.plan(at(200*time.Millisecond), lease)
+	qt.Assert(t, calls, qt.HasLen, 1)
+	qt.Check(t, calls[0].Fence, qt.Equals, uint64(7))
+}
+
 // TestRestartedRouterFreesNothingBeforeTheLeaseEnds makes all grants of a new process
 // fail. The server may hold the keys by a grant of the process before.
 func TestRestartedRouterFreesNothingBeforeTheLeaseEnds(t *testing.T) {
