Do not free ranges for a late announcement of an earlier server

A restarted router knows no server, so it takes the first announcement for the newest. If that is a late one of an earlier start, the ranges that were granted to the newest start looked like grants to a server that is gone, and were reported as free while the newest start held them.

Ranges that were granted to a later start than the announced one now wait, neither granted nor free, for its announcement, or for the end of a lease. TestStaleAnnouncementFreesNothing failed before: the range was free at once.

--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -37,6 +37,10 @@
 const (
 	// phaseNone means that this router does not own the keys.
 	phaseNone phase = iota
+	// phaseAwaited means that the keys were granted for a later start of the backend
+	// server than the one that is known. That start may hold them, by a grant of an earlier
+	// process of this router.
+	phaseAwaited
 	// phaseOwned means that the backend server must hold the keys.
 	phaseOwned
 	// phaseReleasing means that the keys must be released.
@@ -200,8 +204,13 @@
 	if state.phase == phaseNone || state.fence != row.Fence {
 		state = keyState{phase: phaseOwned, fence: row.Fence, handover: row.Handover, receivedAt: now}
 	}
-	if row.Life != m.server.born {
+	switch {
+	case row.Life > m.server.born && state.phase != phaseFreed:
+		state.phase = phaseAwaited
+	case row.Life != m.server.born:
 		return stateAfterRestart(state, previous, m.server)
+	case state.phase == phaseAwaited:
+		state.phase = phaseOwned
 	}
 	if m.terminated && state.phase == phaseOwned {
 		return freedState(row.Fence, causeTerminated)
@@ -280,7 +289,7 @@
 func (m *stateMachine) groups() [][]splitter.Piece[keyState] {
 	var groups [][]splitter.Piece[keyState]
 	for _, piece := range m.keys.Pieces() {
-		if piece.Value.phase == phaseNone || piece.Value.phase == phaseFreed {
+		if piece.Value.phase != phaseOwned && piece.Value.phase != phaseReleasing {
 			continue
 		}
 		if last := len(groups) - 1; last >= 0 && canMerge(groups[last][len(groups[last])-1], piece) {
--- a/router/holder/statemachine_test.go
+++ b/router/holder/statemachine_test.go
@@ -238,6 +238,30 @@
 	qt.Check(t, calls[0].Fence, qt.Equals, uint64(7))
 }
 
+// TestStaleAnnouncementFreesNothing announces an earlier start of the server, late, to a
+// router that was restarted and knows of no other. The server holds keys that were granted
+// to its newest start.
+func TestStaleAnnouncementFreesNothing(t *testing.T) {
+	machine := newStateMachine("findings", lease)
+	rows := []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}
+	machine.setRanges(at(0), rows, incarnation{name: "d0", born: server.born - 1})
+	qt.Check(t, machine.plan(at(0), lease), qt.HasLen, 0)
+	qt.Check(t, machine.freed(), qt.HasLen, 0)
+	qt.Check(t, machine.checkHeld(at(0), 50), qt.Equals, messenger.ReasonMoving)
+	machine.setRanges(at(time.Second), rows, server)
+	calls := machine.plan(at(time.Second), lease)
+	qt.Assert(t, calls, qt.HasLen, 1)
+	qt.Check(t, calls[0].Server, qt.Equals, server.name)
+
+	// The newest start never announces itself to this router.
+	machine = newStateMachine("findings", lease)
+	machine.setRanges(at(0), rows, incarnation{name: "d0", born: server.born - 1})
+	machine.plan(at(lease), lease)
+	qt.Check(t, machine.freed(), qt.HasLen, 0)
+	machine.plan(at(lease+time.Second), lease)
+	qt.Check(t, machine.freed(), qt.HasLen, 1)
+}
+
 // TestRestartedRouterFreesNothingBeforeTheLeaseEnds makes all grants of a new process
 // fail. The server may hold the keys by a grant of the process before.
 func TestRestartedRouterFreesNothingBeforeTheLeaseEnds(t *testing.T) {
