Release no range while an earlier process's grant may still arrive

A server may carry out an unanswered grant late. The holder remembers its own such grants and releases their keys only when they can take effect no more, but the process that replaces a killed router knows none of them. It released moving keys at once, and a late grant gave them to the server again, under the old fence, after their next owner had them.

Ranges that a process finds in a resumed session stay in use until one lease after it first saw them, and are released then.

--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -72,6 +72,10 @@
 	handover string
 	// receivedAt is when this router became the owner of the range.
 	receivedAt timer.Instant
+	// inherited is set if an earlier process of this router may have granted the keys.
+	inherited bool
+	// moving is set when the keys must be released.
+	moving bool
 	// grantedAt is when the newest successful grant was sent, zero before the first;
 	// hold is its duration.
 	grantedAt timer.Instant
@@ -161,7 +165,10 @@
 	service string
 	server  incarnation
 	// terminated is set while the server is known to have ended.
-	terminated        bool
+	terminated bool
+	// leased is set once this process had a lease. The ranges that it owns before that
+	// belong to a session that an earlier process opened.
+	leased            bool
 	keys              *splitter.Map[keyState]
 	calls             []*Call
 	unconfirmedGrants []unconfirmedGrant
@@ -196,13 +203,14 @@
 		}
 	}
 	m.keys = next
+	m.startReleases(now)
 }
 
 // updatedState returns the state of a part of a range, given its row. previous is the
 // server that the state is about.
 func (m *stateMachine) updatedState(now timer.Instant, state keyState, row messenger.RangeRow, previous incarnation) keyState {
 	if state.phase == phaseNone || state.fence != row.Fence {
-		state = keyState{phase: phaseOwned, fence: row.Fence, handover: row.Handover, receivedAt: now}
+		state = keyState{phase: phaseOwned, fence: row.Fence, handover: row.Handover, receivedAt: now, inherited: !m.leased}
 	}
 	switch {
 	case row.Life > m.server.born && state.phase != phaseFreed:
@@ -215,10 +223,7 @@
 	if m.terminated && state.phase == phaseOwned {
 		return freedState(row.Fence, causeTerminated)
 	}
-	if row.Phase == messenger.PhaseMoving && state.phase == phaseOwned {
-		state.phase = phaseReleasing
-		state.due = timer.Instant{}
-	}
+	state.moving = row.Phase == messenger.PhaseMoving
 	return state
 }
 
@@ -259,6 +264,8 @@
 
 // plan returns the calls that are due. No hold outlasts the lease.
 func (m *stateMachine) plan(now timer.Instant, leaseRemaining time.Duration) []*Call {
+	m.leased = m.leased || leaseRemaining > 0
+	m.startReleases(now)
 	m.expire(now)
 	if !isDue(now, m.resumeAt) {
 		return nil
@@ -285,6 +292,24 @@
 	return due
 }
 
+// startReleases begins to release moving keys, unless the server may still carry out an
+// unanswered grant of an earlier process of this router after it has released them.
+func (m *stateMachine) startReleases(now timer.Instant) {
+	m.keys.Update(0, messenger.LastKey, func(v keyState) keyState {
+		if v.phase == phaseOwned && v.moving && !m.isUnaccounted(now, v) {
+			v.phase = phaseReleasing
+			v.due = timer.Instant{}
+		}
+		return v
+	})
+}
+
+// isUnaccounted reports whether an unanswered grant of an earlier process of this router
+// may still give the keys to the server.
+func (m *stateMachine) isUnaccounted(now timer.Instant, v keyState) bool {
+	return v.inherited && now.SinceMonotonic(v.receivedAt) < m.leaseDuration+maxDeliveryDelay
+}
+
 // groups returns the pieces in groups of adjacent ones that one call can cover.
 func (m *stateMachine) groups() [][]splitter.Piece[keyState] {
 	var groups [][]splitter.Piece[keyState]
@@ -413,7 +438,7 @@
 		if value.grantedAt.IsZero() {
 			expired = now.SinceMonotonic(value.receivedAt) >= max(grantFailureTimeout, m.leaseDuration+maxDeliveryDelay)
 		}
-		if keyRange := (fencedRange{from: piece.From, to: piece.To}); expired && !m.hasUnconfirmedGrant(keyRange) && !m.hasCallInFlight(keyRange) {
+		if keyRange := (fencedRange{from: piece.From, to: piece.To}); expired && !m.isUnaccounted(now, value) && !m.hasUnconfirmedGrant(keyRange) && !m.hasCallInFlight(keyRange) {
 			m.keys.Set(piece.From, piece.To, freedState(value.fence, causeExpired))
 			return
 		}
--- a/router/holder/statemachine_test.go
+++ b/router/holder/statemachine_test.go
@@ -262,6 +262,43 @@
 	qt.Check(t, machine.freed(), qt.HasLen, 1)
 }
 
+// TestRestartedRouterWaitsForGrantsOfItsPredecessor restarts the router while the keys
+// move away. The process before may have left an unanswered grant, which the server may
+// carry out after it has released the keys.
+func TestRestartedRouterWaitsForGrantsOfItsPredecessor(t *testing.T) {
+	tests := []struct {
+		name string
+		// leaseAt is when the process gets its lease, before or after the rows.
+		leaseAt time.Duration
+		wait    bool
+	}{
+		{name: "resumed session", leaseAt: time.Second, wait: true},
+		{name: "granted to this process", leaseAt: 0},
+	}
+	for _, test := range tests {
+		comment := qt.Commentf(test.name)
+		machine := newStateMachine("findings", lease)
+		machine.setRanges(at(0), nil, server)
+		if test.leaseAt == 0 {
+			machine.plan(at(0), lease)
+		}
+		machine.setRanges(at(0), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, server)
+		calls := machine.plan(at(test.leaseAt), lease)
+		qt.Assert(t, calls, qt.HasLen, 1, comment)
+		machine.endCall(at(test.leaseAt), calls[0], Accepted, "")
+		machine.setRanges(at(1200*time.Millisecond), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseMoving)}, server)
+		calls = machine.plan(at(1300*time.Millisecond), lease)
+		if test.wait {
+			// The server is used until the keys can be released.
+			qt.Check(t, calls, qt.HasLen, 0, comment)
+			qt.Check(t, machine.checkHeld(at(1300*time.Millisecond), 50), qt.Equals, messenger.ReasonNone, comment)
+			calls = machine.plan(at(lease+maxDeliveryDelay), lease)
+		}
+		qt.Assert(t, calls, qt.HasLen, 1, comment)
+		qt.Check(t, calls[0].Release, qt.IsTrue, comment)
+	}
+}
+
 // TestRestartedRouterFreesNothingBeforeTheLeaseEnds makes all grants of a new process
 // fail. The server may hold the keys by a grant of the process before.
 func TestRestartedRouterFreesNothingBeforeTheLeaseEnds(t *testing.T) {
