Let no hold outlast the lease when its grant arrives late

The hold of a grant was the rest of the lease when the call was planned, but the server counts it from the arrival. A router short of processor time, or a VM that was suspended in between, sent the call later, up to its timeout of 400 ms and more, and the server held the keys past the lease and the 150 ms that the control group waits beyond it.

The hold is now shorter by that timeout, the timeout counts from the plan on both clocks, and a call that was delayed beyond it is not sent. A hold is taken as ended when it ended by the moment of the response, not by an estimate of the delivery.

--- a/router/holder/holder.go
+++ b/router/holder/holder.go
@@ -39,7 +39,7 @@
 	// planInterval is the time between two checks for calls that are due, and so the
 	// maximum delay of a renewal.
 	planInterval = 100 * time.Millisecond
-	// grantTimeout is the timeout of a grant.
+	// grantTimeout is the timeout of a grant, counted from when it was planned.
 	grantTimeout = 400 * time.Millisecond
 	// releaseTimeout is the timeout of a release. The server responds only when its
 	// work on the keys has ended.
@@ -196,20 +196,7 @@
 }
 
 func (h *Holder) call(ctx context.Context, stateMachine *stateMachine, server *messenger.ServerRow, call *Call) {
-	timeout := grantTimeout
-	if call.Release {
-		timeout = releaseTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	var result CallResult
-	var handover string
-	var err error
-	if call.Release {
-		result, handover, err = h.options.Caller.Release(ctx, server.URL, call)
-	} else {
-		result, err = h.options.Caller.Grant(ctx, server.URL, call)
-	}
+	result, handover, err := h.send(ctx, server, call)
 	h.logCall(server, call, result, err)
 	h.mu.Lock()
 	stateMachine.endCall(timer.Now(), call, result, handover)
@@ -222,6 +209,25 @@
 	h.signal()
 }
 
+// send makes a call, unless it has already reached its timeout.
+func (h *Holder) send(ctx context.Context, server *messenger.ServerRow, call *Call) (CallResult, string, error) {
+	timeout := grantTimeout
+	if call.Release {
+		timeout = releaseTimeout
+	}
+	delay := timer.Now().Since(call.plannedAt)
+	if delay >= timeout {
+		return NotSent, "", Error.New("range call was delayed by %s, want less than %s", delay, timeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout-delay)
+	defer cancel()
+	if call.Release {
+		return h.options.Caller.Release(ctx, server.URL, call)
+	}
+	result, err := h.options.Caller.Grant(ctx, server.URL, call)
+	return result, "", err
+}
+
 // logCall counts a call and logs it unless it is a renewal that was accepted.
 func (h *Holder) logCall(server *messenger.ServerRow, call *Call, result CallResult, err error) {
 	kind := "grant"
@@ -234,7 +240,7 @@
 	}
 	h.options.Log.Emit(logger.RangeCallCompleted, "service", call.Service, "from", call.From, "to", call.To,
 		"fence", call.Fence, "server", server.Name, "born", server.Born, "release", call.Release, "verdict", result.String(),
-		"hold", call.Hold.String(), "took", timer.Now().Since(call.sentAt).String(), "error", err)
+		"hold", call.Hold.String(), "took", timer.Now().Since(call.plannedAt).String(), "error", err)
 }
 
 // logFreed counts and logs the ranges that became free. The caller holds h.mu.
--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -76,10 +76,12 @@
 	inherited bool
 	// moving is set when the keys must be released.
 	moving bool
-	// grantedAt is when the newest successful grant was sent, zero before the first;
-	// hold is its duration.
-	grantedAt timer.Instant
-	hold      time.Duration
+	// grantedAt is when the newest successful grant was planned, zero before the first,
+	// and acceptedAt when its response arrived. The server counts hold, its duration, from
+	// a moment between them.
+	grantedAt  timer.Instant
+	acceptedAt timer.Instant
+	hold       time.Duration
 	// due is the earliest time of the next call.
 	due timer.Instant
 }
@@ -121,7 +123,7 @@
 	// First is set for a grant of keys that the server does not hold yet.
 	First bool
 
-	sentAt timer.Instant
+	plannedAt timer.Instant
 }
 
 func (c *Call) fencedRange() fencedRange {
@@ -148,8 +150,8 @@
 // unconfirmedGrant is an unanswered grant that may still take effect.
 type unconfirmedGrant struct {
 	fencedRange
-	sentAt timer.Instant
-	// validFor is the time from sentAt during which the server may hold the keys.
+	plannedAt timer.Instant
+	// validFor is the time from plannedAt during which the server may hold the keys.
 	validFor time.Duration
 }
 
@@ -285,7 +287,7 @@
 		if !call.Release {
 			grants++
 		}
-		call.sentAt = now
+		call.plannedAt = now
 		m.calls = append(m.calls, call)
 		due = append(due, call)
 	}
@@ -371,7 +373,8 @@
 }
 
 func (m *stateMachine) planGrant(now timer.Instant, leaseRemaining time.Duration, group []splitter.Piece[keyState], call *Call) *Call {
-	hold := time.Duration(float64(leaseRemaining) / clockDriftFactor)
+	// The server counts the hold from the arrival of the call.
+	hold := time.Duration(float64(leaseRemaining-grantTimeout) / clockDriftFactor)
 	if hold < minHold {
 		return nil
 	}
@@ -424,7 +427,7 @@
 func (m *stateMachine) expire(now timer.Instant) {
 	kept := m.unconfirmedGrants[:0]
 	for _, entry := range m.unconfirmedGrants {
-		if now.SinceMonotonic(entry.sentAt) < entry.validFor {
+		if now.SinceMonotonic(entry.plannedAt) < entry.validFor {
 			kept = append(kept, entry)
 		}
 	}
@@ -434,7 +437,7 @@
 		if value.phase == phaseNone || value.phase == phaseFreed {
 			continue
 		}
-		expired := now.SinceMonotonic(value.grantedAt) >= time.Duration(clockDriftFactor*float64(value.hold))+maxDeliveryDelay
+		expired := now.SinceMonotonic(value.acceptedAt) >= time.Duration(clockDriftFactor*float64(value.hold))
 		if value.grantedAt.IsZero() {
 			expired = now.SinceMonotonic(value.receivedAt) >= max(grantFailureTimeout, m.leaseDuration+maxDeliveryDelay)
 		}
@@ -454,8 +457,8 @@
 		}
 	}
 	if result == Unanswered && !call.Release && call.Server == m.server.name {
-		validFor := now.SinceMonotonic(call.sentAt) + maxDeliveryDelay + time.Duration(clockDriftFactor*float64(call.Hold))
-		m.unconfirmedGrants = append(m.unconfirmedGrants, unconfirmedGrant{fencedRange: call.fencedRange(), sentAt: call.sentAt, validFor: validFor})
+		validFor := now.SinceMonotonic(call.plannedAt) + maxDeliveryDelay + time.Duration(clockDriftFactor*float64(call.Hold))
+		m.unconfirmedGrants = append(m.unconfirmedGrants, unconfirmedGrant{fencedRange: call.fencedRange(), plannedAt: call.plannedAt, validFor: validFor})
 	}
 	if result == NotSent || result == Misdirected {
 		m.resumeAt = now.Add(retryInterval)
@@ -481,7 +484,8 @@
 			// The next start of the server accepted it.
 			v.phase = phaseReleasing
 		}
-		v.grantedAt = call.sentAt
+		v.grantedAt = call.plannedAt
+		v.acceptedAt = now
 		v.hold = call.Hold
 		v.due = timer.Instant{}
 	default:
