Release a range whose renewal met a higher fence

A renewal is refused when the server has seen a higher fence on one of its keys. The router reported the whole range as free, although the server may hold the other keys of the range until the grant before that ends.

The range is released first; a range that the server never took is free at once, as before. TestRangeWithAHigherFenceIsReleased replaces the row of TestKeysAreFreedWithoutACall that demanded the opposite; it failed before.

--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -473,8 +473,12 @@
 
 func stateAfterCall(now timer.Instant, v keyState, call *Call, result CallResult, handover string, server incarnation) keyState {
 	switch {
-	case result == Fenced:
+	case result == Fenced && v.grantedAt.IsZero():
 		return freedState(v.fence, causeFenced)
+	case result == Fenced:
+		// The server may still hold those of the keys for which it saw no higher fence.
+		v.phase = phaseReleasing
+		v.due = timer.Instant{}
 	case result == Accepted && call.Release && v.phase == phaseReleasing:
 		freed := freedState(v.fence, causeReleased)
 		freed.handover = handover
