Give up ranges whose server no longer answers grants

A server that answers nothing, but whose port does not refuse connections, kept its ranges for ever: each grant that it did not answer might still take effect, and the router sent the next one before that time had passed. Nobody served the keys.

Once what the server has accepted is over, no more grants are sent, and the range is free when the last unanswered one can take effect no more. TestSilentServerLosesItsRanges failed before (not free within 30 s).

--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -441,7 +441,17 @@
 		if value.grantedAt.IsZero() {
 			expired = now.SinceMonotonic(value.receivedAt) >= max(grantFailureTimeout, m.leaseDuration+maxDeliveryDelay)
 		}
-		if keyRange := (fencedRange{from: piece.From, to: piece.To}); expired && !m.isUnaccounted(now, value) && !m.hasUnconfirmedGrant(keyRange) && !m.hasCallInFlight(keyRange) {
+		keyRange := fencedRange{from: piece.From, to: piece.To}
+		if !expired || m.isUnaccounted(now, value) {
+			continue
+		}
+		if m.hasUnconfirmedGrant(keyRange) {
+			// Further grants would only delay the end of what the server may hold.
+			value.phase = phaseReleasing
+			m.keys.Set(piece.From, piece.To, value)
+			continue
+		}
+		if !m.hasCallInFlight(keyRange) {
 			m.keys.Set(piece.From, piece.To, freedState(value.fence, causeExpired))
 			return
 		}
--- a/router/holder/statemachine_test.go
+++ b/router/holder/statemachine_test.go
@@ -353,6 +353,35 @@
 	qt.Check(t, machine.checkHeld(at(20*time.Millisecond), 50), qt.Equals, messenger.ReasonMoving)
 }
 
+// TestSilentServerLosesItsRanges answers no call any more. Further grants must not delay
+// the end of what the server may hold for ever.
+func TestSilentServerLosesItsRanges(t *testing.T) {
+	tests := []struct {
+		name    string
+		machine func() *stateMachine
+	}{
+		{name: "after grants that succeeded", machine: func() *stateMachine { return newGranted(t) }},
+		{name: "from the first grant on", machine: func() *stateMachine {
+			machine := newLeased()
+			machine.setRanges(at(0), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, server)
+			return machine
+		}},
+	}
+	for _, test := range tests {
+		machine := test.machine()
+		freedAt := time.Duration(0)
+		for passed := time.Duration(0); freedAt == 0 && passed < 10*lease; passed += grantTimeout {
+			for _, call := range machine.plan(at(passed), lease) {
+				machine.endCall(at(passed+grantTimeout), call, Unanswered, "")
+			}
+			if len(machine.freed()) > 0 {
+				freedAt = passed
+			}
+		}
+		qt.Check(t, freedAt > 0 && freedAt <= 2*lease+time.Second, qt.IsTrue, qt.Commentf("%s: freed at %s", test.name, freedAt))
+	}
+}
+
 // TestClockJumpFreesNothing makes the wall clock of the router's VM jump ahead: its
 // lease expires immediately, but the server still holds the keys, so they are not
 // free.
