Free all expired ranges of a router in one step

Expired ranges were freed one each 100 ms, as the loop changed the list that it went through, so the last of thirty waited for 3 s longer without an owner.

The loop goes through a copy. TestExpiredRangesAreFreedTogether failed before: one of twelve was free.

--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -421,9 +421,8 @@
 	return false
 }
 
-// expire deletes unconfirmed grants that have ended, and frees at most one range that
-// the server can no longer hold because no grant succeeded. It uses the monotonic
-// clock: a wall clock that jumps ahead does not end a hold at the server.
+// expire deletes unconfirmed grants that have ended, and frees the ranges that the
+// server can no longer hold because no grant succeeded. It uses the monotonic clock: a wall clock that jumps ahead does not end a hold at the server.
 func (m *stateMachine) expire(now timer.Instant) {
 	kept := m.unconfirmedGrants[:0]
 	for _, entry := range m.unconfirmedGrants {
@@ -432,7 +431,7 @@
 		}
 	}
 	m.unconfirmedGrants = kept
-	for _, piece := range m.keys.Pieces() {
+	for _, piece := range m.keys.Within(0, messenger.LastKey) {
 		value := piece.Value
 		if value.phase == phaseNone || value.phase == phaseFreed {
 			continue
@@ -453,7 +452,6 @@
 		}
 		if !m.hasCallInFlight(keyRange) {
 			m.keys.Set(piece.From, piece.To, freedState(value.fence, causeExpired))
-			return
 		}
 	}
 }
@@ -537,7 +535,7 @@
 // unloggedFreed returns the ranges that became free since the last call.
 func (m *stateMachine) unloggedFreed() []freedRange {
 	var ranges []freedRange
-	for _, piece := range m.keys.Pieces() {
+	for _, piece := range m.keys.Within(0, messenger.LastKey) {
 		value := piece.Value
 		if value.phase != phaseFreed || value.logged {
 			continue
--- a/router/holder/statemachine_test.go
+++ b/router/holder/statemachine_test.go
@@ -402,6 +402,21 @@
 	qt.Assert(t, machine.freed(), qt.HasLen, 1)
 }
 
+// TestExpiredRangesAreFreedTogether checks that each expired range is freed, and logged
+// once, in one step.
+func TestExpiredRangesAreFreedTogether(t *testing.T) {
+	machine := newLeased()
+	var rows []messenger.RangeRow
+	for n := range uint32(12) {
+		rows = append(rows, row(n*100, n*100+99, uint64(5+n%2), messenger.PhaseOwned))
+	}
+	machine.setRanges(at(0), rows, server)
+	machine.plan(at(2*lease), 0)
+	qt.Check(t, machine.freed(), qt.HasLen, 12)
+	qt.Check(t, machine.unloggedFreed(), qt.HasLen, 12)
+	qt.Check(t, machine.unloggedFreed(), qt.HasLen, 0)
+}
+
 func TestConcurrentGrantsAreLimited(t *testing.T) {
 	machine := newStateMachine("findings", lease)
 	var rows []messenger.RangeRow
