Update the holder of a router in one step at a time

The map of owners and the server are read, and then passed to the holder, by the goroutine of the session and by handlers of announcements. One that read before a newer map was applied and passed its rows on after it gave a range back to the holder that had moved away, and the holder granted it to the server again under the old fence.

A mutex makes each update one step. Found by reading; no test or run shows it.

--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -95,9 +96,13 @@
 	admission *queuer.Admission
 	backend   *courier.Client
 	holder    *holder.Holder
-	sampler   *sampler.Sampler
-	owner     *relayer.Owner
-	entry     *relayer.Entry
+	// rangesMu makes each update of the holder a step of its own: one that reads the map
+	// and the server before another one, and passes them on after it, would grant ranges
+	// again that have moved away.
+	rangesMu sync.Mutex
+	sampler  *sampler.Sampler
+	owner    *relayer.Owner
+	entry    *relayer.Entry
 	// pacedNetwork is the network for all traffic to and from other VMs.
 	pacedNetwork networker.Network
 	pool         *linker.Pool
@@ -217,6 +222,8 @@
 // updateRanges passes the key ranges that the session of this router owns to the
 // holder.
 func (p *Routed) updateRanges() {
+	p.rangesMu.Lock()
+	defer p.rangesMu.Unlock()
 	view := p.server.View()
 	if view.Row == nil {
 		p.holder.SetRows(nil, nil, view.State)
