Do not take a server for gone while a connection to it is open

Two connections that the server's port refused freed all its keys. A server that stops to listen before it ends its work, as a graceful stop does, refuses connections while it still runs requests on these keys, and their next owner began others.

A process that has ended has no open connections: a server is down only if its port refuses connections and none to it is open, neither one that carries a request nor the one for grants. Else its keys are free when its hold has ended.

TestServerWithOpenConnectionsIsNotDown failed before (down after the second refusal).

--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -142,11 +142,13 @@
 	p.admission = queuer.NewAdmission(0)
 	p.backend = courier.New(courier.Options{Network: options.Network, HeaderCodec: options.HeaderCodec, Metrics: options.Metrics})
 	p.sampler = sampler.New()
+	rangeClient := granter.NewRangeClient(options.Network, *options.RangeProtocol)
 	p.server = attendant.New(attendant.Options{
-		Address:  p.settings.Server,
-		OnChange: p.serverChanged,
-		OnDown:   func() { p.holder.ServerTerminated() },
-		Log:      options.Log,
+		Address:     p.settings.Server,
+		OnChange:    p.serverChanged,
+		OnDown:      func() { p.holder.ServerTerminated() },
+		IsConnected: func() bool { return rangeClient.IsConnected() || p.backend.IsConnected() },
+		Log:         options.Log,
 	})
 	p.pacedNetwork = pacer.New(options.Network, pacer.NewBucket(p.settings.LinkMbits*bytesPerMegabit))
 	p.pool = linker.NewPool(p.pacedNetwork, p.linkOptions())
@@ -167,7 +169,7 @@
 		Metrics:          options.Metrics,
 	})
 	p.holder = holder.New(holder.Options{
-		Caller:        granter.NewRangeClient(options.Network, *options.RangeProtocol),
+		Caller:        rangeClient,
 		Lease:         p.keeper.Lease,
 		LeaseDuration: p.settings.Timing.WithDefaults().Lease,
 		OnChange:      p.keeper.RequestHeartbeat,
--- a/router/attendant/attendant.go
+++ b/router/attendant/attendant.go
@@ -4,7 +4,8 @@
 // A server announces itself periodically. Announcements that arrive late, out of
 // order or from an earlier incarnation of the server are ignored. A server that
 // announces that it is leaving gets no new requests after a short grace period. A
-// server whose port refuses connections is down and no longer holds any keys.
+// server whose port refuses connections, and to which none is open, is down and no longer
+// holds any keys.
 //
 // # Usage
 //
@@ -82,7 +83,10 @@
 	// the server went down and so no longer holds any keys. They must not block.
 	OnChange func(view *View)
 	OnDown   func()
-	Log      *logger.Log
+	// IsConnected reports whether a connection to the server is still open. Such a server
+	// has not ended, even if its port refuses connections. It must not block.
+	IsConnected func() bool
+	Log         *logger.Log
 }
 
 // Attendant tracks one backend server. It is safe for concurrent use.
@@ -191,7 +195,7 @@
 		a.firstRefused = now
 	}
 	a.refusedDials++
-	if a.refusedDials < refusalThreshold || now.Since(a.firstRefused) < minRefusalSpan || !isUp(before) {
+	if a.refusedDials < refusalThreshold || now.Since(a.firstRefused) < minRefusalSpan || !isUp(before) || a.options.IsConnected() {
 		a.mu.Unlock()
 		return
 	}
--- a/router/attendant/attendant_test.go
+++ b/router/attendant/attendant_test.go
@@ -21,15 +21,17 @@
 type fixture struct {
 	*attendant.Attendant
 	downCalls int
+	connected bool
 }
 
 func newFixture() *fixture {
 	f := new(fixture)
 	f.Attendant = attendant.New(attendant.Options{
-		Address:  address,
-		OnChange: func(*attendant.View) {},
-		OnDown:   func() { f.downCalls++ },
-		Log:      logger.Discard(),
+		Address:     address,
+		OnChange:    func(*attendant.View) {},
+		OnDown:      func() { f.downCalls++ },
+		IsConnected: func() bool { return f.connected },
+		Log:         logger.Discard(),
 	})
 	return f
 }
@@ -76,6 +78,23 @@
 	}
 }
 
+// TestServerWithOpenConnectionsIsNotDown refuses new connections while others are still
+// open, as a server does that stops to listen before it ends its work.
+func TestServerWithOpenConnectionsIsNotDown(t *testing.T) {
+	f := newFixture()
+	f.connected = true
+	f.Announce(at(0), announcement("a", 100, 1))
+	for n := range 5 {
+		f.DialRefused(at(time.Duration(n) * time.Second))
+	}
+	qt.Check(t, f.View().State, qt.Equals, messenger.ServerReady)
+	qt.Check(t, f.downCalls, qt.Equals, 0)
+	f.connected = false
+	f.DialRefused(at(5 * time.Second))
+	qt.Check(t, f.View().State, qt.Equals, messenger.ServerDown)
+	qt.Check(t, f.downCalls, qt.Equals, 1)
+}
+
 func TestWithdrawnServerIsNotRestored(t *testing.T) {
 	f := newFixture()
 	f.Announce(at(0), announcement("a", 100, 1))
--- a/router/courier/conn.go
+++ b/router/courier/conn.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,16 +36,22 @@
 	// is closed.
 	sent      bool
 	closeOnce sync.Once
+	// open is the number of open connections of the client.
+	open *atomic.Int64
 }
 
 const readBufferBytes = 4 << 10
 
-func newConn(raw net.Conn, address string) *conn {
-	return &conn{raw: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes), idleTimeout: defaultIdleTimeout}
+func newConn(raw net.Conn, address string, open *atomic.Int64) *conn {
+	open.Add(1)
+	return &conn{raw: raw, address: address, open: open, reader: bufio.NewReaderSize(raw, readBufferBytes), idleTimeout: defaultIdleTimeout}
 }
 
 func (c *conn) close() {
-	c.closeOnce.Do(func() { _ = c.raw.Close() })
+	c.closeOnce.Do(func() {
+		c.open.Add(-1)
+		_ = c.raw.Close()
+	})
 }
 
 // interrupt closes the connection and unblocks pending reads and writes.
--- a/router/courier/courier.go
+++ b/router/courier/courier.go
@@ -26,6 +26,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -112,6 +113,8 @@
 type Client struct {
 	options Options
 
+	open atomic.Int64
+
 	mu   sync.Mutex
 	idle []*conn
 }
@@ -133,6 +136,13 @@
 	}
 }
 
+// IsConnected reports whether a connection to the server is open. It holds right after a
+// failed dial: an idle connection that the server has closed is noticed when the next
+// request looks for one, which is before it dials.
+func (c *Client) IsConnected() bool {
+	return c.open.Load() > 0
+}
+
 // Send sends a request and waits for the header of the response. When ctx is done,
 // the connection is closed, so that the server can cancel the request.
 func (c *Client) Send(ctx context.Context, address string, serverRequest *ServerRequest, body io.Reader) Result {
@@ -179,7 +189,7 @@
 		return nil, Error.New("dialing the backend server: %w", err)
 	}
 	c.count("dials")
-	return newConn(raw, address), nil
+	return newConn(raw, address, &c.open), nil
 }
 
 // popIdle returns the idle connection that was used last, so that the others reach
--- a/router/courier/courier_test.go
+++ b/router/courier/courier_test.go
@@ -232,3 +232,30 @@
 	fmt.Println(result.Outcome, result.Reason)
 	// Output: refused down
 }
+
+// TestOpenConnectionsAreCounted checks that a client knows whether a connection to the
+// server is open, once a dial has been refused.
+func TestOpenConnectionsAreCounted(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	address := socket.Addr().String()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Id", "7")
+	})}
+	go func() { _ = server.Serve(socket) }()
+	client := courier.New(courier.Options{Network: networker.TCP{}, HeaderCodec: headerCodec{}})
+	send := func() courier.Result {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		return client.Send(ctx, address, &courier.ServerRequest{Relay: &messenger.Relay{ID: "7", Method: "GET", Target: "/", Host: "h"}}, strings.NewReader(""))
+	}
+	qt.Check(t, client.IsConnected(), qt.IsFalse)
+	result := send()
+	qt.Assert(t, result.Outcome, qt.Equals, messenger.OutcomeDone)
+	qt.Check(t, client.IsConnected(), qt.IsTrue)
+	_, _ = io.Copy(io.Discard, result.Body)
+	_ = result.Body.Close()
+	qt.Assert(t, server.Close(), qt.IsNil)
+	qt.Check(t, send().Outcome, qt.Equals, messenger.OutcomeRefused)
+	qt.Check(t, client.IsConnected(), qt.IsFalse)
+}
--- a/router/granter/ranges.go
+++ b/router/granter/ranges.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"marigoldhill/kernel/messenger"
@@ -44,18 +46,46 @@
 type RangeClient struct {
 	protocol RangeProtocol
 	client   *http.Client
+	// open is the number of open connections.
+	open atomic.Int64
 }
 
 var _ holder.Caller = (*RangeClient)(nil)
 
 // NewRangeClient returns a RangeClient that dials through network.
 func NewRangeClient(network networker.Network, protocol RangeProtocol) *RangeClient {
+	r := &RangeClient{protocol: protocol}
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
-		return network.Dial(ctx, address)
+		conn, err := network.Dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		r.open.Add(1)
+		return &countedConn{Conn: conn, open: &r.open}, nil
 	}
-	return &RangeClient{protocol: protocol, client: &http.Client{Transport: &http.Transport{
+	r.client = &http.Client{Transport: &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true,
-	}}}
+	}}
+	return r
+}
+
+// IsConnected reports whether a connection to the backend server is open. The transport
+// closes its side as soon as the server has closed or reset a connection.
+func (r *RangeClient) IsConnected() bool {
+	return r.open.Load() > 0
+}
+
+// countedConn is a connection that is counted until it is closed.
+type countedConn struct {
+	net.Conn
+	open      *atomic.Int64
+	closeOnce sync.Once
+}
+
+// Close implements [net.Conn].
+func (c *countedConn) Close() error {
+	c.closeOnce.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
 }
 
 // NativeRangeProtocol returns the native format of the calls, which docs/BACKEND.md
--- a/router/granter/ranges_test.go
+++ b/router/granter/ranges_test.go
@@ -127,3 +127,23 @@
 		qt.Check(t, f.Freed(), qt.DeepEquals, []messenger.RangeRef{{Service: "findings", From: 0, To: 99, Fence: 5}})
 	})
 }
+
+// TestOpenConnectionsAreCounted checks that the client knows whether a connection to the
+// server is open: the server keeps one after a call, and closes it when it ends.
+func TestOpenConnectionsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := disrupter.New(0)
+		client := granter.NewRangeClient(network.Node("vm1"), granter.NativeRangeProtocol())
+		qt.Check(t, client.IsConnected(), qt.IsFalse)
+		server := &rangeServer{name: "d1"}
+		stop := server.start(t, network)
+		result, err := client.Grant(t.Context(), serverAddress, &holder.Call{Server: "d1", To: 99, Fence: 5})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, result, qt.Equals, holder.Accepted)
+		synctest.Wait()
+		qt.Check(t, client.IsConnected(), qt.IsTrue)
+		stop()
+		synctest.Wait()
+		qt.Check(t, client.IsConnected(), qt.IsFalse)
+	})
+}
