--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -95,9 +96,13 @@
 	admission *queuer.Admission
 	backend   *courier.Client
 	holder    *holder.Holder
-	sampler   *sampler.Sampler
-	owner     *relayer.Owner
-	entry     *relayer.Entry
+	// rangesMu makes each update of the holder a step of its own: one that reads the map
+	// and the server before another one, and passes them on after it, would grant ranges
+	// again that have moved away.
+	rangesMu sync.Mutex
+	sampler  *sampler.Sampler
+	owner    *relayer.Owner
+	entry    *relayer.Entry
 	// pacedNetwork is the network for all traffic to and from other VMs.
 	pacedNetwork networker.Network
 	pool         *linker.Pool
@@ -137,11 +142,13 @@
 	p.admission = queuer.NewAdmission(0)
 	p.backend = courier.New(courier.Options{Network: options.Network, HeaderCodec: options.HeaderCodec, Metrics: options.Metrics})
 	p.sampler = sampler.New()
+	rangeClient := granter.NewRangeClient(options.Network, *options.RangeProtocol)
 	p.server = attendant.New(attendant.Options{
-		Address:  p.settings.Server,
-		OnChange: p.serverChanged,
-		OnDown:   func() { p.holder.ServerTerminated() },
-		Log:      options.Log,
+		Address:     p.settings.Server,
+		OnChange:    p.serverChanged,
+		OnDown:      func() { p.holder.ServerTerminated() },
+		IsConnected: func() bool { return rangeClient.IsConnected() || p.backend.IsConnected() },
+		Log:         options.Log,
 	})
 	p.pacedNetwork = pacer.New(options.Network, pacer.NewBucket(p.settings.LinkMbits*bytesPerMegabit))
 	p.pool = linker.NewPool(p.pacedNetwork, p.linkOptions())
@@ -162,11 +169,12 @@
 		Metrics:          options.Metrics,
 	})
 	p.holder = holder.New(holder.Options{
-		Caller:   granter.NewRangeClient(options.Network, *options.RangeProtocol),
-		Lease:    p.keeper.Lease,
-		OnChange: p.keeper.RequestHeartbeat,
-		Log:      options.Log,
-		Metrics:  options.Metrics,
+		Caller:        rangeClient,
+		Lease:         p.keeper.Lease,
+		LeaseDuration: p.settings.Timing.WithDefaults().Lease,
+		OnChange:      p.keeper.RequestHeartbeat,
+		Log:           options.Log,
+		Metrics:       options.Metrics,
 	})
 	p.owner = relayer.NewOwner(relayer.OwnerOptions{
 		Server:        p.server,
@@ -216,12 +224,14 @@
 // updateRanges passes the key ranges that the session of this router owns to the
 // holder.
 func (p *Routed) updateRanges() {
-	row := p.server.View().Row
-	if row == nil {
-		p.holder.SetRows(nil, nil)
+	p.rangesMu.Lock()
+	defer p.rangesMu.Unlock()
+	view := p.server.View()
+	if view.Row == nil {
+		p.holder.SetRows(nil, nil, view.State)
 		return
 	}
-	p.holder.SetRows(p.mapper.Load().OwnedRanges(row.Service, p.keeper.Session()), row)
+	p.holder.SetRows(p.mapper.Load().OwnedRanges(view.Row.Service, p.keeper.Session()), view.Row, view.State)
 }
 
 // isReady reports whether the router accepts requests of callers.
--- a/router/granter/ranges.go
+++ b/router/granter/ranges.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"marigoldhill/kernel/messenger"
@@ -28,6 +30,9 @@
 	// GrantPath and ReleasePath are the paths of the calls. Both use POST.
 	GrantPath   string
 	ReleasePath string
+	// ServerHeader is the header with the name of the server that a call is for. A
+	// server with another name must respond with status 421 and not carry it out.
+	ServerHeader string
 	// Body returns the value that is encoded as the JSON body of a call.
 	Body func(call *holder.Call) any
 	// Handover returns the handover token for the next holder from the header of a
@@ -37,30 +42,59 @@
 
 // RangeClient makes the calls that grant and release ranges of keys. Status 200 means that
 // the call was carried out, 409 that the server has seen a higher fence for some of
-// the keys.
+// the keys, 421 that the call is for another server.
 type RangeClient struct {
 	protocol RangeProtocol
 	client   *http.Client
+	// open is the number of open connections.
+	open atomic.Int64
 }
 
 var _ holder.Caller = (*RangeClient)(nil)
 
 // NewRangeClient returns a RangeClient that dials through network.
 func NewRangeClient(network networker.Network, protocol RangeProtocol) *RangeClient {
+	r := &RangeClient{protocol: protocol}
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
-		return network.Dial(ctx, address)
+		conn, err := network.Dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		r.open.Add(1)
+		return &countedConn{Conn: conn, open: &r.open}, nil
 	}
-	return &RangeClient{protocol: protocol, client: &http.Client{Transport: &http.Transport{
+	r.client = &http.Client{Transport: &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true,
-	}}}
+	}}
+	return r
+}
+
+// IsConnected reports whether a connection to the backend server is open. The transport
+// closes its side as soon as the server has closed or reset a connection.
+func (r *RangeClient) IsConnected() bool {
+	return r.open.Load() > 0
+}
+
+// countedConn is a connection that is counted until it is closed.
+type countedConn struct {
+	net.Conn
+	open      *atomic.Int64
+	closeOnce sync.Once
+}
+
+// Close implements [net.Conn].
+func (c *countedConn) Close() error {
+	c.closeOnce.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
 }
 
 // NativeRangeProtocol returns the native format of the calls, which docs/BACKEND.md
 // specifies.
 func NativeRangeProtocol() RangeProtocol {
 	return RangeProtocol{
-		GrantPath:   messenger.PathGrants,
-		ReleasePath: messenger.PathRevokes,
+		GrantPath:    messenger.PathGrants,
+		ReleasePath:  messenger.PathRevokes,
+		ServerHeader: messenger.HeaderServer,
 		Body: func(call *holder.Call) any {
 			return messenger.RangeCall{
 				From: call.From, To: call.To, Fence: call.Fence, Hold: call.Hold.Milliseconds(), Handover: call.Handover,
@@ -91,6 +125,7 @@
 		return holder.NotSent, "", Error.New("creating the request of a range call: %w", err)
 	}
 	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(r.protocol.ServerHeader, call.Server)
 	response, err := r.client.Do(request)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return holder.NotSent, "", Error.New("connecting to the backend server for a range call: %w", err)
@@ -107,6 +142,8 @@
 		return holder.Accepted, r.protocol.Handover(response.Header), nil
 	case http.StatusConflict:
 		return holder.Fenced, "", nil
+	case http.StatusMisdirectedRequest:
+		return holder.Misdirected, "", nil
 	}
-	return holder.Unanswered, "", Error.New("backend server answered a range call with status %s, want 200 or 409", response.Status)
+	return holder.Unanswered, "", Error.New("backend server answered a range call with status %s, want 200, 409 or 421", response.Status)
 }
--- a/router/granter/ranges_test.go
+++ b/router/granter/ranges_test.go
@@ -80,10 +80,11 @@
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{network: disrupter.New(0)}
 	f.Holder = holder.New(holder.Options{
-		Caller:   granter.NewRangeClient(f.network.Node("vm1"), granter.NativeRangeProtocol()),
-		Lease:    func() *keeper.Lease { return keeper.NewTestLease(7, timer.Now()) },
-		OnChange: func() {},
-		Log:      logger.Discard(),
+		Caller:        granter.NewRangeClient(f.network.Node("vm1"), granter.NativeRangeProtocol()),
+		Lease:         func() *keeper.Lease { return keeper.NewTestLease(7, timer.Now()) },
+		LeaseDuration: messenger.LeaseDuration,
+		OnChange:      func() {},
+		Log:           logger.Discard(),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
@@ -112,7 +113,7 @@
 		f := newFixture(t)
 		first, second := &rangeServer{name: "d1"}, &rangeServer{name: "d2"}
 		stop := first.start(t, f.network)
-		f.SetRows(grantedRows(), serverRow("d1", firstBorn))
+		f.SetRows(grantedRows(), serverRow("d1", firstBorn), messenger.ServerReady)
 		time.Sleep(2 * time.Second)
 		qt.Assert(t, first.granted() >= 2, qt.IsTrue)
 		stop()
@@ -120,9 +121,29 @@
 		defer stop()
 		time.Sleep(2 * time.Second)
 		qt.Check(t, second.granted(), qt.Equals, 0)
-		f.SetRows(grantedRows(), serverRow("d2", secondBorn))
+		f.SetRows(grantedRows(), serverRow("d2", secondBorn), messenger.ServerReady)
 		time.Sleep(time.Second)
 		qt.Check(t, second.granted(), qt.Equals, 0)
 		qt.Check(t, f.Freed(), qt.DeepEquals, []messenger.RangeRef{{Service: "findings", From: 0, To: 99, Fence: 5}})
 	})
 }
+
+// TestOpenConnectionsAreCounted checks that the client knows whether a connection to the
+// server is open: the server keeps one after a call, and closes it when it ends.
+func TestOpenConnectionsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := disrupter.New(0)
+		client := granter.NewRangeClient(network.Node("vm1"), granter.NativeRangeProtocol())
+		qt.Check(t, client.IsConnected(), qt.IsFalse)
+		server := &rangeServer{name: "d1"}
+		stop := server.start(t, network)
+		result, err := client.Grant(t.Context(), serverAddress, &holder.Call{Server: "d1", To: 99, Fence: 5})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, result, qt.Equals, holder.Accepted)
+		synctest.Wait()
+		qt.Check(t, client.IsConnected(), qt.IsTrue)
+		stop()
+		synctest.Wait()
+		qt.Check(t, client.IsConnected(), qt.IsFalse)
+	})
+}
--- a/router/holder/holder.go
+++ b/router/holder/holder.go
@@ -1,7 +1,9 @@
 // Package holder grants the ranges of keys that a router owns to its backend server,
 // and revokes them.
 //
-// Each grant tells the server how long it may hold the keys. The Holder renews grants
+// Each call names the server that it is for, since the next start of the server may
+// listen at the same address before the router learns of it. Each grant tells the server
+// how long it may hold the keys. The Holder renews grants
 // while the lease of the router is valid and never beyond its end, releases keys when
 // the control group moves them, and reports which keys are free. An unanswered grant
 // may still take effect; its keys are not reported as free until that is impossible.
@@ -9,9 +11,10 @@
 //
 // # Usage
 //
-//	keys := holder.New(holder.Options{Caller: caller, Lease: keeper.Lease, OnChange: keeper.RequestHeartbeat, Log: log})
+//	keys := holder.New(holder.Options{Caller: caller, Lease: keeper.Lease,
+//		LeaseDuration: timing.Lease, OnChange: keeper.RequestHeartbeat, Log: log})
 //	go keys.Run(ctx)
-//	keys.SetRows(rows, server)
+//	keys.SetRows(rows, server, messenger.ServerReady)
 //	if reason := keys.CheckHeld(timer.Now(), 4711); reason != messenger.ReasonNone { ... }
 package holder
 
@@ -36,7 +39,7 @@
 	// planInterval is the time between two checks for calls that are due, and so the
 	// maximum delay of a renewal.
 	planInterval = 100 * time.Millisecond
-	// grantTimeout is the timeout of a grant.
+	// grantTimeout is the timeout of a grant, counted from when it was planned.
 	grantTimeout = 400 * time.Millisecond
 	// releaseTimeout is the timeout of a release. The server responds only when its
 	// work on the keys has ended.
@@ -57,6 +60,8 @@
 	Caller Caller
 	// Lease returns the lease of the router.
 	Lease func() *keeper.Lease
+	// LeaseDuration is the duration of a lease.
+	LeaseDuration time.Duration
 	// OnChange is called when keys have become free.
 	OnChange func()
 	Log      *logger.Log
@@ -80,13 +85,13 @@
 	if options.Metrics == nil {
 		options.Metrics = metrics.NewSet()
 	}
-	return &Holder{options: options, wake: make(chan struct{}, 1), stateMachine: newStateMachine("")}
+	return &Holder{options: options, wake: make(chan struct{}, 1), stateMachine: newStateMachine("", options.LeaseDuration)}
 }
 
-// SetRows updates the ranges that the router owns and its backend server. The server is
-// nil before it has announced itself; until then nothing is granted and nothing is
-// reported as free.
-func (h *Holder) SetRows(rows []messenger.RangeRow, server *messenger.ServerRow) {
+// SetRows updates the ranges that the router owns, its backend server and the state of
+// that server. The server is nil before it has announced itself; until then nothing is
+// granted and nothing is reported as free.
+func (h *Holder) SetRows(rows []messenger.RangeRow, server *messenger.ServerRow, state messenger.ServerState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if server == nil {
@@ -94,10 +99,13 @@
 		return
 	}
 	if h.stateMachine.service != server.Service {
-		h.stateMachine = newStateMachine(server.Service)
+		h.stateMachine = newStateMachine(server.Service, h.options.LeaseDuration)
 	}
 	h.server = server
-	h.stateMachine.setRanges(timer.Now(), rows, server.Born)
+	if state != messenger.ServerDown {
+		h.stateMachine.serverRecovered()
+	}
+	h.stateMachine.setRanges(timer.Now(), rows, incarnation{name: server.Name, born: server.Born})
 	h.logFreed()
 	h.signal()
 }
@@ -188,20 +196,7 @@
 }
 
 func (h *Holder) call(ctx context.Context, stateMachine *stateMachine, server *messenger.ServerRow, call *Call) {
-	timeout := grantTimeout
-	if call.Release {
-		timeout = releaseTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	var result CallResult
-	var handover string
-	var err error
-	if call.Release {
-		result, handover, err = h.options.Caller.Release(ctx, server.URL, call)
-	} else {
-		result, err = h.options.Caller.Grant(ctx, server.URL, call)
-	}
+	result, handover, err := h.send(ctx, server, call)
 	h.logCall(server, call, result, err)
 	h.mu.Lock()
 	stateMachine.endCall(timer.Now(), call, result, handover)
@@ -214,6 +209,25 @@
 	h.signal()
 }
 
+// send makes a call, unless it has already reached its timeout.
+func (h *Holder) send(ctx context.Context, server *messenger.ServerRow, call *Call) (CallResult, string, error) {
+	timeout := grantTimeout
+	if call.Release {
+		timeout = releaseTimeout
+	}
+	delay := timer.Now().Since(call.plannedAt)
+	if delay >= timeout {
+		return NotSent, "", Error.New("range call was delayed by %s, want less than %s", delay, timeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout-delay)
+	defer cancel()
+	if call.Release {
+		return h.options.Caller.Release(ctx, server.URL, call)
+	}
+	result, err := h.options.Caller.Grant(ctx, server.URL, call)
+	return result, "", err
+}
+
 // logCall counts a call and logs it unless it is a renewal that was accepted.
 func (h *Holder) logCall(server *messenger.ServerRow, call *Call, result CallResult, err error) {
 	kind := "grant"
@@ -226,7 +240,7 @@
 	}
 	h.options.Log.Emit(logger.RangeCallCompleted, "service", call.Service, "from", call.From, "to", call.To,
 		"fence", call.Fence, "server", server.Name, "born", server.Born, "release", call.Release, "verdict", result.String(),
-		"hold", call.Hold.String(), "took", timer.Now().Since(call.sentAt).String(), "error", err)
+		"hold", call.Hold.String(), "took", timer.Now().Since(call.plannedAt).String(), "error", err)
 }
 
 // logFreed counts and logs the ranges that became free. The caller holds h.mu.
@@ -248,6 +262,8 @@
 		return "taken"
 	case Fenced:
 		return "outrun"
+	case Misdirected:
+		return "misdirected"
 	case Unanswered:
 		return "unanswered"
 	}
