Log who freed key ranges, who got them, and why sessions ended

The leader now logs, once per proposal or decision:

- 245, ranges reported as free: session, router, each range with the fence and the start of the server that it was granted to, and the server, its start and its state in the report, with the heartbeat's sequence and revision;
- 246, ranges with a new owner, for grants and for finished moves: owner, server, start, fence, reason and how many came with a handover;
- 238, a session about to be closed: its silence and the age of the grace period by each clock;
- 239, a session taken over by another process: both instances.

A line lists up to 128 ranges and has their number; a decision has up to 128 lines and the number of the others.

--- a/control/assigner/ranges.go
+++ b/control/assigner/ranges.go
@@ -77,6 +77,21 @@
 	return r.keys.Find(key)
 }
 
+// GrantedUnder returns the pieces that the latest change granted under fence, in key
+// order, or nil if that change was another one.
+func (r *Ranges) GrantedUnder(fence uint64) []splitter.Piece[RangeOwnership] {
+	if r.changed != fence {
+		return nil
+	}
+	var granted []splitter.Piece[RangeOwnership]
+	for _, piece := range r.keys.Pieces() {
+		if piece.Value.Fence == fence && piece.Value.Phase == messenger.PhaseOwned {
+			granted = append(granted, piece)
+		}
+	}
+	return granted
+}
+
 func newRanges(service string) *Ranges {
 	return &Ranges{Service: service, keys: splitter.New[RangeOwnership](messenger.LastKey)}
 }
--- a/control/supervisor/close.go
+++ b/control/supervisor/close.go
@@ -25,11 +25,14 @@
 	if len(expired) == 0 {
 		return
 	}
-	batch.add("lapse", assigner.Command{Close: &assigner.Close{
+	proposed := batch.add("lapse", assigner.Command{Close: &assigner.Close{
 		Sessions: expired,
 		Lapsed:   true,
 		Silence:  silence.Milliseconds(),
 	}})
+	if proposed {
+		s.logExpired(now, expired)
+	}
 	s.counters.expirations.Add(len(expired))
 }
 
--- a/control/supervisor/heartbeat.go
+++ b/control/supervisor/heartbeat.go
@@ -75,10 +75,13 @@
 	}
 	if session.Instance != heartbeat.Instance {
 		if isSuccessor(session, heartbeat) {
-			batch.add("adopt/"+heartbeat.Router, assigner.Command{Adopt: &assigner.Adopt{
+			proposed := batch.add("adopt/"+heartbeat.Router, assigner.Command{Adopt: &assigner.Adopt{
 				Session:  session.Row.Session,
 				Instance: heartbeat.Instance,
 			}})
+			if proposed {
+				s.logTakeover(session, heartbeat)
+			}
 		}
 		return nil, messenger.HeartbeatWait
 	}
@@ -167,7 +170,9 @@
 	}
 	ownsRange := func(ref messenger.RangeRef) bool { return s.state.OwnsRange(number, ref) }
 	if freed := filter(heartbeat.Freed, ownsRange); len(freed) > 0 {
-		batch.add(fmt.Sprintf("free/%d", number), assigner.Command{ReleaseRanges: &assigner.ReleaseRanges{Session: number, Ranges: freed}})
+		if batch.add(fmt.Sprintf("free/%d", number), assigner.Command{ReleaseRanges: &assigner.ReleaseRanges{Session: number, Ranges: freed}}) {
+			s.logFreed(session, heartbeat, freed)
+		}
 	}
 	if heartbeat.Close {
 		s.routerState(number).closing = batch.add(fmt.Sprintf("close/%d", number), assigner.Command{Close: &assigner.Close{Sessions: []uint64{number}}})
--- a/control/supervisor/ranges_test.go
+++ b/control/supervisor/ranges_test.go
@@ -75,10 +75,22 @@
 
 func rangedHarness(t *testing.T) *harness {
 	h := newHarness(t)
+	configureRanges(h)
+	return h
+}
+
+// configureRanges configures a service that is partitioned by ranges.
+func configureRanges(h *harness) {
 	h.propose(assigner.Command{Configure: &assigner.Configure{Configuration: messenger.Configuration{
 		Version: 1, Services: []messenger.RoutedService{{Name: "findings", Ranged: true}},
 	}, Source: []byte("text")}})
-	return h
+}
+
+// rangeGrant returns a grant of all keys to a session.
+func rangeGrant(session uint64) assigner.Command {
+	return assigner.Command{GrantRanges: &assigner.GrantRanges{
+		Service: "findings", Placements: []assigner.RangePlacement{{Session: session, To: messenger.LastKey}},
+	}}
 }
 
 const allKeys = messenger.LastKey + 1
--- a/control/supervisor/supervisor.go
+++ b/control/supervisor/supervisor.go
@@ -93,19 +93,10 @@
 	result := s.state.Apply(index, command)
 	s.pending.applied(command)
 	s.logEvents(index)
+	s.logOwners(index, command)
 	return result
 }
 
-// logEvents logs the events of the command at index, on the leader only.
-func (s *Supervisor) logEvents(index uint64) {
-	if !s.leading {
-		return
-	}
-	for _, event := range s.state.Events(index - 1) {
-		s.options.Log.Emit(logger.Lookup(event.Number), "subject", event.Subject, "text", event.Text, "revision", event.Revision)
-	}
-}
-
 // Snapshot implements [replicator.Machine].
 func (s *Supervisor) Snapshot() ([]byte, error) {
 	return s.state.Snapshot()
--- a/kernel/logger/control.go
+++ b/kernel/logger/control.go
@@ -8,6 +8,8 @@
 	SessionExpired           = Event{231, hclog.Warn, "router session expired"}
 	SessionClosed            = Event{232, hclog.Info, "router session closed"}
 	SessionResumed           = Event{234, hclog.Info, "router session resumed by a new process"}
+	ExpiredSessionClosing    = Event{238, hclog.Warn, "router session without heartbeats is being closed"}
+	SessionTakeover          = Event{239, hclog.Info, "new process takes over a router session"}
 	MemberAdded              = Event{235, hclog.Info, "addition of a replica to the control group finished"}
 	JoinFailed               = Event{237, hclog.Info, "request to join the control group failed"}
 	MemberRemoved            = Event{236, hclog.Warn, "removal of a replica from the control group finished"}
@@ -17,6 +19,8 @@
 	RecordCopiesLost         = Event{242, hclog.Error, "all copies of records were lost"}
 	RangesGranted            = Event{243, hclog.Info, "key ranges granted"}
 	RangesMoving             = Event{244, hclog.Info, "planned move of key ranges started"}
+	RangesReportedFree       = Event{245, hclog.Info, "router reported key ranges as free"}
+	RangeOwnerChanged        = Event{246, hclog.Info, "key ranges have a new owner"}
 	KeyPromoted              = Event{250, hclog.Info, "hot key promoted to its own shard"}
 	KeyDemoted               = Event{251, hclog.Info, "key demoted to its hash shard"}
 	ProfileChanged           = Event{260, hclog.Info, "profile changed"}
@@ -37,6 +41,7 @@
 func controlEvents() []Event {
 	return []Event{
 		SessionOpened, SessionExpired, SessionClosed, SessionResumed, RecordersLost, MemberAdded, MemberRemoved, JoinFailed,
+		ExpiredSessionClosing, SessionTakeover, RangesReportedFree, RangeOwnerChanged,
 		RangesGranted, RangesMoving, ConfigurationChanged, ConfigurationCommitted, ConfigurationRejected,
 		ShardsGranted, ShardsMoving, RecordCopiesLost,
 		KeyPromoted, KeyDemoted,
