Count key ranges granted and reported as free

marigold_control_ranges_granted_total counts ranges that got an owner, and marigold_control_ranges_freed_total those that routers reported as free, by the state of the backend server in the report, so that ranges freed because a server is down can be told from moves without reading the logs. Both are kept by the leader. Expired sessions are counted already, by marigold_control_lapses_total.

--- a/control/supervisor/heartbeat.go
+++ b/control/supervisor/heartbeat.go
@@ -172,6 +172,7 @@
 	if freed := filter(heartbeat.Freed, ownsRange); len(freed) > 0 {
 		if batch.add(fmt.Sprintf("free/%d", number), assigner.Command{ReleaseRanges: &assigner.ReleaseRanges{Session: number, Ranges: freed}}) {
 			s.logFreed(session, heartbeat, freed)
+			s.counters.onFreed(heartbeat.State, len(freed))
 		}
 	}
 	if heartbeat.Close {
--- a/control/supervisor/log.go
+++ b/control/supervisor/log.go
@@ -73,7 +73,7 @@
 		"sequence", heartbeat.Sequence, "revision", heartbeat.Revision)
 }
 
-// logOwners logs the owners that the command at index gave to ranges, on the leader
+// logOwners logs and counts the owners that the command at index gave to ranges, on the leader
 // only.
 func (s *Supervisor) logOwners(index uint64, command []byte) {
 	if !s.leading || s.state.Revision() != index {
@@ -84,6 +84,7 @@
 		if len(granted) == 0 {
 			continue
 		}
+		s.counters.rangesGranted.Add(len(granted))
 		why := grantReason(command)
 		grants := byOwner(granted)
 		for n, grant := range grants {
--- a/control/supervisor/log_test.go
+++ b/control/supervisor/log_test.go
@@ -187,6 +187,29 @@
 	qt.Check(t, lines(logger.RangeOwnerChanged), qt.HasLen, 0)
 }
 
+func TestRangeDecisionsAreCounted(t *testing.T) {
+	set := metrics.NewSet()
+	h, _ := loggedHarness(t, set)
+	a, b := newRanged(h, 1), newRanged(h, 2)
+	runRanged(h, 4*time.Second, a, b)
+	a.heartbeat.State = messenger.ServerDown
+	a.freeAll()
+	runRanged(h, 600*time.Millisecond, a, b)
+	runRanged(h, 2500*time.Millisecond, b)
+	tests := []struct {
+		metric string
+		want   uint64
+	}{
+		{metric: "marigold_control_ranges_granted_total", want: 3 * pieces},
+		{metric: `marigold_control_ranges_freed_total{state="down"}`, want: pieces},
+		{metric: `marigold_control_ranges_freed_total{state="ready"}`, want: 0},
+		{metric: "marigold_control_lapses_total", want: 1},
+	}
+	for _, test := range tests {
+		qt.Check(t, set.GetOrCreateCounter(test.metric).Get(), qt.Equals, test.want, qt.Commentf(test.metric))
+	}
+}
+
 // A decision can concern every router of a large cluster. The lines must be limited,
 // and say how many are left out.
 func TestLinesOfOneDecisionAreLimited(t *testing.T) {
--- a/kernel/messenger/session.go
+++ b/kernel/messenger/session.go
@@ -70,6 +70,11 @@
 	ServerAbsent  ServerState = "absent"
 )
 
+// ServerStates returns all states of a backend server.
+func ServerStates() []ServerState {
+	return []ServerState{ServerReady, ServerFrozen, ServerDown, ServerLeaving, ServerAbsent}
+}
+
 // ShardRef identifies a shard under one grant.
 type ShardRef struct {
 	Service string
