Pass the end of a server to the holder together with its start

A callback without the start of the server said that it had ended, after the lock on its state was given up. When the next start was announced in between, the callback freed the keys of that one too, although it held them.

The holder gets the state of the server with the rows and the server, in the one step that reads them, and ends what belongs to that start. A scratch test of the attendant saw the callback come while the next start was ready; TestTerminationIsOfOneStart checks the new way.

--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -146,7 +146,6 @@
 	p.server = attendant.New(attendant.Options{
 		Address:     p.settings.Server,
 		OnChange:    p.serverChanged,
-		OnDown:      func() { p.holder.ServerTerminated() },
 		IsConnected: func() bool { return rangeClient.IsConnected() || p.backend.IsConnected() },
 		Log:         options.Log,
 	})
--- a/router/attendant/attendant.go
+++ b/router/attendant/attendant.go
@@ -79,10 +79,9 @@
 type Options struct {
 	// Address is the address that the server must announce, host:port.
 	Address string
-	// OnChange is called when the state or the row of the server changed, OnDown when
-	// the server went down and so no longer holds any keys. They must not block.
+	// OnChange is called when the state or the row of the server changed. A server that
+	// is down no longer holds any keys. It must not block.
 	OnChange func(view *View)
-	OnDown   func()
 	// IsConnected reports whether a connection to the server is still open. Such a server
 	// has not ended, even if its port refuses connections. It must not block.
 	IsConnected func() bool
@@ -202,7 +201,6 @@
 	after := *before
 	after.State = messenger.ServerDown
 	a.publish(before, &after)
-	a.options.OnDown()
 }
 
 func isUp(view *View) bool {
--- a/router/attendant/attendant_test.go
+++ b/router/attendant/attendant_test.go
@@ -27,9 +27,12 @@
 func newFixture() *fixture {
 	f := new(fixture)
 	f.Attendant = attendant.New(attendant.Options{
-		Address:     address,
-		OnChange:    func(*attendant.View) {},
-		OnDown:      func() { f.downCalls++ },
+		Address: address,
+		OnChange: func(view *attendant.View) {
+			if view.State == messenger.ServerDown {
+				f.downCalls++
+			}
+		},
 		IsConnected: func() bool { return f.connected },
 		Log:         logger.Discard(),
 	})
--- a/router/holder/holder.go
+++ b/router/holder/holder.go
@@ -106,20 +106,13 @@
 		h.stateMachine.serverRecovered()
 	}
 	h.stateMachine.setRanges(timer.Now(), rows, incarnation{name: server.Name, born: server.Born})
+	if state == messenger.ServerDown {
+		h.stateMachine.serverTerminated()
+	}
 	h.logFreed()
 	h.signal()
 }
 
-// ServerTerminated frees all keys, since the server has terminated and holds nothing any
-// more.
-func (h *Holder) ServerTerminated() {
-	h.mu.Lock()
-	h.stateMachine.serverTerminated()
-	h.logFreed()
-	h.mu.Unlock()
-	h.options.OnChange()
-}
-
 // Freed returns the ranges that the router owns but the server no longer holds.
 func (h *Holder) Freed() []messenger.RangeRef {
 	h.mu.Lock()
--- a/router/holder/holder_test.go
+++ b/router/holder/holder_test.go
@@ -57,3 +57,39 @@
 		})
 	}
 }
+
+// TestTerminationIsOfOneStart terminates a server whose next start has announced itself:
+// the ranges of the next start stay granted.
+func TestTerminationIsOfOneStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := New(Options{
+			Caller:        new(countingCaller),
+			Lease:         func() *keeper.Lease { return keeper.NewTestLease(7, timer.Now()) },
+			LeaseDuration: lease,
+			OnChange:      func() {},
+			Log:           logger.Discard(),
+		})
+		h.stateMachine.plan(timer.Now(), lease)
+		tests := []struct {
+			name   string
+			server incarnation
+			state  messenger.ServerState
+			freed  int
+		}{
+			{name: "first start", server: server, state: messenger.ServerReady},
+			{name: "first start down", server: server, state: messenger.ServerDown, freed: 1},
+			{name: "next start", server: restarted, state: messenger.ServerReady},
+			{name: "next start leaves", server: restarted, state: messenger.ServerLeaving},
+			{name: "next start down", server: restarted, state: messenger.ServerDown, freed: 1},
+		}
+		for n, test := range tests {
+			row := &messenger.ServerRow{Name: test.server.name, Service: "findings", Born: test.server.born}
+			fence := uint64(5)
+			if test.server == restarted {
+				fence = 6
+			}
+			h.SetRows([]messenger.RangeRow{{Service: "findings", From: 0, To: 99, Fence: fence, Life: test.server.born, Phase: messenger.PhaseOwned}}, row, test.state)
+			qt.Check(t, h.Freed(), qt.HasLen, test.freed, qt.Commentf("%d: %s", n, test.name))
+		}
+	})
+}
--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -248,6 +248,9 @@
 // serverTerminated frees all keys, since the server has terminated and holds nothing any
 // more.
 func (m *stateMachine) serverTerminated() {
+	if m.terminated {
+		return
+	}
 	m.terminated = true
 	m.unconfirmedGrants = nil
 	m.keys.Update(0, messenger.LastKey, func(v keyState) keyState {
--- a/router/relayer/owner_test.go
+++ b/router/relayer/owner_test.go
@@ -73,7 +73,7 @@
 
 func newTestOwner(run func(ctx context.Context) courier.Result) *testOwner {
 	o := &testOwner{backend: &fakeBackend{run: run}, keys: &fakeKeys{}, sampler: &fakeSampler{}, admission: queuer.NewAdmission(1)}
-	o.server = attendant.New(attendant.Options{Address: serverAddress, OnChange: func(*attendant.View) {}, OnDown: func() {}, IsConnected: func() bool { return false }, Log: logger.Discard()})
+	o.server = attendant.New(attendant.Options{Address: serverAddress, OnChange: func(*attendant.View) {}, IsConnected: func() bool { return false }, Log: logger.Discard()})
 	o.server.Announce(timer.Now(), attendant.Announcement{Row: messenger.ServerRow{Name: "s1", Service: "findings", URL: serverAddress, Slots: 1, Born: 1}})
 	o.Owner = relayer.NewOwner(relayer.OwnerOptions{
 		Server: o.server, KeyChecker: o.keys, Admission: o.admission, Backend: o.backend, Sampler: o.sampler,
