Take refused dials far apart for no outage of the server

Refused dials were counted until the server responded to a request. On a router with little traffic two of them, minutes apart and with announcements in between, made the server down and freed its keys, which it held.

They count only within 2 s. TestRefusalsFarApartAreNoOutage failed before (down at the second refusal, a minute after the first).

--- a/router/attendant/attendant.go
+++ b/router/attendant/attendant.go
@@ -34,6 +34,8 @@
 	// can be caused by a full accept queue.
 	refusalThreshold = 2
 	minRefusalSpan   = 100 * time.Millisecond
+	// refusalWindow is the maximum time from the first to the last of these dials.
+	refusalWindow = 2 * time.Second
 	// rangedLeaveGrace and unrangedLeaveGrace are how long a leaving server still
 	// gets new requests. Moving ranges takes two heartbeats; other routers receive the
 	// state of a leaving server within one.
@@ -190,7 +192,8 @@
 func (a *Attendant) DialRefused(now timer.Instant) {
 	a.mu.Lock()
 	before := a.view.Load()
-	if a.refusedDials == 0 {
+	if a.refusedDials == 0 || now.Since(a.firstRefused) > refusalWindow {
+		a.refusedDials = 0
 		a.firstRefused = now
 	}
 	a.refusedDials++
--- a/router/attendant/attendant_test.go
+++ b/router/attendant/attendant_test.go
@@ -98,6 +98,19 @@
 	qt.Check(t, f.downCalls, qt.Equals, 1)
 }
 
+// TestRefusalsFarApartAreNoOutage refuses two connections with a long time between them,
+// in which the server announced itself.
+func TestRefusalsFarApartAreNoOutage(t *testing.T) {
+	f := newFixture()
+	f.Announce(at(0), announcement("a", 100, 1))
+	f.DialRefused(at(time.Second))
+	f.Announce(at(30*time.Second), announcement("a", 100, 2))
+	f.DialRefused(at(time.Minute))
+	qt.Check(t, f.View().State, qt.Equals, messenger.ServerReady)
+	f.DialRefused(at(time.Minute + 200*time.Millisecond))
+	qt.Check(t, f.View().State, qt.Equals, messenger.ServerDown)
+}
+
 func TestWithdrawnServerIsNotRestored(t *testing.T) {
 	f := newFixture()
 	f.Announce(at(0), announcement("a", 100, 1))
