Count refused grants as refused connections of the server

Only refused requests told a router that its server is down. Without requests for its keys, a router went on granting to a port that nobody listened at, and the keys were free only when the last hold had ended.

A refused grant or release counts like a refused request. TestRefusedCallIsReported checks it.

--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -142,7 +142,7 @@
 	p.admission = queuer.NewAdmission(0)
 	p.backend = courier.New(courier.Options{Network: options.Network, HeaderCodec: options.HeaderCodec, Metrics: options.Metrics})
 	p.sampler = sampler.New()
-	rangeClient := granter.NewRangeClient(options.Network, *options.RangeProtocol)
+	rangeClient := granter.NewRangeClient(options.Network, *options.RangeProtocol, func() { p.server.DialRefused(timer.Now()) })
 	p.server = attendant.New(attendant.Options{
 		Address:     p.settings.Server,
 		OnChange:    p.serverChanged,
--- a/router/granter/ranges.go
+++ b/router/granter/ranges.go
@@ -46,15 +46,18 @@
 type RangeClient struct {
 	protocol RangeProtocol
 	client   *http.Client
+	// onRefused is called when the port of the server refused a connection.
+	onRefused func()
 	// open is the number of open connections.
 	open atomic.Int64
 }
 
 var _ holder.Caller = (*RangeClient)(nil)
 
-// NewRangeClient returns a RangeClient that dials through network.
-func NewRangeClient(network networker.Network, protocol RangeProtocol) *RangeClient {
-	r := &RangeClient{protocol: protocol}
+// NewRangeClient returns a RangeClient that dials through network. It calls onRefused,
+// which must not block, for each call whose connection the server's port refused.
+func NewRangeClient(network networker.Network, protocol RangeProtocol, onRefused func()) *RangeClient {
+	r := &RangeClient{protocol: protocol, onRefused: onRefused}
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
 		conn, err := network.Dial(ctx, address)
 		if err != nil {
@@ -128,6 +131,7 @@
 	request.Header.Set(r.protocol.ServerHeader, call.Server)
 	response, err := r.client.Do(request)
 	if errors.Is(err, syscall.ECONNREFUSED) {
+		r.onRefused()
 		return holder.NotSent, "", Error.New("connecting to the backend server for a range call: %w", err)
 	}
 	if err != nil {
--- a/router/granter/ranges_test.go
+++ b/router/granter/ranges_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -14,6 +15,7 @@
 	"marigoldhill/kernel/disrupter"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/networker"
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/granter"
 	"marigoldhill/router/holder"
@@ -80,7 +82,7 @@
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{network: disrupter.New(0)}
 	f.Holder = holder.New(holder.Options{
-		Caller:        granter.NewRangeClient(f.network.Node("vm1"), granter.NativeRangeProtocol()),
+		Caller:        granter.NewRangeClient(f.network.Node("vm1"), granter.NativeRangeProtocol(), func() {}),
 		Lease:         func() *keeper.Lease { return keeper.NewTestLease(7, timer.Now()) },
 		LeaseDuration: messenger.LeaseDuration,
 		OnChange:      func() {},
@@ -133,7 +135,7 @@
 func TestOpenConnectionsAreCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := disrupter.New(0)
-		client := granter.NewRangeClient(network.Node("vm1"), granter.NativeRangeProtocol())
+		client := granter.NewRangeClient(network.Node("vm1"), granter.NativeRangeProtocol(), func() {})
 		qt.Check(t, client.IsConnected(), qt.IsFalse)
 		server := &rangeServer{name: "d1"}
 		stop := server.start(t, network)
@@ -147,3 +149,18 @@
 		qt.Check(t, client.IsConnected(), qt.IsFalse)
 	})
 }
+
+// TestRefusedCallIsReported calls a server whose port refuses connections.
+func TestRefusedCallIsReported(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, socket.Close(), qt.IsNil)
+	refused := 0
+	client := granter.NewRangeClient(networker.TCP{}, granter.NativeRangeProtocol(), func() { refused++ })
+	for range 2 {
+		result, err := client.Grant(t.Context(), socket.Addr().String(), &holder.Call{Server: "d1", To: 99, Fence: 5})
+		qt.Check(t, err, qt.IsNotNil)
+		qt.Check(t, result, qt.Equals, holder.NotSent)
+	}
+	qt.Check(t, refused, qt.Equals, 2)
+}
