Count the silence of a router by the monotonic clock alone

Seen: a leader whose wall clock was set forward by less than 500 ms closed sessions early by as much, and granted their keys under a new fence while the routers still held their leases. Several such steps add up: with four steps of 400 ms a session was closed 450 ms after its renewal, with a lease of 1.5 s.

Cause: isExpired took the larger of what the two clocks say, for the time since the last heartbeat and for the grace period after an election. That is right for a lease of one's own, and wrong for a lease that another process holds: it must not be counted faster than it runs there. Only steps of more than 500 ms were taken for a pause, after which the grace period starts again.

Change: both times are counted by the monotonic clock, which never runs ahead. If it stops while a VM is suspended, the leader waits longer. Pauses are still detected by both clocks.

Before the change, TestWallClockStepClosesNoSession failed in both cases, with closings proposed after 1.25 s and 450 ms, and TestWallClockStepKeepsGracePeriod failed with one 1.25 s after the election; a lease is 1.5 s and its margin 150 ms.

--- a/control/supervisor/close.go
+++ b/control/supervisor/close.go
@@ -20,7 +20,7 @@
 		expired = append(expired, number)
 		router := s.routerState(number)
 		router.closing = true
-		silence = max(silence, now.Since(router.received))
+		silence = max(silence, now.SinceMonotonic(router.received))
 	}
 	if len(expired) == 0 {
 		return
--- a/control/supervisor/router.go
+++ b/control/supervisor/router.go
@@ -60,14 +60,15 @@
 }
 
 // isExpired reports whether the lease of a router has certainly expired. For a
-// router without a heartbeat in this term, the time starts now.
+// router without a heartbeat in this term, the time starts now. It uses the monotonic
+// clock: a wall clock that is set forward ends no lease at the router.
 func (s *Supervisor) isExpired(session uint64, now timer.Instant) bool {
 	router := s.routers[session]
 	if router == nil {
 		s.routerState(session).received = now
 		return false
 	}
-	return now.Since(s.graceStart) >= s.expiryTime() && now.Since(router.received) >= s.expiryTime()
+	return now.SinceMonotonic(s.graceStart) >= s.expiryTime() && now.SinceMonotonic(router.received) >= s.expiryTime()
 }
 
 // hasReported reports whether a heartbeat of a router was received in this term.
--- a/control/supervisor/supervisor_test.go
+++ b/control/supervisor/supervisor_test.go
@@ -125,6 +125,53 @@
 	qt.Assert(t, router.send(), qt.Equals, messenger.HeartbeatRenewed)
 }
 
+// checkNothingClosed advances the time by the length of a lease, checks that the
+// leader proposes nothing, and sets its wall clock forward once in each of the first
+// intervals of 200 ms. Each step is too small to be taken for a pause.
+func checkNothingClosed(h *harness, wallSteps int) {
+	for passed := time.Duration(0); passed < messenger.LeaseDuration; passed += step {
+		if passed%(200*time.Millisecond) == 0 && wallSteps > 0 {
+			h.now.Wall += 400 * time.Millisecond
+			wallSteps--
+		}
+		h.tick()
+		qt.Assert(h.t, h.pending, qt.HasLen, 0, qt.Commentf("%v passed", passed+step))
+	}
+}
+
+// A wall clock that is set forward must not close a session whose router still holds
+// its lease.
+func TestWallClockStepClosesNoSession(t *testing.T) {
+	tests := []struct {
+		name      string
+		wallSteps int
+	}{
+		{"one step", 1},
+		{"several steps", 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			router := newRouter(h, 1, "findings")
+			h.run(5*time.Second, router)
+			checkNothingClosed(h, test.wallSteps)
+			h.run(messenger.LeaseMargin + 2*step)
+			qt.Assert(t, router.send(), qt.Equals, messenger.HeartbeatExpired)
+		})
+	}
+}
+
+// A new leader whose wall clock is set forward must still wait for the leases that the
+// previous leader renewed.
+func TestWallClockStepKeepsGracePeriod(t *testing.T) {
+	h := newHarness(t)
+	h.run(time.Second, newRouter(h, 1, "findings"))
+	h.raftStatus.Term++
+	h.raftStatus.Since = h.now
+	h.tick()
+	checkNothingClosed(h, 1)
+}
+
 func TestSessionIsRenewedOnlyByItsInstanceWhileOpen(t *testing.T) {
 	h := newHarness(t)
 	router := newRouter(h, 1, "findings")
