Check that no leader is confirmed after the election of a later one

A new leader counts the leases that its predecessor renewed from its own election, not from when it is confirmed itself; with a slow disk it is confirmed much later. The simulation only checked that no two leaders are confirmed at the same time. It now also fails when a leader is confirmed after another one was elected in a later term, and TestDelayedCampaignMessage holds up the vote requests of a transfer as well as the request to campaign.

--- a/control/elector/election_test.go
+++ b/control/elector/election_test.go
@@ -84,31 +84,43 @@
 	}
 }
 
-// TestDelayedCampaignMessage delivers the leader's request to campaign long after
-// the transfer timed out, while the leader receives nothing. The leader and the
-// target must not be confirmed at the same time, which the simulation checks.
+// TestDelayedCampaignMessage delivers the leader's request to campaign, or the vote
+// requests of the target, long after the transfer timed out, while the leader
+// receives nothing. The leader must not be confirmed after the target was elected,
+// which the simulation checks.
 func TestDelayedCampaignMessage(t *testing.T) {
-	for i := range uint64(*seeds) {
-		s := newSimulation(t, *firstSeed+i, 3)
-		s.run(2 * time.Second)
-		leader := s.leader()
-		target := s.nodes[0]
-		if target == leader {
-			target = s.nodes[1]
-		}
-		s.intercept = func(message elector.Message) bool { return message.Campaign != nil }
-		leader.step(elector.Transfer{ID: 1, Name: target.name})
-		s.run(time.Duration(500+s.random.IntN(1000)) * time.Millisecond)
-		if len(s.intercepted) == 0 {
-			s.fail("the target was not asked to campaign")
-		}
-		for _, n := range s.nodes {
-			s.cutLinks[[2]string{n.name, leader.name}] = true
-		}
-		for _, message := range s.intercepted {
-			s.inFlight = append(s.inFlight, delivery{due: s.now, message: message})
-		}
-		s.run(time.Second)
+	tests := []struct {
+		name      string
+		intercept func(elector.Message) bool
+	}{
+		{"request to campaign", func(message elector.Message) bool { return message.Campaign != nil }},
+		{"vote requests", func(message elector.Message) bool { return message.Vote != nil && message.Vote.Forced }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for i := range uint64(*seeds) {
+				s := newSimulation(t, *firstSeed+i, 3)
+				s.run(2 * time.Second)
+				leader := s.leader()
+				target := s.nodes[0]
+				if target == leader {
+					target = s.nodes[1]
+				}
+				s.intercept = test.intercept
+				leader.step(elector.Transfer{ID: 1, Name: target.name})
+				s.run(time.Duration(500+s.random.IntN(1000)) * time.Millisecond)
+				if len(s.intercepted) == 0 {
+					s.fail("nothing was intercepted")
+				}
+				for _, n := range s.nodes {
+					s.cutLinks[[2]string{n.name, leader.name}] = true
+				}
+				for _, message := range s.intercepted {
+					s.inFlight = append(s.inFlight, delivery{due: s.now, message: message})
+				}
+				s.run(time.Second)
+			}
+		})
 	}
 }
 
--- a/control/elector/simulation_test.go
+++ b/control/elector/simulation_test.go
@@ -195,7 +195,8 @@
 }
 
 // checkConfirmed checks that no two nodes consider themselves confirmed at the
-// same time.
+// same time, and none after another was elected in a later term: the new leader
+// counts the leases that others renewed from its election.
 func (s *simulation) checkConfirmed() {
 	confirmed := ""
 	for _, n := range s.nodes {
@@ -206,5 +207,11 @@
 			s.fail("%s and %s are both confirmed", confirmed, n.name)
 		}
 		confirmed = n.name
+		term := n.core.Status().Term
+		for later, leader := range s.leaders {
+			if later > term {
+				s.fail("%s is confirmed in term %d, and %s was elected in term %d", n.name, term, leader, later)
+			}
+		}
 	}
 }
