Sync the log and its directory when a replica starts

Seen: a replica whose process ended between a write and its sync, for example by a kill or because the sync failed, loaded that record when it started again. It counted it as synced: it acknowledged the entries to the leader at once and repeated the vote. After a loss of power before the next write the record was gone. A committed entry can be lost so, and its index, the fence of a grant, given out again; or a replica votes for two candidates in one term.

Cause: Open read what the page cache held, and synced neither the log file nor the directory.

Change: Open syncs the directory before it removes older files, and the log file before it returns what it read. This costs two syncs at each start.

TestReadStateSurvivesPowerLoss ends the process at each operation in turn, opens the directory, and opens it again after a loss of power.

--- a/control/journaler/files.go
+++ b/control/journaler/files.go
@@ -144,7 +144,9 @@
 	return nil
 }
 
-// reopenLog truncates a torn last record and opens the log file for appending.
+// reopenLog truncates a torn last record, opens the log file for appending and syncs
+// it: the process that wrote the last record may have ended before its sync, and what
+// is loaded counts as synced.
 func (j *Journal) reopenLog(log *Log, size int) error {
 	if log.ValidBytes < size {
 		if err := j.disk.Truncate(j.logPath, int64(log.ValidBytes)); err != nil {
@@ -155,6 +157,10 @@
 	if err != nil {
 		return writeError(j.logPath, err)
 	}
+	if err := file.Sync(); err != nil {
+		_ = file.Close()
+		return writeError(j.logPath, err)
+	}
 	j.file = file
 	j.sequence = uint64(len(log.Records))
 	return nil
--- a/control/journaler/journaler.go
+++ b/control/journaler/journaler.go
@@ -10,9 +10,10 @@
 //
 // Each record has a length, a sequence number and checksums. Only the last
 // record can be torn by a crash, since each write is synced before the next
-// one. A torn record was never acknowledged and is removed. A bad record that
-// is followed by a good one, or a failed sync, is an error after which the
-// directory is no longer used; no attempt is made to repair it.
+// one. A torn record was never acknowledged and is removed; a complete one whose
+// sync is in doubt is synced when the directory is opened. A bad record that is
+// followed by a good one, or a failed sync, is an error after which the directory
+// is no longer used; no attempt is made to repair it.
 //
 // Each snapshot starts a new log file. The snapshot and this file together hold
 // the complete state; older files are removed once it is synced.
@@ -123,6 +124,11 @@
 	if err != nil {
 		return nil, err
 	}
+	// The last file may have been renamed by a process that ended before the sync of
+	// the directory.
+	if err := j.disk.SyncDir(j.directory); err != nil {
+		return nil, writeError(j.directory, err)
+	}
 	numbers, err := j.scanFiles(names)
 	if err != nil {
 		return nil, err
--- a/control/journaler/journaler_test.go
+++ b/control/journaler/journaler_test.go
@@ -130,6 +130,28 @@
 	}
 }
 
+// TestReadStateSurvivesPowerLoss makes a process end at each operation in turn, so that
+// what it had written last is not synced, and opens the directory again. What is read
+// then is acknowledged to other replicas, so it must survive a loss of power.
+func TestReadStateSurvivesPowerLoss(t *testing.T) {
+	for failFrom := 1; ; failFrom++ {
+		disk := newMemoryDisk()
+		disk.failFrom = failFrom
+		_, _, err := write(disk)
+		if err == nil {
+			break
+		}
+		disk.failFrom = 0
+		disk.locked = false
+		_, stored := open(t, disk)
+		disk.crash(0)
+		_, again := open(t, disk)
+		qt.Check(t, again.Hard, qt.DeepEquals, stored.Hard, qt.Commentf("operation %d", failFrom))
+		qt.Check(t, again.Entries, qt.DeepEquals, stored.Entries, qt.Commentf("operation %d", failFrom))
+		qt.Check(t, again.Snapshot, qt.DeepEquals, stored.Snapshot, qt.Commentf("operation %d", failFrom))
+	}
+}
+
 // write writes writeSequence and returns the index of the last acknowledged
 // write.
 func write(disk *memoryDisk) (done int, opened bool, err error) {
