Ignore a router's previous process once its session is adopted

Seen: after a router was killed and started again, a heartbeat of the killed process that was held up on its way could still take effect. If it arrived while the adoption of the session was proposed and not yet committed, the keys that it reported as free, or the session that it closed, were given up after the new process had taken them over: its backend server held them under the old fence while they were granted again. If it had been sent to open the session, the session went back to the killed process, and the running one lost it.

Cause: a heartbeat was checked against the process that has the session in the committed state, and any process that listens at the router's address was taken for a successor.

Change: from the proposal on, the leader ignores the process whose session is adopted, for as long as that session lasts. This is kept in memory: nothing that is stored or sent changes. A leader elected in between does not know it, so there a late heartbeat of the second kind still takes the session until the running process adopts it again; a heartbeat of the first kind does no harm there, since the adoption is applied before the leader answers.

Before the change, TestReplacedProcessFreesNoKeys failed: the late heartbeat was accepted, and the successor had no keys left after it had been told all of them. TestReplacedProcessTakesNoSession failed: the running process got expired.

--- a/control/supervisor/heartbeat.go
+++ b/control/supervisor/heartbeat.go
@@ -58,12 +58,18 @@
 	return messenger.HeartbeatRenewed
 }
 
+// sessionProcess is a process of a router that had a session.
+type sessionProcess struct {
+	session  uint64
+	instance uint64
+}
+
 // findSession returns the session that a heartbeat renews, or the status of the
 // response when there is none.
 func (s *Supervisor) findSession(heartbeat *messenger.Heartbeat, batch *batch) (*assigner.Session, messenger.HeartbeatStatus) {
 	if heartbeat.Session != 0 {
 		session := s.state.Session(heartbeat.Session)
-		if session == nil || session.Instance != heartbeat.Instance {
+		if session == nil || session.Instance != heartbeat.Instance || s.isReplaced(session, heartbeat) {
 			return nil, messenger.HeartbeatExpired
 		}
 		return session, ""
@@ -73,18 +79,36 @@
 		batch.add("open/"+heartbeat.Router, assigner.Command{Open: newOpen(heartbeat)})
 		return nil, messenger.HeartbeatWait
 	}
+	if s.isReplaced(session, heartbeat) {
+		return nil, messenger.HeartbeatWait
+	}
 	if session.Instance != heartbeat.Instance {
 		if isSuccessor(session, heartbeat) {
-			batch.add("adopt/"+heartbeat.Router, assigner.Command{Adopt: &assigner.Adopt{
-				Session:  session.Row.Session,
-				Instance: heartbeat.Instance,
-			}})
+			s.proposeAdopt(session, heartbeat, batch)
 		}
 		return nil, messenger.HeartbeatWait
 	}
 	return session, ""
 }
 
+// isReplaced reports whether a heartbeat comes from a process whose session another
+// one adopts. It was sent before that one started.
+func (s *Supervisor) isReplaced(session *assigner.Session, heartbeat *messenger.Heartbeat) bool {
+	return s.replaced[sessionProcess{session: session.Row.Session, instance: heartbeat.Instance}]
+}
+
+// proposeAdopt proposes that the sender of a heartbeat adopts the session. From then
+// on the process that has it is ignored: the keys that it reports as free, or the
+// session that it closes, could be in use by its successor when that is committed.
+func (s *Supervisor) proposeAdopt(session *assigner.Session, heartbeat *messenger.Heartbeat, batch *batch) {
+	number := session.Row.Session
+	s.replaced[sessionProcess{session: number, instance: session.Instance}] = true
+	batch.add("adopt/"+heartbeat.Router, assigner.Command{Adopt: &assigner.Adopt{
+		Session:  number,
+		Instance: heartbeat.Instance,
+	}})
+}
+
 // isSuccessor reports whether a heartbeat comes from the process that replaced the
 // one with the session. Two processes cannot listen at one address, so the earlier
 // one has ended, and what it granted to the backend server is still accounted for
--- a/control/supervisor/ranges_test.go
+++ b/control/supervisor/ranges_test.go
@@ -1,6 +1,7 @@
 package supervisor_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -154,6 +155,55 @@
 	qt.Assert(t, other.send().Status, qt.Equals, messenger.HeartbeatWait)
 }
 
+// restart returns the next process of a router, whose backend server went on running.
+func (r *rangedRouter) restart() *rangedRouter {
+	next := &rangedRouter{h: r.h, heartbeat: r.heartbeat, maps: mapper.New()}
+	next.heartbeat.Instance++
+	next.heartbeat.Session, next.heartbeat.Sequence = 0, 0
+	return next
+}
+
+// A heartbeat of a process that is being replaced may arrive late. The keys that it
+// reports as free may be granted to the backend server again by the next process.
+func TestReplacedProcessFreesNoKeys(t *testing.T) {
+	h := rangedHarness(t)
+	a, b := newRanged(h, 1), newRanged(h, 2)
+	runRanged(h, 9*time.Second, a, b)
+	rows := fmt.Sprint(a.rows())
+	restarted := a.restart()
+	qt.Assert(t, restarted.send().Status, qt.Equals, messenger.HeartbeatWait)
+	for _, row := range a.rows() {
+		a.heartbeat.Freed = append(a.heartbeat.Freed, messenger.RangeRef{Service: "findings", From: row.From, To: row.To, Fence: row.Fence})
+	}
+	qt.Check(t, a.send().Status, qt.Equals, messenger.HeartbeatExpired)
+	// The session is adopted, and the next process works by its table before what the
+	// late heartbeat caused is committed.
+	h.apply(h.pending[0])
+	h.pending = h.pending[1:]
+	qt.Assert(t, restarted.send().Status, qt.Equals, messenger.HeartbeatRenewed)
+	qt.Assert(t, fmt.Sprint(restarted.rows()), qt.Equals, rows)
+	h.commit()
+	qt.Assert(t, restarted.send().Status, qt.Equals, messenger.HeartbeatRenewed)
+	qt.Assert(t, fmt.Sprint(restarted.rows()), qt.Equals, rows)
+}
+
+// A late heartbeat with which a replaced process opened its session must not take the
+// session from the process that runs.
+func TestReplacedProcessTakesNoSession(t *testing.T) {
+	h := rangedHarness(t)
+	a, b := newRanged(h, 1), newRanged(h, 2)
+	runRanged(h, 9*time.Second, a, b)
+	restarted := a.restart()
+	runRanged(h, 900*time.Millisecond, b, restarted)
+	session := restarted.heartbeat.Session
+	qt.Assert(t, session, qt.Equals, a.heartbeat.Session)
+	a.heartbeat.Session = 0
+	a.send()
+	h.commit()
+	qt.Assert(t, restarted.send().Status, qt.Equals, messenger.HeartbeatRenewed)
+	qt.Assert(t, restarted.heartbeat.Session, qt.Equals, session)
+}
+
 // reportWork reports requests spread over the keys of a router, and how many
 // failed.
 func (r *rangedRouter) reportWork(requests, failed uint64) {
--- a/control/supervisor/supervisor.go
+++ b/control/supervisor/supervisor.go
@@ -56,8 +56,11 @@
 	graceStart timer.Instant
 	lastTick   timer.Instant
 	routers    map[uint64]*routerState
-	pending    *pending
-	services   map[string]*serviceState
+	// replaced are the processes whose session another one adopts or has adopted.
+	// Their heartbeats may still arrive.
+	replaced map[sessionProcess]bool
+	pending  *pending
+	services map[string]*serviceState
 	// demands is the measured load on ranges, by service.
 	demands map[string]*rangeDemand
 	// lastMeasured is when the mean loads were last updated.
@@ -82,6 +85,7 @@
 // resetLeaderState drops the state that only a leader keeps.
 func (s *Supervisor) resetLeaderState() {
 	s.routers = make(map[uint64]*routerState)
+	s.replaced = make(map[sessionProcess]bool)
 	s.pending = newPending()
 	s.services = make(map[string]*serviceState)
 	s.demands = make(map[string]*rangeDemand)
