Don't close a session that owns ranges at its router's request

Seen: a router that was restarted and stopped again before its backend server had announced itself closed the session that it had resumed. The keys were free at once, although the server still held them under the grants of the earlier process, and were granted elsewhere under a higher fence.

Cause: a stopping router closes its session when it knows of no keys. It passes the keys in its table on only once it knows the server, so it knew of none. The leader closed the session without looking at the ranges it owns. The same could happen when a grant reached a router between this check and its last heartbeat.

Change: the leader ignores the request while the session owns ranges; they become free when the lease has expired, as for a router that was killed. Ranges that the router reported as free are not owned any more and don't count.

Before the change, TestClosingProcessFreesNoHeldKeys failed: the heartbeat that closes the session was answered with expired. TestClosingProcessWithoutKeysEndsItsSession shows that a router without keys still closes its session, and passed before.

--- a/control/supervisor/heartbeat.go
+++ b/control/supervisor/heartbeat.go
@@ -193,7 +193,7 @@
 	if freed := filter(heartbeat.Freed, ownsRange); len(freed) > 0 {
 		batch.add(fmt.Sprintf("free/%d", number), assigner.Command{ReleaseRanges: &assigner.ReleaseRanges{Session: number, Ranges: freed}})
 	}
-	if heartbeat.Close {
+	if heartbeat.Close && !s.ownsRanges(number) {
 		s.routerState(number).closing = batch.add(fmt.Sprintf("close/%d", number), assigner.Command{Close: &assigner.Close{Sessions: []uint64{number}}})
 	}
 }
--- a/control/supervisor/ranges.go
+++ b/control/supervisor/ranges.go
@@ -198,6 +198,20 @@
 	return ranges
 }
 
+// ownsRanges reports whether a session owns any ranges. Such a session is not closed at
+// the request of its router, which may not know of all the keys that its backend server
+// holds: it may have resumed the session of an earlier process.
+func (s *Supervisor) ownsRanges(session uint64) bool {
+	for _, r := range s.state.AllRanges() {
+		for _, piece := range r.Pieces() {
+			if piece.Value.Owner == session {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // neverGranted reports whether no key was ever granted.
 func neverGranted(ranges []balancer.Range) bool {
 	return len(ranges) == 1 && ranges[0].Owner == 0
--- a/control/supervisor/ranges_test.go
+++ b/control/supervisor/ranges_test.go
@@ -160,6 +160,7 @@
 	next := &rangedRouter{h: r.h, heartbeat: r.heartbeat, maps: mapper.New()}
 	next.heartbeat.Instance++
 	next.heartbeat.Session, next.heartbeat.Sequence = 0, 0
+	next.heartbeat.Leaving, next.heartbeat.Close = false, false
 	return next
 }
 
@@ -204,6 +205,43 @@
 	qt.Assert(t, restarted.heartbeat.Session, qt.Equals, session)
 }
 
+// A process that stops before the backend server has announced itself does not know the
+// keys that the server holds under the session it resumed. Its session must not be
+// closed while it owns keys: they become free when its lease has expired.
+func TestClosingProcessFreesNoHeldKeys(t *testing.T) {
+	h := rangedHarness(t)
+	a, b := newRanged(h, 1), newRanged(h, 2)
+	runRanged(h, 9*time.Second, a, b)
+	keys := b.keys()
+	restarted := a.restart()
+	restarted.heartbeat.Server, restarted.heartbeat.State = nil, messenger.ServerAbsent
+	runRanged(h, 600*time.Millisecond, b, restarted)
+	restarted.heartbeat.Close, restarted.heartbeat.Leaving = true, true
+	qt.Assert(t, restarted.send().Status, qt.Equals, messenger.HeartbeatRenewed)
+	runRanged(h, messenger.LeaseDuration, b)
+	qt.Assert(t, b.keys(), qt.Equals, keys)
+	runRanged(h, time.Second, b)
+	qt.Assert(t, b.keys(), qt.Equals, allKeys)
+}
+
+// A process whose keys have all moved away closes its session at once.
+func TestClosingProcessWithoutKeysEndsItsSession(t *testing.T) {
+	h := rangedHarness(t)
+	a, b := newRanged(h, 1), newRanged(h, 2)
+	runRanged(h, 9*time.Second, a, b)
+	a.heartbeat.Leaving = true
+	runRanged(h, 1500*time.Millisecond, a, b)
+	qt.Assert(t, a.keys(), qt.Equals, 0)
+	a.heartbeat.Close = true
+	qt.Assert(t, a.send().Status, qt.Equals, messenger.HeartbeatExpired)
+	h.commit()
+	restarted := a.restart()
+	qt.Assert(t, restarted.send().Status, qt.Equals, messenger.HeartbeatWait)
+	h.commit()
+	qt.Assert(t, restarted.send().Status, qt.Equals, messenger.HeartbeatRenewed)
+	qt.Assert(t, restarted.heartbeat.Session, qt.Not(qt.Equals), a.heartbeat.Session)
+}
+
 // reportWork reports requests spread over the keys of a router, and how many
 // failed.
 func (r *rangedRouter) reportWork(requests, failed uint64) {
