Judge whether a member is unreachable by the monotonic clock

Seen: when the wall clock of the leader is set forward by three seconds or more while a replica asks to join a full group, a member that responds is removed and replaced, so the group has one member less until the joiner has caught up.

Cause: the time since the last contact with a member was the larger of what the two clocks say.

Change: it is counted by the monotonic clock, like the silence of a router.

--- a/control/enroller/enroller.go
+++ b/control/enroller/enroller.go
@@ -234,7 +234,8 @@
 	}
 }
 
-// group returns the state of the group as seen by this replica while it leads.
+// group returns the state of the group as seen by this replica while it leads. It uses
+// the monotonic clock: a wall clock that is set forward makes no member unreachable.
 func (e *Enroller) group() Group {
 	raftStatus := e.options.Replica.RaftStatus()
 	now := timer.Now()
@@ -246,10 +247,10 @@
 	}
 	for name, progress := range raftStatus.Progress {
 		lastContact := progress.LastContact
-		if lastContact.IsZero() || now.Since(lastContact) > now.Since(raftStatus.Since) {
+		if lastContact.IsZero() || now.SinceMonotonic(lastContact) > now.SinceMonotonic(raftStatus.Since) {
 			lastContact = raftStatus.Since
 		}
-		group.SinceContact[name] = now.Since(lastContact)
+		group.SinceContact[name] = now.SinceMonotonic(lastContact)
 	}
 	return group
 }
