Resume no session before the ranges reported as free are released

Seen: a router whose session ended locally, since its heartbeats were held up, resumed it with a table that still contained keys it had reported as free in one of these heartbeats. It granted them to its backend server again under the same fence, and a moment later they were free and granted elsewhere.

Cause: when both heartbeats arrive together, the leader proposes the release for the first and answers the second before it is committed. The router forgets what it reported when its session ends.

Change: the leader answers a heartbeat without a session with wait while such a release is pending.

Before the change, TestResumedSessionOwnsNoFreedKeys failed: the heartbeat was answered with alive and the keys were in the table.

--- a/control/supervisor/heartbeat.go
+++ b/control/supervisor/heartbeat.go
@@ -88,9 +88,20 @@
 		}
 		return nil, messenger.HeartbeatWait
 	}
+	if batch.has(freeSubject(session.Row.Session)) {
+		// The router may no longer know which keys it reported as free, and the table
+		// still contains them.
+		return nil, messenger.HeartbeatWait
+	}
 	return session, ""
 }
 
+// freeSubject is the subject of the command that frees the ranges that a router reported
+// as free.
+func freeSubject(session uint64) string {
+	return fmt.Sprintf("free/%d", session)
+}
+
 // isReplaced reports whether a heartbeat comes from a process whose session another
 // one adopts. It was sent before that one started.
 func (s *Supervisor) isReplaced(session *assigner.Session, heartbeat *messenger.Heartbeat) bool {
@@ -191,7 +202,7 @@
 	}
 	ownsRange := func(ref messenger.RangeRef) bool { return s.state.OwnsRange(number, ref) }
 	if freed := filter(heartbeat.Freed, ownsRange); len(freed) > 0 {
-		batch.add(fmt.Sprintf("free/%d", number), assigner.Command{ReleaseRanges: &assigner.ReleaseRanges{Session: number, Ranges: freed}})
+		batch.add(freeSubject(number), assigner.Command{ReleaseRanges: &assigner.ReleaseRanges{Session: number, Ranges: freed}})
 	}
 	if heartbeat.Close && !s.ownsRanges(number) {
 		s.routerState(number).closing = batch.add(fmt.Sprintf("close/%d", number), assigner.Command{Close: &assigner.Close{Sessions: []uint64{number}}})
--- a/control/supervisor/ranges_test.go
+++ b/control/supervisor/ranges_test.go
@@ -205,6 +205,25 @@
 	qt.Assert(t, restarted.heartbeat.Session, qt.Equals, session)
 }
 
+// A router whose session ended locally no longer knows which keys it reported as free.
+// When it resumes the session, its table must not contain them any more.
+func TestResumedSessionOwnsNoFreedKeys(t *testing.T) {
+	h := rangedHarness(t)
+	a, b := newRanged(h, 1), newRanged(h, 2)
+	runRanged(h, 9*time.Second, a, b)
+	session, freed := a.heartbeat.Session, a.rows()[0]
+	a.heartbeat.Freed = []messenger.RangeRef{{Service: "findings", From: freed.From, To: freed.To, Fence: freed.Fence}}
+	a.send()
+	a.heartbeat.Session, a.heartbeat.Freed = 0, nil
+	qt.Assert(t, a.send().Status, qt.Equals, messenger.HeartbeatWait)
+	h.commit()
+	qt.Assert(t, a.send().Status, qt.Equals, messenger.HeartbeatRenewed)
+	qt.Assert(t, a.heartbeat.Session, qt.Equals, session)
+	for _, row := range a.rows() {
+		qt.Check(t, row.From > freed.To || row.To < freed.From, qt.IsTrue, qt.Commentf("%+v", row))
+	}
+}
+
 // A process that stops before the backend server has announced itself does not know the
 // keys that the server holds under the session it resumed. Its session must not be
 // closed while it owns keys: they become free when its lease has expired.
