Free the ranges of a resumed session whose server never announces itself

A router process that resumed a session passed no ranges to its holder before its server had announced itself. When the server had ended for good while the router was restarted, its ranges kept their owner as long as the router ran, and nobody served them.

The holder gets the ranges without a server too. It grants none of them, and frees them when one lease has passed, since what an earlier process granted has ended by then. TestRestartedRouterWithoutServerFreesItsRanges failed before (free never).

--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -226,11 +226,11 @@
 	p.rangesMu.Lock()
 	defer p.rangesMu.Unlock()
 	view := p.server.View()
-	if view.Row == nil {
-		p.holder.SetRows(nil, nil, view.State)
-		return
+	service := p.settings.Service
+	if view.Row != nil {
+		service = view.Row.Service
 	}
-	p.holder.SetRows(p.mapper.Load().OwnedRanges(view.Row.Service, p.keeper.Session()), view.Row, view.State)
+	p.holder.SetRows(p.mapper.Load().OwnedRanges(service, p.keeper.Session()), view.Row, view.State)
 }
 
 // isReady reports whether the router accepts requests of callers.
--- a/router/holder/holder.go
+++ b/router/holder/holder.go
@@ -89,23 +89,28 @@
 }
 
 // SetRows updates the ranges that the router owns, its backend server and the state of
-// that server. The server is nil before it has announced itself; until then nothing is
-// granted and nothing is reported as free.
+// that server. The server is nil before it has announced itself: then nothing is granted,
+// and the ranges are free when a lease has passed.
 func (h *Holder) SetRows(rows []messenger.RangeRow, server *messenger.ServerRow, state messenger.ServerState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if server == nil {
-		h.server = nil
-		return
+	h.server = server
+	service := h.stateMachine.service
+	var current incarnation
+	switch {
+	case server != nil:
+		service = server.Service
+		current = incarnation{name: server.Name, born: server.Born}
+	case len(rows) > 0:
+		service = rows[0].Service
 	}
-	if h.stateMachine.service != server.Service {
-		h.stateMachine = newStateMachine(server.Service, h.options.LeaseDuration)
+	if h.stateMachine.service != service {
+		h.stateMachine = newStateMachine(service, h.options.LeaseDuration)
 	}
-	h.server = server
 	if state != messenger.ServerDown {
 		h.stateMachine.serverRecovered()
 	}
-	h.stateMachine.setRanges(timer.Now(), rows, incarnation{name: server.Name, born: server.Born})
+	h.stateMachine.setRanges(timer.Now(), rows, current)
 	if state == messenger.ServerDown {
 		h.stateMachine.serverTerminated()
 	}
@@ -117,9 +122,6 @@
 func (h *Holder) Freed() []messenger.RangeRef {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.server == nil {
-		return nil
-	}
 	return h.stateMachine.freed()
 }
 
@@ -172,12 +174,9 @@
 	leaseRemaining := h.options.Lease().Remaining(now)
 	h.mu.Lock()
 	server, stateMachine := h.server, h.stateMachine
-	var calls []*Call
 	freedBefore := len(h.stateMachine.freed())
-	if server != nil {
-		calls = h.stateMachine.plan(now, leaseRemaining)
-		h.logFreed()
-	}
+	calls := h.stateMachine.plan(now, leaseRemaining)
+	h.logFreed()
 	changed := len(h.stateMachine.freed()) != freedBefore
 	h.mu.Unlock()
 	for _, call := range calls {
@@ -238,13 +237,10 @@
 
 // logFreed counts and logs the ranges that became free. The caller holds h.mu.
 func (h *Holder) logFreed() {
-	if h.server == nil {
-		return
-	}
 	for _, freed := range h.stateMachine.unloggedFreed() {
 		h.options.Metrics.GetOrCreateCounter(`marigold_ranges_freed_total{cause="` + string(freed.cause) + `"}`).Inc()
 		h.options.Log.Emit(logger.RangesFreed, "service", h.stateMachine.service, "from", freed.from, "to", freed.to,
-			"fence", freed.fence, "server", h.server.Name, "born", h.server.Born, "cause", string(freed.cause))
+			"fence", freed.fence, "server", h.stateMachine.server.name, "born", h.stateMachine.server.born, "cause", string(freed.cause))
 	}
 }
 
--- a/router/holder/holder_test.go
+++ b/router/holder/holder_test.go
@@ -93,3 +93,25 @@
 		}
 	})
 }
+
+// TestRestartedRouterWithoutServerFreesItsRanges restarts the router after its server has
+// ended for good, so that none announces itself.
+func TestRestartedRouterWithoutServerFreesItsRanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := New(Options{
+			Caller:        new(countingCaller),
+			Lease:         func() *keeper.Lease { return keeper.NewTestLease(7, timer.Now()) },
+			LeaseDuration: lease,
+			OnChange:      func() {},
+			Log:           logger.Discard(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go h.Run(ctx)
+		defer cancel()
+		h.SetRows([]messenger.RangeRow{{Service: "findings", From: 0, To: 99, Fence: 5, Life: server.born, Phase: messenger.PhaseOwned}}, nil, messenger.ServerAbsent)
+		time.Sleep(lease)
+		qt.Check(t, h.Freed(), qt.HasLen, 0)
+		time.Sleep(time.Second)
+		qt.Check(t, h.Freed(), qt.DeepEquals, []messenger.RangeRef{{Service: "findings", From: 0, To: 99, Fence: 5}})
+	})
+}
--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -272,7 +272,7 @@
 	m.leased = m.leased || leaseRemaining > 0
 	m.startReleases(now)
 	m.expire(now)
-	if !isDue(now, m.resumeAt) {
+	if m.server == (incarnation{}) || !isDue(now, m.resumeAt) {
 		return nil
 	}
 	var due []*Call
