--- a/control/supervisor/close.go
+++ b/control/supervisor/close.go
@@ -20,16 +20,19 @@
 		expired = append(expired, number)
 		router := s.routerState(number)
 		router.closing = true
-		silence = max(silence, now.Since(router.received))
+		silence = max(silence, now.SinceMonotonic(router.received))
 	}
 	if len(expired) == 0 {
 		return
 	}
-	batch.add("lapse", assigner.Command{Close: &assigner.Close{
+	proposed := batch.add("lapse", assigner.Command{Close: &assigner.Close{
 		Sessions: expired,
 		Lapsed:   true,
 		Silence:  silence.Milliseconds(),
 	}})
+	if proposed {
+		s.logExpired(now, expired)
+	}
 	s.counters.expirations.Add(len(expired))
 }
 
--- a/control/supervisor/ranges_test.go
+++ b/control/supervisor/ranges_test.go
@@ -1,6 +1,7 @@
 package supervisor_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -75,10 +76,22 @@
 
 func rangedHarness(t *testing.T) *harness {
 	h := newHarness(t)
+	configureRanges(h)
+	return h
+}
+
+// configureRanges configures a service that is partitioned by ranges.
+func configureRanges(h *harness) {
 	h.propose(assigner.Command{Configure: &assigner.Configure{Configuration: messenger.Configuration{
 		Version: 1, Services: []messenger.RoutedService{{Name: "findings", Ranged: true}},
 	}, Source: []byte("text")}})
-	return h
+}
+
+// rangeGrant returns a grant of all keys to a session.
+func rangeGrant(session uint64) assigner.Command {
+	return assigner.Command{GrantRanges: &assigner.GrantRanges{
+		Service: "findings", Placements: []assigner.RangePlacement{{Session: session, To: messenger.LastKey}},
+	}}
 }
 
 const allKeys = messenger.LastKey + 1
@@ -154,6 +167,112 @@
 	qt.Assert(t, other.send().Status, qt.Equals, messenger.HeartbeatWait)
 }
 
+// restart returns the next process of a router, whose backend server went on running.
+func (r *rangedRouter) restart() *rangedRouter {
+	next := &rangedRouter{h: r.h, heartbeat: r.heartbeat, maps: mapper.New()}
+	next.heartbeat.Instance++
+	next.heartbeat.Session, next.heartbeat.Sequence = 0, 0
+	next.heartbeat.Leaving, next.heartbeat.Close = false, false
+	return next
+}
+
+// A heartbeat of a process that is being replaced may arrive late. The keys that it
+// reports as free may be granted to the backend server again by the next process.
+func TestReplacedProcessFreesNoKeys(t *testing.T) {
+	h := rangedHarness(t)
+	a, b := newRanged(h, 1), newRanged(h, 2)
+	runRanged(h, 9*time.Second, a, b)
+	rows := fmt.Sprint(a.rows())
+	restarted := a.restart()
+	qt.Assert(t, restarted.send().Status, qt.Equals, messenger.HeartbeatWait)
+	for _, row := range a.rows() {
+		a.heartbeat.Freed = append(a.heartbeat.Freed, messenger.RangeRef{Service: "findings", From: row.From, To: row.To, Fence: row.Fence})
+	}
+	qt.Check(t, a.send().Status, qt.Equals, messenger.HeartbeatExpired)
+	// The session is adopted, and the next process works by its table before what the
+	// late heartbeat caused is committed.
+	h.apply(h.pending[0])
+	h.pending = h.pending[1:]
+	qt.Assert(t, restarted.send().Status, qt.Equals, messenger.HeartbeatRenewed)
+	qt.Assert(t, fmt.Sprint(restarted.rows()), qt.Equals, rows)
+	h.commit()
+	qt.Assert(t, restarted.send().Status, qt.Equals, messenger.HeartbeatRenewed)
+	qt.Assert(t, fmt.Sprint(restarted.rows()), qt.Equals, rows)
+}
+
+// A late heartbeat with which a replaced process opened its session must not take the
+// session from the process that runs.
+func TestReplacedProcessTakesNoSession(t *testing.T) {
+	h := rangedHarness(t)
+	a, b := newRanged(h, 1), newRanged(h, 2)
+	runRanged(h, 9*time.Second, a, b)
+	restarted := a.restart()
+	runRanged(h, 900*time.Millisecond, b, restarted)
+	session := restarted.heartbeat.Session
+	qt.Assert(t, session, qt.Equals, a.heartbeat.Session)
+	a.heartbeat.Session = 0
+	a.send()
+	h.commit()
+	qt.Assert(t, restarted.send().Status, qt.Equals, messenger.HeartbeatRenewed)
+	qt.Assert(t, restarted.heartbeat.Session, qt.Equals, session)
+}
+
+// A router whose session ended locally no longer knows which keys it reported as free.
+// When it resumes the session, its table must not contain them any more.
+func TestResumedSessionOwnsNoFreedKeys(t *testing.T) {
+	h := rangedHarness(t)
+	a, b := newRanged(h, 1), newRanged(h, 2)
+	runRanged(h, 9*time.Second, a, b)
+	session, freed := a.heartbeat.Session, a.rows()[0]
+	a.heartbeat.Freed = []messenger.RangeRef{{Service: "findings", From: freed.From, To: freed.To, Fence: freed.Fence}}
+	a.send()
+	a.heartbeat.Session, a.heartbeat.Freed = 0, nil
+	qt.Assert(t, a.send().Status, qt.Equals, messenger.HeartbeatWait)
+	h.commit()
+	qt.Assert(t, a.send().Status, qt.Equals, messenger.HeartbeatRenewed)
+	qt.Assert(t, a.heartbeat.Session, qt.Equals, session)
+	for _, row := range a.rows() {
+		qt.Check(t, row.From > freed.To || row.To < freed.From, qt.IsTrue, qt.Commentf("%+v", row))
+	}
+}
+
+// A process that stops before the backend server has announced itself does not know the
+// keys that the server holds under the session it resumed. Its session must not be
+// closed while it owns keys: they become free when its lease has expired.
+func TestClosingProcessFreesNoHeldKeys(t *testing.T) {
+	h := rangedHarness(t)
+	a, b := newRanged(h, 1), newRanged(h, 2)
+	runRanged(h, 9*time.Second, a, b)
+	keys := b.keys()
+	restarted := a.restart()
+	restarted.heartbeat.Server, restarted.heartbeat.State = nil, messenger.ServerAbsent
+	runRanged(h, 600*time.Millisecond, b, restarted)
+	restarted.heartbeat.Close, restarted.heartbeat.Leaving = true, true
+	qt.Assert(t, restarted.send().Status, qt.Equals, messenger.HeartbeatRenewed)
+	runRanged(h, messenger.LeaseDuration, b)
+	qt.Assert(t, b.keys(), qt.Equals, keys)
+	runRanged(h, time.Second, b)
+	qt.Assert(t, b.keys(), qt.Equals, allKeys)
+}
+
+// A process whose keys have all moved away closes its session at once.
+func TestClosingProcessWithoutKeysEndsItsSession(t *testing.T) {
+	h := rangedHarness(t)
+	a, b := newRanged(h, 1), newRanged(h, 2)
+	runRanged(h, 9*time.Second, a, b)
+	a.heartbeat.Leaving = true
+	runRanged(h, 1500*time.Millisecond, a, b)
+	qt.Assert(t, a.keys(), qt.Equals, 0)
+	a.heartbeat.Close = true
+	qt.Assert(t, a.send().Status, qt.Equals, messenger.HeartbeatExpired)
+	h.commit()
+	restarted := a.restart()
+	qt.Assert(t, restarted.send().Status, qt.Equals, messenger.HeartbeatWait)
+	h.commit()
+	qt.Assert(t, restarted.send().Status, qt.Equals, messenger.HeartbeatRenewed)
+	qt.Assert(t, restarted.heartbeat.Session, qt.Not(qt.Equals), a.heartbeat.Session)
+}
+
 // reportWork reports requests spread over the keys of a router, and how many
 // failed.
 func (r *rangedRouter) reportWork(requests, failed uint64) {
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -142,11 +142,10 @@
 	p.admission = queuer.NewAdmission(0)
 	p.backend = courier.New(courier.Options{Network: options.Network, HeaderCodec: options.HeaderCodec, Metrics: options.Metrics})
 	p.sampler = sampler.New()
-	rangeClient := granter.NewRangeClient(options.Network, *options.RangeProtocol)
+	rangeClient := granter.NewRangeClient(options.Network, *options.RangeProtocol, func() { p.server.DialRefused(timer.Now()) })
 	p.server = attendant.New(attendant.Options{
 		Address:     p.settings.Server,
 		OnChange:    p.serverChanged,
-		OnDown:      func() { p.holder.ServerTerminated() },
 		IsConnected: func() bool { return rangeClient.IsConnected() || p.backend.IsConnected() },
 		Log:         options.Log,
 	})
@@ -227,11 +226,11 @@
 	p.rangesMu.Lock()
 	defer p.rangesMu.Unlock()
 	view := p.server.View()
-	if view.Row == nil {
-		p.holder.SetRows(nil, nil, view.State)
-		return
+	service := p.settings.Service
+	if view.Row != nil {
+		service = view.Row.Service
 	}
-	p.holder.SetRows(p.mapper.Load().OwnedRanges(view.Row.Service, p.keeper.Session()), view.Row, view.State)
+	p.holder.SetRows(p.mapper.Load().OwnedRanges(service, p.keeper.Session()), view.Row, view.State)
 }
 
 // isReady reports whether the router accepts requests of callers.
