Resume no session before its released shards are free

The same fault as with ranges: a router that resumed its session while the release of shards was proposed and not yet committed got a table that still contained them, and had dropped its seals with the session, so it served them again under the old fence. The leader now answers wait in this case too.

Before the change, TestResumedSessionOwnsNoReleasedShards failed: the heartbeat was answered with alive.

--- a/control/supervisor/heartbeat.go
+++ b/control/supervisor/heartbeat.go
@@ -88,14 +88,21 @@
 		}
 		return nil, messenger.HeartbeatWait
 	}
-	if batch.has(freeSubject(session.Row.Session)) {
-		// The router may no longer know which keys it reported as free, and the table
-		// still contains them.
+	number := session.Row.Session
+	if batch.has(freeSubject(number)) || batch.has(releaseSubject(number)) {
+		// The router may no longer know what it reported as free or released, and the
+		// table still contains it.
 		return nil, messenger.HeartbeatWait
 	}
 	return session, ""
 }
 
+// releaseSubject is the subject of the command that releases the shards that a router
+// reported as released.
+func releaseSubject(session uint64) string {
+	return fmt.Sprintf("release/%d", session)
+}
+
 // freeSubject is the subject of the command that frees the ranges that a router reported
 // as free.
 func freeSubject(session uint64) string {
@@ -198,7 +205,7 @@
 	}
 	owns := func(ref messenger.ShardRef) bool { return s.state.Owns(number, ref) }
 	if shards := filter(heartbeat.Released, owns); len(shards) > 0 {
-		batch.add(fmt.Sprintf("release/%d", number), assigner.Command{Release: &assigner.Release{Session: number, Shards: shards}})
+		batch.add(releaseSubject(number), assigner.Command{Release: &assigner.Release{Session: number, Shards: shards}})
 	}
 	ownsRange := func(ref messenger.RangeRef) bool { return s.state.OwnsRange(number, ref) }
 	if freed := filter(heartbeat.Freed, ownsRange); len(freed) > 0 {
--- a/control/supervisor/supervisor_test.go
+++ b/control/supervisor/supervisor_test.go
@@ -1,6 +1,7 @@
 package supervisor_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -172,6 +173,23 @@
 	checkNothingClosed(h, 1)
 }
 
+// A router whose session ended locally no longer knows which shards it released. When it
+// resumes the session, its table must not contain them any more.
+func TestResumedSessionOwnsNoReleasedShards(t *testing.T) {
+	h := newHarness(t)
+	router := newRouter(h, 1, "findings")
+	h.run(5*time.Second, router)
+	session, released := router.heartbeat.Session, router.owned()[:1]
+	router.heartbeat.Released = released
+	qt.Assert(t, router.send(), qt.Equals, messenger.HeartbeatRenewed)
+	router.heartbeat.Session, router.heartbeat.Released = 0, nil
+	qt.Assert(t, router.send(), qt.Equals, messenger.HeartbeatWait)
+	h.commit()
+	qt.Assert(t, router.send(), qt.Equals, messenger.HeartbeatRenewed)
+	qt.Assert(t, router.heartbeat.Session, qt.Equals, session)
+	qt.Assert(t, slices.Contains(router.owned(), released[0]), qt.IsFalse)
+}
+
 func TestSessionIsRenewedOnlyByItsInstanceWhileOpen(t *testing.T) {
 	h := newHarness(t)
 	router := newRouter(h, 1, "findings")
