Resume a session as another instance once it ended locally

Seen: a heartbeat that a router sent before its session ended could still free keys after the router had resumed the session and granted the same keys to its backend server again. The leader drops heartbeats that are older than the newest it received, but a leader elected in between has received none.

Cause: a router forgets with its session what it reported as free, and went on as the same instance.

Change: after the end of its session, a router that may adopt it sends its next heartbeat as a new instance. The adoption is in the log, so every later leader ignores what the earlier instance sent. Routers with shards can't adopt a session and keep their instance, or they would have to wait until it has expired; for them this case is left open.

Before the change, TestInstanceChangesWithTheEndOfTheSession failed for a sole process: the instance was the same after the session had ended.

--- a/router/keeper/keeper.go
+++ b/router/keeper/keeper.go
@@ -93,9 +93,12 @@
 
 // Keeper maintains the session of one router.
 type Keeper struct {
-	settings     Settings
-	options      Options
+	settings Settings
+	options  Options
+	// instance is replaced when sessionEnded is set and the next heartbeat may adopt the
+	// session.
 	instance     uint64
+	sessionEnded bool
 	stateMachine stateMachine
 	lease        atomic.Pointer[Lease]
 	// lastSentAt is when the newest heartbeat was sent.
@@ -269,6 +272,7 @@
 		k.count(actions.reason)
 	}
 	if actions.endedSession != 0 {
+		k.sessionEnded = true
 		k.options.HeartbeatHandler.SessionEnded(actions.endedSession)
 	}
 	if actions.publish {
@@ -303,14 +307,15 @@
 // sendHeartbeat sends a heartbeat without waiting for its response.
 func (k *Keeper) sendHeartbeat(ctx context.Context) {
 	heartbeat := &messenger.Heartbeat{
-		Router:   k.settings.Name,
-		Instance: k.instance,
-		Session:  k.stateMachine.session,
-		Address:  k.settings.Address,
-		Domain:   k.settings.Domain,
-		Region:   k.settings.Region,
+		Router:  k.settings.Name,
+		Session: k.stateMachine.session,
+		Address: k.settings.Address,
+		Domain:  k.settings.Domain,
+		Region:  k.settings.Region,
 	}
 	k.options.HeartbeatHandler.Report(timer.Now(), k.stateMachine.session, heartbeat)
+	k.renewInstance(heartbeat)
+	heartbeat.Instance = k.instance
 	heartbeat.Unanswered = k.stateMachine.unanswered
 	now := timer.Now()
 	k.lastSentAt.Store(&now)
@@ -320,6 +325,17 @@
 	go k.callControl(ctx, attempt, heartbeat, k.attemptTimeout())
 }
 
+// renewInstance replaces the instance after a session ended. The router no longer knows
+// what it reported under that session, and its earlier heartbeats may still arrive: they
+// are void once the session belongs to another instance. A router that cannot adopt its
+// session keeps the instance, so that it need not wait until the session has expired.
+func (k *Keeper) renewInstance(heartbeat *messenger.Heartbeat) {
+	if k.sessionEnded && heartbeat.Sole {
+		k.instance = rand.Uint64()
+	}
+	k.sessionEnded = false
+}
+
 // attemptTimeout returns the timeout of the next heartbeat.
 func (k *Keeper) attemptTimeout() time.Duration {
 	return min(HeartbeatTimeout<<min(k.consecutiveFailures/failuresPerDoubling, 8), MaxHeartbeatTimeout)
--- a/router/keeper/keeper_test.go
+++ b/router/keeper/keeper_test.go
@@ -62,10 +62,16 @@
 type heartbeatHandler struct {
 	mu    sync.Mutex
 	ended []uint64
+	sole  bool
 }
 
-func (*heartbeatHandler) Report(timer.Instant, uint64, *messenger.Heartbeat) {}
-func (*heartbeatHandler) Apply(uint64, *messenger.TableDelta) error          { return nil }
+func (s *heartbeatHandler) Report(_ timer.Instant, _ uint64, heartbeat *messenger.Heartbeat) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	heartbeat.Sole = s.sole
+}
+
+func (*heartbeatHandler) Apply(uint64, *messenger.TableDelta) error { return nil }
 
 func (s *heartbeatHandler) SessionEnded(session uint64) {
 	s.mu.Lock()
@@ -195,6 +201,48 @@
 	})
 }
 
+// Heartbeats that were sent before the session ended may arrive late, and the router may
+// since have taken over again what they report as free. If it may adopt its session, they
+// must be those of another instance.
+func TestInstanceChangesWithTheEndOfTheSession(t *testing.T) {
+	tests := []struct {
+		name string
+		sole bool
+	}{
+		{"sole process", true},
+		{"process that cannot adopt a session", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runFixture(t, func(t *testing.T, env *fixture) {
+				env.heartbeatHandler.mu.Lock()
+				env.heartbeatHandler.sole = test.sole
+				env.heartbeatHandler.mu.Unlock()
+				time.Sleep(time.Second)
+				before := env.controlGroup.accepted()
+				for _, heartbeat := range before {
+					qt.Check(t, heartbeat.Instance, qt.Equals, before[0].Instance)
+				}
+				for _, member := range []string{"a", "b", "c"} {
+					env.PartitionBoth("r", member)
+				}
+				time.Sleep(2 * messenger.LeaseDuration)
+				qt.Assert(t, env.isLeaseValid(), qt.IsFalse)
+				for _, member := range []string{"a", "b", "c"} {
+					env.HealBoth("r", member)
+				}
+				time.Sleep(3 * time.Second)
+				after := env.controlGroup.accepted()[len(before):]
+				qt.Assert(t, len(after) > 0, qt.IsTrue)
+				for _, heartbeat := range after {
+					qt.Check(t, heartbeat.Instance, qt.Equals, after[0].Instance)
+				}
+				qt.Check(t, after[0].Instance != before[0].Instance, qt.Equals, test.sole)
+			})
+		})
+	}
+}
+
 func TestCloseEndsTheLeaseAndTheSession(t *testing.T) {
 	runFixture(t, func(t *testing.T, env *fixture) {
 		lease := env.keeper.Lease()
