--- a/control/supervisor/range_chaos_test.go
+++ b/control/supervisor/range_chaos_test.go
@@ -129,10 +129,13 @@
 }
 
 // endSession ends the session locally, as a keeper does. What was reported as free is
-// forgotten.
+// forgotten. Keepers of earlier versions went on as the same instance.
 func (c *rangeChaos) endSession(n *rangeNode) {
 	c.counts["ended sessions"]++
 	n.router.heartbeat.Session = 0
+	if c.random.IntN(2) == 0 {
+		n.router.heartbeat.Instance++
+	}
 	n.freed = nil
 }
 
