Count the time in which a VM was suspended on the monotonic clock

The monotonic clock of Go does not advance while a VM is suspended, and only the wall clock told of it.

--- a/kernel/timer/instant.go
+++ b/kernel/timer/instant.go
@@ -1,9 +1,10 @@
 // Package timer measures elapsed time correctly across the suspension of a VM.
 //
-// On some platforms the monotonic clock stops while a VM is suspended, and the
-// wall clock may be set back. An [Instant] holds a reading of both, and
-// [Instant.Since] returns the larger of the two differences, so that a lease that
-// expired during a suspension is never treated as valid.
+// The monotonic clock of the Go runtime stops while a VM is suspended, and the wall clock
+// may be set back. An [Instant] holds a reading of both, the time in suspension is added
+// to the first where the system tells it, and [Instant.Since] returns the larger of the
+// two differences, so that a lease that expired during a suspension is never treated as
+// valid.
 //
 // # Usage
 //
@@ -24,7 +25,8 @@
 
 // Instant is one reading of both clocks. The zero value is the origin of both.
 type Instant struct {
-	// Mono is the monotonic time since the start of the process.
+	// Mono is the monotonic time since the start of the process, with the time in which
+	// the VM was suspended.
 	Mono time.Duration
 	// Wall is the wall-clock time since the Unix epoch.
 	Wall time.Duration
@@ -44,8 +46,9 @@
 // Now returns the current reading of both clocks.
 func Now() Instant {
 	now := time.Now()
+	monotonic := now.Sub(processStart)
 	return Instant{
-		Mono: now.Sub(processStart),
+		Mono: monotonic + suspendedTime(monotonic),
 		Wall: time.Duration(now.UnixNano() + wallClockOffset.Load()),
 	}
 }
