--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -45,10 +45,24 @@
 	phaseFreed
 )
 
+// freeCause is why keys became free.
+type freeCause string
+
+const (
+	causeReleased   freeCause = "released"
+	causeExpired    freeCause = "expired"
+	causeFenced     freeCause = "fenced"
+	causeTerminated freeCause = "terminated"
+	causeReplaced   freeCause = "replaced"
+)
+
 // keyState is the state of a range of keys.
 type keyState struct {
 	phase phase
 	fence uint64
+	// cause is why freed keys are free; logged is set once that was logged.
+	cause  freeCause
+	logged bool
 	// handover is the handover token of the previous holder or, for freed keys, the
 	// token of this one.
 	handover string
@@ -62,6 +76,10 @@
 	due timer.Instant
 }
 
+func freedState(fence uint64, cause freeCause) keyState {
+	return keyState{phase: phaseFreed, fence: fence, cause: cause}
+}
+
 // isHeld reports whether the backend server is certain to hold the keys.
 func (s keyState) isHeld(now timer.Instant) bool {
 	return !s.grantedAt.IsZero() && now.Since(s.grantedAt) < s.hold
@@ -81,14 +99,19 @@
 // Call is a call to the backend server.
 type Call struct {
 	Service string
-	From    uint32
-	To      uint32
-	Fence   uint64
+	// Server is the name of the backend server that the call is for. Any other server
+	// at its address refuses the call.
+	Server string
+	From   uint32
+	To     uint32
+	Fence  uint64
 	// Release revokes the keys; otherwise they are granted.
 	Release bool
 	// Hold and Handover are for grants.
 	Hold     time.Duration
 	Handover string
+	// First is set for a grant of keys that the server does not hold yet.
+	First bool
 
 	sentAt timer.Instant
 }
@@ -105,6 +128,8 @@
 	Accepted CallResult = iota
 	// Fenced means that the server has seen a higher fence.
 	Fenced
+	// Misdirected means that another server is at the address, which refused the call.
+	Misdirected
 	// Unanswered means that the call failed but that the server may still carry it
 	// out.
 	Unanswered
@@ -120,9 +145,17 @@
 	validFor time.Duration
 }
 
+// incarnation identifies one start of a backend server.
+type incarnation struct {
+	name string
+	// born is when it started, in Unix milliseconds.
+	born int64
+}
+
 // stateMachine decides on grants and releases. It does no I/O and reads no clock.
 type stateMachine struct {
 	service           string
+	server            incarnation
 	keys              *splitter.Map[keyState]
 	calls             []*Call
 	unconfirmedGrants []unconfirmedGrant
@@ -130,6 +163,9 @@
 	// range for that long if the range returns to this router after the session was
 	// lost.
 	longestHold time.Duration
+	// resumeAt is the earliest time of the next call, after one that did not reach the
+	// server.
+	resumeAt timer.Instant
 }
 
 func newStateMachine(service string) *stateMachine {
@@ -139,22 +175,29 @@
 // setRanges updates the ranges that the session of this router owns. Ranges that were
 // granted for another incarnation of the server are freed immediately: the current one
 // holds none of its predecessor's keys.
-func (m *stateMachine) setRanges(now timer.Instant, rows []messenger.RangeRow, incarnation int64) {
+func (m *stateMachine) setRanges(now timer.Instant, rows []messenger.RangeRow, server incarnation) {
+	if m.server != server {
+		m.server = server
+		m.resumeAt = timer.Instant{}
+	}
 	next := splitter.New[keyState](messenger.LastKey)
 	for _, row := range rows {
 		for _, part := range m.keys.Within(row.From, row.To) {
-			next.Set(part.From, part.To, updatedState(now, part.Value, row, incarnation))
+			next.Set(part.From, part.To, updatedState(now, part.Value, row, server))
 		}
 	}
 	m.keys = next
 }
 
-func updatedState(now timer.Instant, state keyState, row messenger.RangeRow, incarnation int64) keyState {
+func updatedState(now timer.Instant, state keyState, row messenger.RangeRow, server incarnation) keyState {
 	if state.phase == phaseNone || state.fence != row.Fence {
 		state = keyState{phase: phaseOwned, fence: row.Fence, handover: row.Handover, receivedAt: now}
 	}
-	if row.Life != incarnation {
-		return keyState{phase: phaseFreed, fence: row.Fence}
+	if row.Life != server.born {
+		if state.phase == phaseFreed {
+			return state
+		}
+		return freedState(row.Fence, causeReplaced)
 	}
 	if row.Phase == messenger.PhaseMoving && state.phase == phaseOwned {
 		state.phase = phaseReleasing
@@ -168,16 +211,19 @@
 func (m *stateMachine) serverTerminated() {
 	m.unconfirmedGrants = nil
 	m.keys.Update(0, messenger.LastKey, func(v keyState) keyState {
-		if v.phase == phaseNone {
+		if v.phase == phaseNone || v.phase == phaseFreed {
 			return v
 		}
-		return keyState{phase: phaseFreed, fence: v.fence}
+		return freedState(v.fence, causeTerminated)
 	})
 }
 
 // plan returns the calls that are due. No hold outlasts the lease.
 func (m *stateMachine) plan(now timer.Instant, leaseRemaining time.Duration) []*Call {
 	m.expire(now)
+	if !isDue(now, m.resumeAt) {
+		return nil
+	}
 	var due []*Call
 	grants := 0
 	for _, call := range m.calls {
@@ -226,6 +272,7 @@
 	first := group[0]
 	call := &Call{
 		Service: m.service,
+		Server:  m.server.name,
 		From:    first.From,
 		To:      group[len(group)-1].To,
 		Fence:   first.Value.fence,
@@ -259,6 +306,7 @@
 		value := piece.Value
 		needsGrant := value.grantedAt.IsZero() || now.Since(value.grantedAt) >= time.Duration(renewFraction*float64(value.hold))
 		due = due || (needsGrant && isDue(now, value.due))
+		call.First = call.First || value.grantedAt.IsZero()
 	}
 	if !due {
 		return nil
@@ -317,7 +365,7 @@
 			expired = now.SinceMonotonic(value.receivedAt) >= max(grantFailureTimeout, time.Duration(clockDriftFactor*float64(m.longestHold))+maxDeliveryDelay)
 		}
 		if keyRange := (fencedRange{from: piece.From, to: piece.To}); expired && !m.hasUnconfirmedGrant(keyRange) && !m.hasCallInFlight(keyRange) {
-			m.keys.Set(piece.From, piece.To, keyState{phase: phaseFreed, fence: value.fence})
+			m.keys.Set(piece.From, piece.To, freedState(value.fence, causeExpired))
 			return
 		}
 	}
@@ -335,6 +383,9 @@
 		validFor := now.SinceMonotonic(call.sentAt) + maxDeliveryDelay + time.Duration(clockDriftFactor*float64(call.Hold))
 		m.unconfirmedGrants = append(m.unconfirmedGrants, unconfirmedGrant{fencedRange: call.fencedRange(), sentAt: call.sentAt, validFor: validFor})
 	}
+	if result == NotSent || result == Misdirected {
+		m.resumeAt = now.Add(retryInterval)
+	}
 	m.keys.Update(call.From, call.To, func(v keyState) keyState {
 		if v.phase == phaseNone || v.fence != call.Fence {
 			return v
@@ -346,9 +397,11 @@
 func stateAfterCall(now timer.Instant, v keyState, call *Call, result CallResult, handover string) keyState {
 	switch {
 	case result == Fenced:
-		return keyState{phase: phaseFreed, fence: v.fence}
+		return freedState(v.fence, causeFenced)
 	case result == Accepted && call.Release && v.phase == phaseReleasing:
-		return keyState{phase: phaseFreed, fence: v.fence, handover: handover}
+		freed := freedState(v.fence, causeReleased)
+		freed.handover = handover
+		return freed
 	case result == Accepted && !call.Release:
 		v.grantedAt = call.sentAt
 		v.hold = call.Hold
@@ -377,6 +430,27 @@
 	return refs
 }
 
+// freedRange is a range that became free.
+type freedRange struct {
+	fencedRange
+	cause freeCause
+}
+
+// unloggedFreed returns the ranges that became free since the last call.
+func (m *stateMachine) unloggedFreed() []freedRange {
+	var ranges []freedRange
+	for _, piece := range m.keys.Pieces() {
+		value := piece.Value
+		if value.phase != phaseFreed || value.logged {
+			continue
+		}
+		ranges = append(ranges, freedRange{fencedRange{piece.From, piece.To, value.fence}, value.cause})
+		value.logged = true
+		m.keys.Set(piece.From, piece.To, value)
+	}
+	return ranges
+}
+
 // checkHeld returns ReasonNone if the server holds a key and may receive requests for
 // it, or the reason why not.
 func (m *stateMachine) checkHeld(now timer.Instant, key uint32) messenger.Reason {
