--- a/router/granter/ranges_test.go
+++ b/router/granter/ranges_test.go
@@ -80,10 +80,11 @@
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{network: disrupter.New(0)}
 	f.Holder = holder.New(holder.Options{
-		Caller:   granter.NewRangeClient(f.network.Node("vm1"), granter.NativeRangeProtocol()),
-		Lease:    func() *keeper.Lease { return keeper.NewTestLease(7, timer.Now()) },
-		OnChange: func() {},
-		Log:      logger.Discard(),
+		Caller:        granter.NewRangeClient(f.network.Node("vm1"), granter.NativeRangeProtocol()),
+		Lease:         func() *keeper.Lease { return keeper.NewTestLease(7, timer.Now()) },
+		LeaseDuration: messenger.LeaseDuration,
+		OnChange:      func() {},
+		Log:           logger.Discard(),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
@@ -112,7 +113,7 @@
 		f := newFixture(t)
 		first, second := &rangeServer{name: "d1"}, &rangeServer{name: "d2"}
 		stop := first.start(t, f.network)
-		f.SetRows(grantedRows(), serverRow("d1", firstBorn))
+		f.SetRows(grantedRows(), serverRow("d1", firstBorn), messenger.ServerReady)
 		time.Sleep(2 * time.Second)
 		qt.Assert(t, first.granted() >= 2, qt.IsTrue)
 		stop()
@@ -120,7 +121,7 @@
 		defer stop()
 		time.Sleep(2 * time.Second)
 		qt.Check(t, second.granted(), qt.Equals, 0)
-		f.SetRows(grantedRows(), serverRow("d2", secondBorn))
+		f.SetRows(grantedRows(), serverRow("d2", secondBorn), messenger.ServerReady)
 		time.Sleep(time.Second)
 		qt.Check(t, second.granted(), qt.Equals, 0)
 		qt.Check(t, f.Freed(), qt.DeepEquals, []messenger.RangeRef{{Service: "findings", From: 0, To: 99, Fence: 5}})
--- a/router/holder/holder.go
+++ b/router/holder/holder.go
@@ -11,9 +11,10 @@
 //
 // # Usage
 //
-//	keys := holder.New(holder.Options{Caller: caller, Lease: keeper.Lease, OnChange: keeper.RequestHeartbeat, Log: log})
+//	keys := holder.New(holder.Options{Caller: caller, Lease: keeper.Lease,
+//		LeaseDuration: timing.Lease, OnChange: keeper.RequestHeartbeat, Log: log})
 //	go keys.Run(ctx)
-//	keys.SetRows(rows, server)
+//	keys.SetRows(rows, server, messenger.ServerReady)
 //	if reason := keys.CheckHeld(timer.Now(), 4711); reason != messenger.ReasonNone { ... }
 package holder
 
@@ -59,6 +60,8 @@
 	Caller Caller
 	// Lease returns the lease of the router.
 	Lease func() *keeper.Lease
+	// LeaseDuration is the duration of a lease.
+	LeaseDuration time.Duration
 	// OnChange is called when keys have become free.
 	OnChange func()
 	Log      *logger.Log
@@ -82,13 +85,13 @@
 	if options.Metrics == nil {
 		options.Metrics = metrics.NewSet()
 	}
-	return &Holder{options: options, wake: make(chan struct{}, 1), stateMachine: newStateMachine("")}
+	return &Holder{options: options, wake: make(chan struct{}, 1), stateMachine: newStateMachine("", options.LeaseDuration)}
 }
 
-// SetRows updates the ranges that the router owns and its backend server. The server is
-// nil before it has announced itself; until then nothing is granted and nothing is
-// reported as free.
-func (h *Holder) SetRows(rows []messenger.RangeRow, server *messenger.ServerRow) {
+// SetRows updates the ranges that the router owns, its backend server and the state of
+// that server. The server is nil before it has announced itself; until then nothing is
+// granted and nothing is reported as free.
+func (h *Holder) SetRows(rows []messenger.RangeRow, server *messenger.ServerRow, state messenger.ServerState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if server == nil {
@@ -96,9 +99,12 @@
 		return
 	}
 	if h.stateMachine.service != server.Service {
-		h.stateMachine = newStateMachine(server.Service)
+		h.stateMachine = newStateMachine(server.Service, h.options.LeaseDuration)
 	}
 	h.server = server
+	if state != messenger.ServerDown {
+		h.stateMachine.serverRecovered()
+	}
 	h.stateMachine.setRanges(timer.Now(), rows, incarnation{name: server.Name, born: server.Born})
 	h.logFreed()
 	h.signal()
--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -37,6 +37,10 @@
 const (
 	// phaseNone means that this router does not own the keys.
 	phaseNone phase = iota
+	// phaseAwaited means that the keys were granted for a later start of the backend
+	// server than the one that is known. That start may hold them, by a grant of an earlier
+	// process of this router.
+	phaseAwaited
 	// phaseOwned means that the backend server must hold the keys.
 	phaseOwned
 	// phaseReleasing means that the keys must be released.
@@ -68,6 +72,10 @@
 	handover string
 	// receivedAt is when this router became the owner of the range.
 	receivedAt timer.Instant
+	// inherited is set if an earlier process of this router may have granted the keys.
+	inherited bool
+	// moving is set when the keys must be released.
+	moving bool
 	// grantedAt is when the newest successful grant was sent, zero before the first;
 	// hold is its duration.
 	grantedAt timer.Instant
@@ -154,61 +162,91 @@
 
 // stateMachine decides on grants and releases. It does no I/O and reads no clock.
 type stateMachine struct {
-	service           string
-	server            incarnation
+	service string
+	server  incarnation
+	// terminated is set while the server is known to have ended.
+	terminated bool
+	// leased is set once this process had a lease. The ranges that it owns before that
+	// belong to a session that an earlier process opened.
+	leased            bool
 	keys              *splitter.Map[keyState]
 	calls             []*Call
 	unconfirmedGrants []unconfirmedGrant
-	// longestHold is the longest hold that was granted. The server may still hold a
-	// range for that long if the range returns to this router after the session was
-	// lost.
-	longestHold time.Duration
+	// leaseDuration is the longest time for which the server may hold keys that an earlier
+	// session, or an earlier process of this router, granted to it.
+	leaseDuration time.Duration
 	// resumeAt is the earliest time of the next call, after one that did not reach the
 	// server.
 	resumeAt timer.Instant
 }
 
-func newStateMachine(service string) *stateMachine {
-	return &stateMachine{service: service, keys: splitter.New[keyState](messenger.LastKey)}
+func newStateMachine(service string, leaseDuration time.Duration) *stateMachine {
+	return &stateMachine{service: service, leaseDuration: leaseDuration, keys: splitter.New[keyState](messenger.LastKey)}
 }
 
 // setRanges updates the ranges that the session of this router owns. Ranges that were
-// granted for another incarnation of the server are freed immediately: the current one
-// holds none of its predecessor's keys.
+// granted for another incarnation of the server are given up.
 func (m *stateMachine) setRanges(now timer.Instant, rows []messenger.RangeRow, server incarnation) {
-	if m.server != server {
+	previous := m.server
+	if previous != server {
 		m.server = server
+		m.terminated = false
 		m.resumeAt = timer.Instant{}
 	}
+	if previous.name != server.name {
+		m.unconfirmedGrants = nil
+	}
 	next := splitter.New[keyState](messenger.LastKey)
 	for _, row := range rows {
 		for _, part := range m.keys.Within(row.From, row.To) {
-			next.Set(part.From, part.To, updatedState(now, part.Value, row, server))
+			next.Set(part.From, part.To, m.updatedState(now, part.Value, row, previous))
 		}
 	}
 	m.keys = next
+	m.startReleases(now)
 }
 
-func updatedState(now timer.Instant, state keyState, row messenger.RangeRow, server incarnation) keyState {
+// updatedState returns the state of a part of a range, given its row. previous is the
+// server that the state is about.
+func (m *stateMachine) updatedState(now timer.Instant, state keyState, row messenger.RangeRow, previous incarnation) keyState {
 	if state.phase == phaseNone || state.fence != row.Fence {
-		state = keyState{phase: phaseOwned, fence: row.Fence, handover: row.Handover, receivedAt: now}
+		state = keyState{phase: phaseOwned, fence: row.Fence, handover: row.Handover, receivedAt: now, inherited: !m.leased}
 	}
-	if row.Life != server.born {
-		if state.phase == phaseFreed {
-			return state
-		}
-		return freedState(row.Fence, causeReplaced)
+	switch {
+	case row.Life > m.server.born && state.phase != phaseFreed:
+		state.phase = phaseAwaited
+	case row.Life != m.server.born:
+		return stateAfterRestart(state, previous, m.server)
+	case state.phase == phaseAwaited:
+		state.phase = phaseOwned
+	}
+	if m.terminated && state.phase == phaseOwned {
+		return freedState(row.Fence, causeTerminated)
 	}
-	if row.Phase == messenger.PhaseMoving && state.phase == phaseOwned {
+	state.moving = row.Phase == messenger.PhaseMoving
+	return state
+}
+
+// stateAfterRestart returns the state of keys that were granted for another start of the
+// server than the current one. A server with another name has refused all calls for its
+// predecessor. One with the same name may have accepted them before it announced itself,
+// so it must release the keys.
+func stateAfterRestart(state keyState, previous, server incarnation) keyState {
+	switch {
+	case state.phase == phaseFreed || state.phase == phaseReleasing && previous == server:
+		return state
+	case previous.name == server.name && !state.grantedAt.IsZero():
 		state.phase = phaseReleasing
 		state.due = timer.Instant{}
+		return state
 	}
-	return state
+	return freedState(state.fence, causeReplaced)
 }
 
 // serverTerminated frees all keys, since the server has terminated and holds nothing any
 // more.
 func (m *stateMachine) serverTerminated() {
+	m.terminated = true
 	m.unconfirmedGrants = nil
 	m.keys.Update(0, messenger.LastKey, func(v keyState) keyState {
 		if v.phase == phaseNone || v.phase == phaseFreed {
@@ -218,8 +256,16 @@
 	})
 }
 
+// serverRecovered ends the effect of serverTerminated: the server has announced itself
+// again.
+func (m *stateMachine) serverRecovered() {
+	m.terminated = false
+}
+
 // plan returns the calls that are due. No hold outlasts the lease.
 func (m *stateMachine) plan(now timer.Instant, leaseRemaining time.Duration) []*Call {
+	m.leased = m.leased || leaseRemaining > 0
+	m.startReleases(now)
 	m.expire(now)
 	if !isDue(now, m.resumeAt) {
 		return nil
@@ -240,18 +286,35 @@
 			grants++
 		}
 		call.sentAt = now
-		m.longestHold = max(m.longestHold, call.Hold)
 		m.calls = append(m.calls, call)
 		due = append(due, call)
 	}
 	return due
 }
 
+// startReleases begins to release moving keys, unless the server may still carry out an
+// unanswered grant of an earlier process of this router after it has released them.
+func (m *stateMachine) startReleases(now timer.Instant) {
+	m.keys.Update(0, messenger.LastKey, func(v keyState) keyState {
+		if v.phase == phaseOwned && v.moving && !m.isUnaccounted(now, v) {
+			v.phase = phaseReleasing
+			v.due = timer.Instant{}
+		}
+		return v
+	})
+}
+
+// isUnaccounted reports whether an unanswered grant of an earlier process of this router
+// may still give the keys to the server.
+func (m *stateMachine) isUnaccounted(now timer.Instant, v keyState) bool {
+	return v.inherited && now.SinceMonotonic(v.receivedAt) < m.leaseDuration+maxDeliveryDelay
+}
+
 // groups returns the pieces in groups of adjacent ones that one call can cover.
 func (m *stateMachine) groups() [][]splitter.Piece[keyState] {
 	var groups [][]splitter.Piece[keyState]
 	for _, piece := range m.keys.Pieces() {
-		if piece.Value.phase == phaseNone || piece.Value.phase == phaseFreed {
+		if piece.Value.phase != phaseOwned && piece.Value.phase != phaseReleasing {
 			continue
 		}
 		if last := len(groups) - 1; last >= 0 && canMerge(groups[last][len(groups[last])-1], piece) {
@@ -296,6 +359,17 @@
 	return false
 }
 
+// hasGrantInFlight reports whether a grant of some of the keys to the current server, or
+// to one of the same name, is in flight.
+func (m *stateMachine) hasGrantInFlight(keys fencedRange) bool {
+	for _, call := range m.calls {
+		if !call.Release && call.Server == m.server.name && call.fencedRange().overlaps(keys) {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *stateMachine) planGrant(now timer.Instant, leaseRemaining time.Duration, group []splitter.Piece[keyState], call *Call) *Call {
 	hold := time.Duration(float64(leaseRemaining) / clockDriftFactor)
 	if hold < minHold {
@@ -362,9 +436,9 @@
 		}
 		expired := now.SinceMonotonic(value.grantedAt) >= time.Duration(clockDriftFactor*float64(value.hold))+maxDeliveryDelay
 		if value.grantedAt.IsZero() {
-			expired = now.SinceMonotonic(value.receivedAt) >= max(grantFailureTimeout, time.Duration(clockDriftFactor*float64(m.longestHold))+maxDeliveryDelay)
+			expired = now.SinceMonotonic(value.receivedAt) >= max(grantFailureTimeout, m.leaseDuration+maxDeliveryDelay)
 		}
-		if keyRange := (fencedRange{from: piece.From, to: piece.To}); expired && !m.hasUnconfirmedGrant(keyRange) && !m.hasCallInFlight(keyRange) {
+		if keyRange := (fencedRange{from: piece.From, to: piece.To}); expired && !m.isUnaccounted(now, value) && !m.hasUnconfirmedGrant(keyRange) && !m.hasCallInFlight(keyRange) {
 			m.keys.Set(piece.From, piece.To, freedState(value.fence, causeExpired))
 			return
 		}
@@ -379,7 +453,7 @@
 			break
 		}
 	}
-	if result == Unanswered && !call.Release {
+	if result == Unanswered && !call.Release && call.Server == m.server.name {
 		validFor := now.SinceMonotonic(call.sentAt) + maxDeliveryDelay + time.Duration(clockDriftFactor*float64(call.Hold))
 		m.unconfirmedGrants = append(m.unconfirmedGrants, unconfirmedGrant{fencedRange: call.fencedRange(), sentAt: call.sentAt, validFor: validFor})
 	}
@@ -390,11 +464,11 @@
 		if v.phase == phaseNone || v.fence != call.Fence {
 			return v
 		}
-		return stateAfterCall(now, v, call, result, handover)
+		return stateAfterCall(now, v, call, result, handover, m.server)
 	})
 }
 
-func stateAfterCall(now timer.Instant, v keyState, call *Call, result CallResult, handover string) keyState {
+func stateAfterCall(now timer.Instant, v keyState, call *Call, result CallResult, handover string, server incarnation) keyState {
 	switch {
 	case result == Fenced:
 		return freedState(v.fence, causeFenced)
@@ -403,6 +477,10 @@
 		freed.handover = handover
 		return freed
 	case result == Accepted && !call.Release:
+		if v.phase == phaseFreed && call.Server == server.name {
+			// The next start of the server accepted it.
+			v.phase = phaseReleasing
+		}
 		v.grantedAt = call.sentAt
 		v.hold = call.Hold
 		v.due = timer.Instant{}
@@ -412,11 +490,13 @@
 	return v
 }
 
-// freed returns the ranges that the server no longer holds.
+// freed returns the ranges that the server no longer holds, and that no grant in flight
+// can give to it any more.
 func (m *stateMachine) freed() []messenger.RangeRef {
 	var refs []messenger.RangeRef
 	for _, piece := range m.keys.Pieces() {
-		if piece.Value.phase != phaseFreed {
+		keyRange := fencedRange{from: piece.From, to: piece.To}
+		if piece.Value.phase != phaseFreed || m.hasUnconfirmedGrant(keyRange) || m.hasGrantInFlight(keyRange) {
 			continue
 		}
 		refs = append(refs, messenger.RangeRef{
