--- a/control/supervisor/supervisor.go
+++ b/control/supervisor/supervisor.go
@@ -56,8 +56,11 @@
 	graceStart timer.Instant
 	lastTick   timer.Instant
 	routers    map[uint64]*routerState
-	pending    *pending
-	services   map[string]*serviceState
+	// replaced are the processes whose session another one adopts or has adopted.
+	// Their heartbeats may still arrive.
+	replaced map[sessionProcess]bool
+	pending  *pending
+	services map[string]*serviceState
 	// demands is the measured load on ranges, by service.
 	demands map[string]*rangeDemand
 	// lastMeasured is when the mean loads were last updated.
@@ -82,6 +85,7 @@
 // resetLeaderState drops the state that only a leader keeps.
 func (s *Supervisor) resetLeaderState() {
 	s.routers = make(map[uint64]*routerState)
+	s.replaced = make(map[sessionProcess]bool)
 	s.pending = newPending()
 	s.services = make(map[string]*serviceState)
 	s.demands = make(map[string]*rangeDemand)
@@ -93,19 +97,10 @@
 	result := s.state.Apply(index, command)
 	s.pending.applied(command)
 	s.logEvents(index)
+	s.logOwners(index, command)
 	return result
 }
 
-// logEvents logs the events of the command at index, on the leader only.
-func (s *Supervisor) logEvents(index uint64) {
-	if !s.leading {
-		return
-	}
-	for _, event := range s.state.Events(index - 1) {
-		s.options.Log.Emit(logger.Lookup(event.Number), "subject", event.Subject, "text", event.Text, "revision", event.Revision)
-	}
-}
-
 // Snapshot implements [replicator.Machine].
 func (s *Supervisor) Snapshot() ([]byte, error) {
 	return s.state.Snapshot()
--- a/router/attendant/attendant.go
+++ b/router/attendant/attendant.go
@@ -34,6 +34,8 @@
 	// can be caused by a full accept queue.
 	refusalThreshold = 2
 	minRefusalSpan   = 100 * time.Millisecond
+	// refusalWindow is the maximum time from the first to the last of these dials.
+	refusalWindow = 2 * time.Second
 	// rangedLeaveGrace and unrangedLeaveGrace are how long a leaving server still
 	// gets new requests. Moving ranges takes two heartbeats; other routers receive the
 	// state of a leaving server within one.
@@ -79,10 +81,9 @@
 type Options struct {
 	// Address is the address that the server must announce, host:port.
 	Address string
-	// OnChange is called when the state or the row of the server changed, OnDown when
-	// the server went down and so no longer holds any keys. They must not block.
+	// OnChange is called when the state or the row of the server changed. A server that
+	// is down no longer holds any keys. It must not block.
 	OnChange func(view *View)
-	OnDown   func()
 	// IsConnected reports whether a connection to the server is still open. Such a server
 	// has not ended, even if its port refuses connections. It must not block.
 	IsConnected func() bool
@@ -191,7 +192,8 @@
 func (a *Attendant) DialRefused(now timer.Instant) {
 	a.mu.Lock()
 	before := a.view.Load()
-	if a.refusedDials == 0 {
+	if a.refusedDials == 0 || now.Since(a.firstRefused) > refusalWindow {
+		a.refusedDials = 0
 		a.firstRefused = now
 	}
 	a.refusedDials++
@@ -202,7 +204,6 @@
 	after := *before
 	after.State = messenger.ServerDown
 	a.publish(before, &after)
-	a.options.OnDown()
 }
 
 func isUp(view *View) bool {
