--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -165,7 +165,8 @@
 // stateMachine decides on grants and releases. It does no I/O and reads no clock.
 type stateMachine struct {
 	service string
-	server  incarnation
+	// server is zero before a server has announced itself.
+	server incarnation
 	// terminated is set while the server is known to have ended.
 	terminated bool
 	// leased is set once this process had a lease. The ranges that it owns before that
@@ -272,7 +273,7 @@
 	m.leased = m.leased || leaseRemaining > 0
 	m.startReleases(now)
 	m.expire(now)
-	if !isDue(now, m.resumeAt) {
+	if m.server == (incarnation{}) || !isDue(now, m.resumeAt) {
 		return nil
 	}
 	var due []*Call
