Report no range as free in a heartbeat without a session

A router that stood still for about a lease lost its session, asked for the same one again, and reported in that heartbeat the ranges whose holds had ended meanwhile. The leader answered with the table that still had them, and the router granted them to its server again, under the fence that it had just given up; they were granted elsewhere at the same time.

What is free is reported only under the session that it belongs to. TestHeartbeatWithoutSessionFreesNothing failed before.

--- a/router/assembler/routed_heartbeat.go
+++ b/router/assembler/routed_heartbeat.go
@@ -11,8 +11,9 @@
 
 var _ keeper.HeartbeatHandler = (*Routed)(nil)
 
-// Report implements [keeper.HeartbeatHandler].
-func (p *Routed) Report(now timer.Instant, _ uint64, heartbeat *messenger.Heartbeat) {
+// Report implements [keeper.HeartbeatHandler]. Without a session nothing is reported as
+// free: the router may resume the session that ended, and then grants these ranges again.
+func (p *Routed) Report(now timer.Instant, session uint64, heartbeat *messenger.Heartbeat) {
 	view := p.server.View()
 	routes := p.mapper.Load()
 	heartbeat.Routed = true
@@ -21,7 +22,9 @@
 	heartbeat.State = view.State
 	heartbeat.Revision = routes.Revision
 	heartbeat.Leaving = p.handingOver.Load()
-	heartbeat.Freed = p.holder.Freed()
+	if session != 0 {
+		heartbeat.Freed = p.holder.Freed()
+	}
 	heartbeat.Members = messenger.HashAddresses(p.members)
 	heartbeat.Unreached = p.unreachableSessions()
 	if view.Row != nil {
