Answer no heartbeat that resumes a session while what it frees is uncommitted

The leader took the ranges that such a heartbeat reported as free and answered it at once with a table that still had them, so the router owned them again under the old fence.

The leader lets the router wait until the release is committed, as it does for one that an earlier heartbeat reported. TestResumingHeartbeatOwnsNoneOfTheKeysItFrees failed before (answered as renewed).

--- a/control/supervisor/heartbeat.go
+++ b/control/supervisor/heartbeat.go
@@ -50,6 +50,10 @@
 	if router.closing {
 		return messenger.HeartbeatExpired
 	}
+	if heartbeat.Session == 0 && batch.has(freeSubject(number)) {
+		// The table still contains ranges that this heartbeat reports as free.
+		return messenger.HeartbeatWait
+	}
 	if !raftStatus.Confirmed {
 		return messenger.HeartbeatUnconfirmed
 	}
--- a/control/supervisor/ranges_test.go
+++ b/control/supervisor/ranges_test.go
@@ -239,6 +239,27 @@
 // A process that stops before the backend server has announced itself does not know the
 // keys that the server holds under the session it resumed. Its session must not be
 // closed while it owns keys: they become free when its lease has expired.
+// TestResumingHeartbeatOwnsNoneOfTheKeysItFrees resumes a session with a heartbeat that
+// reports keys as free. The answer must not contain them: the router would grant them
+// again, under the fence that it gives up.
+func TestResumingHeartbeatOwnsNoneOfTheKeysItFrees(t *testing.T) {
+	h := rangedHarness(t)
+	a, b := newRanged(h, 1), newRanged(h, 2)
+	runRanged(h, 9*time.Second, a, b)
+	freed := a.rows()[0]
+	session := a.heartbeat.Session
+	a.heartbeat.Session = 0
+	a.heartbeat.Freed = []messenger.RangeRef{{Service: "findings", From: freed.From, To: freed.To, Fence: freed.Fence}}
+	qt.Check(t, a.send().Status, qt.Equals, messenger.HeartbeatWait)
+	a.heartbeat.Freed = nil
+	h.commit()
+	qt.Check(t, a.send().Status, qt.Equals, messenger.HeartbeatRenewed)
+	qt.Check(t, a.heartbeat.Session, qt.Equals, session)
+	for _, row := range a.rows() {
+		qt.Check(t, row.From > freed.To || row.To < freed.From || row.Fence > freed.Fence, qt.IsTrue, qt.Commentf("%+v", row))
+	}
+}
+
 func TestClosingProcessFreesNoHeldKeys(t *testing.T) {
 	h := rangedHarness(t)
 	a, b := newRanged(h, 1), newRanged(h, 2)
