Free no range before the longest accepted hold has ended

A renewal that the server accepts may be shorter than the hold before it, when the lease was not renewed meanwhile.

The latest end of all accepted grants counts. TestShorterRenewalDoesNotEndTheHoldBefore failed before.

--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -76,12 +76,13 @@
 	inherited bool
 	// moving is set when the keys must be released.
 	moving bool
-	// grantedAt is when the newest successful grant was planned, zero before the first,
-	// and acceptedAt when its response arrived. The server counts hold, its duration, from
-	// a moment between them.
-	grantedAt  timer.Instant
-	acceptedAt timer.Instant
-	hold       time.Duration
+	// grantedAt is when the newest successful grant was planned, zero before the first;
+	// hold is its duration.
+	grantedAt timer.Instant
+	hold      time.Duration
+	// heldUntil is the latest moment at which any grant that the server accepted can end,
+	// on the monotonic clock.
+	heldUntil time.Duration
 	// due is the earliest time of the next call.
 	due timer.Instant
 }
@@ -440,7 +441,7 @@
 		if value.phase == phaseNone || value.phase == phaseFreed {
 			continue
 		}
-		expired := now.SinceMonotonic(value.acceptedAt) >= time.Duration(clockDriftFactor*float64(value.hold))
+		expired := now.Mono >= value.heldUntil
 		if value.grantedAt.IsZero() {
 			expired = now.SinceMonotonic(value.receivedAt) >= max(grantFailureTimeout, m.leaseDuration+maxDeliveryDelay)
 		}
@@ -501,8 +502,8 @@
 			v.phase = phaseReleasing
 		}
 		v.grantedAt = call.plannedAt
-		v.acceptedAt = now
 		v.hold = call.Hold
+		v.heldUntil = max(v.heldUntil, now.Mono+time.Duration(clockDriftFactor*float64(call.Hold)))
 		v.due = timer.Instant{}
 	default:
 		v.due = now.Add(retryInterval)
--- a/router/holder/statemachine_test.go
+++ b/router/holder/statemachine_test.go
@@ -85,6 +85,21 @@
 	}
 }
 
+// TestShorterRenewalDoesNotEndTheHoldBefore renews a hold for a shorter time, as the lease
+// was not renewed meanwhile. The server may keep the later of the two ends.
+func TestShorterRenewalDoesNotEndTheHoldBefore(t *testing.T) {
+	machine := newGranted(t)
+	end := time.Duration(clockDriftFactor * float64(machine.keys.Find(50).Value.hold))
+	renewal := machine.plan(at(1100*time.Millisecond), minHold+2*grantTimeout)
+	qt.Assert(t, renewal, qt.HasLen, 1)
+	qt.Assert(t, 1100*time.Millisecond+renewal[0].Hold < end-100*time.Millisecond, qt.IsTrue)
+	machine.endCall(at(1100*time.Millisecond), renewal[0], Accepted, "")
+	machine.plan(at(end-time.Millisecond), 0)
+	qt.Check(t, machine.freed(), qt.HasLen, 0)
+	machine.plan(at(end), 0)
+	qt.Check(t, machine.freed(), qt.HasLen, 1)
+}
+
 func TestHoldIsRenewedAndExpires(t *testing.T) {
 	machine := newGranted(t)
 	qt.Assert(t, machine.plan(at(time.Second), lease), qt.HasLen, 0)
