Split the state machine of the holder by concept

States of keys, calls, the plan of calls and the state machine stand in files of their own; no line of code is changed.

--- a/router/holder/holder.go
+++ b/router/holder/holder.go
@@ -243,18 +243,3 @@
 			"fence", freed.fence, "server", h.stateMachine.server.name, "born", h.stateMachine.server.born, "cause", string(freed.cause))
 	}
 }
-
-// String returns the value of the field verdict in log lines.
-func (v CallResult) String() string {
-	switch v {
-	case Accepted:
-		return "taken"
-	case Fenced:
-		return "outrun"
-	case Misdirected:
-		return "misdirected"
-	case Unanswered:
-		return "unanswered"
-	}
-	return "unsent"
-}
