Count no idle connection that the server has closed as open

A server that crashed kept idle connections of requests in the count of open ones, until the next request looked for one. Without requests for its keys the server was never taken for down, however often grants were refused, and its keys waited for the end of the hold.

The count closes such connections first.

--- a/router/courier/courier.go
+++ b/router/courier/courier.go
@@ -25,6 +25,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -136,10 +137,18 @@
 	}
 }
 
-// IsConnected reports whether a connection to the server is open. It holds right after a
-// failed dial: an idle connection that the server has closed is noticed when the next
-// request looks for one, which is before it dials.
+// IsConnected reports whether a connection to the server is open. It closes the idle ones
+// that the server has closed.
 func (c *Client) IsConnected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = slices.DeleteFunc(c.idle, func(conn *conn) bool {
+		if conn.isUsable() {
+			return false
+		}
+		conn.close()
+		return true
+	})
 	return c.open.Load() > 0
 }
 
