Keep in mind what was granted before a session was resumed

A session that ended before its lease and was resumed by the same process left the router without the state of its grants, and a shorter hold after that was taken for the end of the longer one before it. A first grant that met a higher fence freed inherited ranges at once for the same lack.

Ranges of a resumed session count as inherited, whichever process granted them.

--- a/router/holder/keystate.go
+++ b/router/holder/keystate.go
@@ -48,7 +48,8 @@
 	handover string
 	// receivedAt is when this router became the owner of the range.
 	receivedAt timer.Instant
-	// inherited is set if an earlier process of this router may have granted the keys.
+	// inherited is set if the keys may have been granted by an earlier process of this
+	// router, or before its session ended and was resumed.
 	inherited bool
 	// moving is set when the keys must be released.
 	moving bool
@@ -111,7 +112,7 @@
 
 func stateAfterCall(now timer.Instant, v keyState, call *Call, result CallResult, handover string, server incarnation) keyState {
 	switch {
-	case result == Fenced && v.grantedAt.IsZero():
+	case result == Fenced && v.grantedAt.IsZero() && !v.inherited:
 		return freedState(v.fence, causeFenced)
 	case result == Fenced:
 		// The server may still hold those of the keys for which it saw no higher fence.
--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -45,8 +45,9 @@
 	server incarnation
 	// terminated is set while the server is known to have ended.
 	terminated bool
-	// leased is set once this process had a lease. The ranges that it owns before that
-	// belong to a session that an earlier process opened.
+	// leased is set while this process has had a lease since it last owned no ranges. The
+	// ranges that it owns before that belong to a session that ended, or that an earlier
+	// process opened.
 	leased            bool
 	keys              *splitter.Map[keyState]
 	calls             []*Call
@@ -75,6 +76,9 @@
 	if previous.name != server.name {
 		m.unconfirmedGrants = nil
 	}
+	// Without ranges the session may have ended; what is owned after that may be held by a
+	// grant of which the state is gone.
+	m.leased = m.leased && len(rows) > 0
 	next := splitter.New[keyState](messenger.LastKey)
 	for _, row := range rows {
 		for _, part := range m.keys.Within(row.From, row.To) {
--- a/router/holder/statemachine_test.go
+++ b/router/holder/statemachine_test.go
@@ -100,6 +100,32 @@
 	qt.Check(t, machine.freed(), qt.HasLen, 1)
 }
 
+// TestResumedSessionForgetsNoLongerHold ends the session before its lease, resumes it and
+// grants the range for a shorter time. The server may keep the hold from before.
+func TestResumedSessionForgetsNoLongerHold(t *testing.T) {
+	machine := newGranted(t)
+	end := time.Duration(clockDriftFactor * float64(machine.keys.Find(50).Value.hold))
+	machine.setRanges(at(100*time.Millisecond), nil, server)
+	machine.plan(at(100*time.Millisecond), 0)
+	machine.setRanges(at(200*time.Millisecond), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, server)
+	calls := machine.plan(at(300*time.Millisecond), minHold+2*grantTimeout)
+	qt.Assert(t, calls, qt.HasLen, 1)
+	machine.endCall(at(300*time.Millisecond), calls[0], Accepted, "")
+	machine.plan(at(end-time.Millisecond), 0)
+	qt.Check(t, machine.freed(), qt.HasLen, 0)
+}
+
+// TestInheritedRangeWithAHigherFenceIsReleased is TestRangeWithAHigherFenceIsReleased for
+// the first grant of a process that resumed the session of an earlier one.
+func TestInheritedRangeWithAHigherFenceIsReleased(t *testing.T) {
+	machine := newStateMachine("findings", lease)
+	machine.setRanges(at(0), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, server)
+	calls := machine.plan(at(0), lease)
+	qt.Assert(t, calls, qt.HasLen, 1)
+	machine.endCall(at(10*time.Millisecond), calls[0], Fenced, "")
+	qt.Check(t, machine.freed(), qt.HasLen, 0)
+}
+
 func TestHoldIsRenewedAndExpires(t *testing.T) {
 	machine := newGranted(t)
 	qt.Assert(t, machine.plan(at(time.Second), lease), qt.HasLen, 0)
