Wait for a pending release by the monotonic clock, and never shorten a suspension

The leader lets a router wait while what it frees is uncommitted, for 5 s by the larger of both clocks: a wall clock that is set forward lifted that. Shards count like ranges there now. Two readers of the suspended time at once could store the smaller total last.

Found by reading; no test shows either.

--- a/control/supervisor/heartbeat.go
+++ b/control/supervisor/heartbeat.go
@@ -50,8 +50,8 @@
 	if router.closing {
 		return messenger.HeartbeatExpired
 	}
-	if heartbeat.Session == 0 && batch.has(freeSubject(number)) {
-		// The table still contains ranges that this heartbeat reports as free.
+	if heartbeat.Session == 0 && (batch.has(freeSubject(number)) || batch.has(releaseSubject(number))) {
+		// The table still contains what this heartbeat reports as free.
 		return messenger.HeartbeatWait
 	}
 	if !raftStatus.Confirmed {
--- a/control/supervisor/pending.go
+++ b/control/supervisor/pending.go
@@ -25,7 +25,7 @@
 // has reports whether a command on the subject is pending.
 func (p *pending) has(subject string, now timer.Instant) bool {
 	entry, ok := p.subjects[subject]
-	return ok && now.Since(entry.at) < proposalTimeout
+	return ok && now.SinceMonotonic(entry.at) < proposalTimeout
 }
 
 func (p *pending) add(subject string, now timer.Instant, command []byte) {
--- a/kernel/timer/suspension.go
+++ b/kernel/timer/suspension.go
@@ -36,6 +36,8 @@
 	if last != nil {
 		current.total = max(current.total, last.total)
 	}
-	lastSuspension.Store(current)
+	if !lastSuspension.CompareAndSwap(last, current) {
+		return max(current.total, lastSuspension.Load().total)
+	}
 	return current.total
 }
