--- a/control/supervisor/heartbeat.go
+++ b/control/supervisor/heartbeat.go
@@ -113,8 +113,8 @@
 	return fmt.Sprintf("free/%d", session)
 }
 
-// isReplaced reports whether a heartbeat comes from a process whose session another
-// one adopts. It was sent before that one started.
+// isReplaced reports whether a heartbeat comes from an instance whose session another one
+// adopts or has adopted. It was sent before that one took over.
 func (s *Supervisor) isReplaced(session *assigner.Session, heartbeat *messenger.Heartbeat) bool {
 	return s.replaced[sessionProcess{session: session.Row.Session, instance: heartbeat.Instance}]
 }
--- a/kernel/messenger/session.go
+++ b/kernel/messenger/session.go
@@ -104,8 +104,7 @@
 type Heartbeat struct {
 	Router string
 	// Instance is a random number that the process generates when it starts, and again
-	// when it may go on with a session that ended. A
-	// session belongs to one instance.
+	// when it may go on with a session that ended. A session belongs to one instance.
 	Instance uint64
 	// Session is the session to renew; 0 opens one.
 	Session uint64
--- a/router/holder/holder.go
+++ b/router/holder/holder.go
@@ -3,11 +3,10 @@
 //
 // Each call names the server that it is for, since the next start of the server may
 // listen at the same address before the router learns of it. Each grant tells the server
-// how long it may hold the keys. The Holder renews grants
-// while the lease of the router is valid and never beyond its end, releases keys when
-// the control group moves them, and reports which keys are free. An unanswered grant
-// may still take effect; its keys are not reported as free until that is impossible.
-// The type stateMachine makes these decisions.
+// how long it may hold the keys. The Holder renews grants while the lease of the router is
+// valid and never beyond its end, releases keys when the control group moves them, and
+// reports which keys are free. An unanswered grant may still take effect; its keys are not
+// reported as free until that is impossible. The type stateMachine makes these decisions.
 //
 // # Usage
 //
--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -111,8 +111,9 @@
 	m.terminated = false
 }
 
-// expire deletes unconfirmed grants that have ended, and frees the ranges that the
-// server can no longer hold because no grant succeeded. It uses the monotonic clock: a wall clock that jumps ahead does not end a hold at the server.
+// expire deletes unconfirmed grants that have ended, and frees the ranges that the server
+// can no longer hold because no grant succeeded. It uses the monotonic clock: a wall clock
+// that jumps ahead does not end a hold at the server.
 func (m *stateMachine) expire(now timer.Instant) {
 	kept := m.unconfirmedGrants[:0]
 	for _, entry := range m.unconfirmedGrants {
