--- a/router/granter/ranges.go
+++ b/router/granter/ranges.go
@@ -61,7 +61,7 @@
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
 		conn, err := network.Dial(ctx, address)
 		if err != nil {
-			return nil, err
+			return nil, Error.New("dialing the backend server for range calls: %w", err)
 		}
 		r.open.Add(1)
 		return &countedConn{Conn: conn, open: &r.open}, nil
