Bound all that a backend server sends that is no answer

Cause: the routed client read heads through http.ReadResponse without a limit, skipped answers to other requests of any length, and ended reads only through its context.

The deadline of the request ends reads and writes without a context too. Range calls, grant calls and health checks take 16 KiB of header and 4 KiB of body.

--- a/router/courier/conn.go
+++ b/router/courier/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,7 +23,9 @@
 type conn struct {
 	raw     net.Conn
 	address string
-	reader  *bufio.Reader
+	// reader reads through head, which limits it outside of bodies.
+	reader *bufio.Reader
+	head   *headReader
 	// idleSince is when the connection became idle, idleTimeout how long the server
 	// keeps an idle connection open.
 	idleSince   time.Time
@@ -40,11 +43,18 @@
 	open *atomic.Int64
 }
 
-const readBufferBytes = 4 << 10
+const (
+	// readBufferBytes is also the maximum size of the trailer of a chunked response.
+	readBufferBytes = 4 << 10
+	// refusalBodyTimeout limits the time to read the body of a response that says that
+	// the request was not executed. The caller does not get that body.
+	refusalBodyTimeout = 50 * time.Millisecond
+)
 
 func newConn(raw net.Conn, address string, open *atomic.Int64) *conn {
 	open.Add(1)
-	return &conn{raw: raw, address: address, open: open, reader: bufio.NewReaderSize(raw, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	head := &headReader{source: raw}
+	return &conn{raw: raw, address: address, open: open, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), idleTimeout: defaultIdleTimeout}
 }
 
 func (c *conn) close() {
@@ -87,18 +97,23 @@
 // roundTrip sends a request and reads the header of its response.
 func (c *conn) roundTrip(client *Client, serverRequest *ServerRequest, body io.Reader) Result {
 	c.reusable, c.bodyDone, c.sent = false, nil, false
+	c.setDeadline(serverRequest)
 	sent, err := c.writeRequest(client.options.HeaderCodec, serverRequest, body)
 	if err != nil && sent == 0 {
 		return refusedResult(messenger.ReasonDown, err)
 	}
 	// A server may respond before it has read the whole request, so a response is read
 	// even after a failed write.
+	c.head.limit(maxHeadBytes)
+	skippable := int64(maxSkippedBytes)
 	for range maxUnmatched + 1 {
 		response, failure := c.readResponse(serverRequest)
 		if failure != nil {
-			return unknownResult(messenger.ReasonCrashed, errors.Join(err, failure))
+			return c.failedResult(client, messenger.ReasonCrashed, errors.Join(err, failure))
 		}
 		metadata := client.options.HeaderCodec.ParseHeader(response.StatusCode, response.Header)
+		headLeft := c.head.left
+		c.head.unlimit()
 		if metadata.ID == serverRequest.Relay.ID {
 			return c.toResult(response, metadata)
 		}
@@ -106,24 +121,56 @@
 		if metadata.ID == "" || !isFramed(response) {
 			return unknownResult(messenger.ReasonTruncated, Error.New("response without the ID of the request"))
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return unknownResult(messenger.ReasonTruncated, Error.New("skipping a response to another request: %w", err))
+		if skippable, failure = skip(response.Body, skippable); failure != nil {
+			return c.failedResult(client, messenger.ReasonTruncated, failure)
 		}
+		c.head.limit(headLeft)
 	}
 	return unknownResult(messenger.ReasonTruncated, Error.New("too many responses to other requests"))
 }
 
+// setDeadline makes reads and writes fail when the response is no longer awaited.
+func (c *conn) setDeadline(serverRequest *ServerRequest) {
+	deadline := serverRequest.Deadline
+	if !deadline.IsZero() {
+		deadline = deadline.Add(serverRequest.Relay.Grace)
+	}
+	_ = c.raw.SetDeadline(deadline)
+}
+
+// failedResult returns the result of a request that may have been executed and whose
+// response cannot be read. reason applies unless the error is more specific.
+func (c *conn) failedResult(client *Client, reason messenger.Reason, err error) Result {
+	var exceeded excess
+	switch {
+	case errors.As(err, &exceeded):
+		reason = messenger.ReasonTruncated
+		client.count("excess", exceeded.part)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		reason = messenger.ReasonExpired
+	}
+	return unknownResult(reason, err)
+}
+
 // readResponse reads the header of the next response and skips informational ones.
 func (c *conn) readResponse(serverRequest *ServerRequest) (*http.Response, error) {
-	for {
+	for range maxInformational + 1 {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: serverRequest.Relay.Method})
+		if err != nil && c.head.left <= 0 {
+			// The parser may replace the error of the reader.
+			return nil, excess{part: "head"}
+		}
 		if err != nil {
 			return nil, Error.New("reading the response: %w", err)
 		}
+		if fieldCount(response.Header) > maxFields {
+			return nil, excess{part: "fields"}
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
+	return nil, excess{part: "informational"}
 }
 
 // isFramed reports whether the body ends before the connection does, so that another
@@ -148,8 +195,7 @@
 	if !metadata.NotExecuted {
 		return result
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxInlineBodyBytes))
-	c.reusable = c.reusable && err == nil && c.reader.Buffered() == 0
+	c.reusable = c.reusable && c.discardRefusal(response.Body)
 	result.Outcome = messenger.OutcomeRefused
 	result.Reason = messenger.ReasonShed
 	if metadata.Misdirected {
@@ -159,6 +205,14 @@
 	return result
 }
 
+// discardRefusal reads the body of a response that says that the request was not
+// executed. It reports whether the body has ended and nothing follows it.
+func (c *conn) discardRefusal(body io.Reader) bool {
+	_ = c.raw.SetReadDeadline(time.Now().Add(refusalBodyTimeout))
+	size, err := io.Copy(io.Discard, io.LimitReader(body, maxInlineBodyBytes+1))
+	return err == nil && size <= maxInlineBodyBytes && c.reader.Buffered() == 0
+}
+
 // isSent reports whether the whole request was sent.
 func (c *conn) isSent() bool {
 	if c.bodyDone == nil {
--- a/router/courier/courier.go
+++ b/router/courier/courier.go
@@ -7,7 +7,8 @@
 // bytes that belong to no request must not be taken for its response. A request has
 // not been executed when none of its bytes were sent or when the server reports so.
 // In all other cases without a complete response the outcome is unknown. A request
-// is never sent twice.
+// is never sent twice. All that a server can send before the body of a response is
+// bounded, and reads end with the deadline of the request; see [ErrExcess].
 //
 // A [HeaderCodec] defines the protocol of a server, such as the names of header fields.
 //
@@ -218,16 +219,23 @@
 }
 
 func (c *Client) putIdle(conn *conn) {
+	_ = conn.raw.SetDeadline(time.Time{})
 	conn.idleSince = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = append(c.idle, conn)
 }
 
-func (c *Client) count(name string) {
-	if c.options.Metrics != nil {
-		c.options.Metrics.GetOrCreateCounter("marigold_backend_" + name + "_total").Inc()
+// count increments a counter, with the part of a response as its label if there is one.
+func (c *Client) count(name string, part ...string) {
+	if c.options.Metrics == nil {
+		return
 	}
+	name = "marigold_backend_" + name + "_total"
+	for _, label := range part {
+		name += `{part="` + label + `"}`
+	}
+	c.options.Metrics.GetOrCreateCounter(name).Inc()
 }
 
 func refusedResult(reason messenger.Reason, err error) Result {
--- a/router/courier/courier_test.go
+++ b/router/courier/courier_test.go
@@ -81,7 +81,14 @@
 }
 
 func newClient() *courier.Client {
-	return courier.New(courier.Options{Network: networker.TCP{}, HeaderCodec: headerCodec{}, Metrics: metrics.NewSet()})
+	client, _ := newCountedClient()
+	return client
+}
+
+// newCountedClient also returns the metrics of the client.
+func newCountedClient() (*courier.Client, *metrics.Set) {
+	set := metrics.NewSet()
+	return courier.New(courier.Options{Network: networker.TCP{}, HeaderCodec: headerCodec{}, Metrics: set}), set
 }
 
 func newServerRequest(id string) *courier.ServerRequest {
--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -65,7 +65,9 @@
 		return network.Dial(ctx, address)
 	}
 	return &Granter{
-		client:  &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: dial, MaxIdleConns: 1}},
+		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{
+			DialContext: dial, MaxIdleConns: 1, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		}},
 		metrics: set,
 		wake:    make(chan struct{}, 1),
 	}
@@ -177,7 +179,7 @@
 		g.metrics.GetOrCreateCounter(`marigold_grant_calls_total{reason="failed"}`).Inc()
 		return false
 	}
-	_, _ = io.Copy(io.Discard, response.Body)
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes))
 	_ = response.Body.Close()
 	g.metrics.GetOrCreateCounter(`marigold_grant_calls_total{reason="answered"}`).Inc()
 	return response.StatusCode < http.StatusInternalServerError
--- a/router/granter/ranges.go
+++ b/router/granter/ranges.go
@@ -20,6 +20,8 @@
 const (
 	// maxResponseBytes is the maximum number of bytes that are read of a response.
 	maxResponseBytes = 4 << 10
+	// maxResponseHeaderBytes is the maximum size of the header of a response.
+	maxResponseHeaderBytes = 16 << 10
 	// maxIdleConnections is the number of idle connections to the backend server that
 	// are kept: one for renewals and one for a release, which may take seconds.
 	maxIdleConnections = 2
@@ -68,6 +70,7 @@
 	}
 	r.client = &http.Client{Transport: &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 	return r
 }
--- a/router/prober/check.go
+++ b/router/prober/check.go
@@ -16,6 +16,8 @@
 const (
 	// maxHealthBytes is the maximum size of a health report.
 	maxHealthBytes = 4 << 10
+	// maxHealthHeaderBytes is the maximum size of the header of a health report.
+	maxHealthHeaderBytes = 16 << 10
 	// healthDraining is the state that a backend server reports while it drains.
 	healthDraining = "draining"
 )
@@ -27,7 +29,9 @@
 	defer cancel()
 	var isDialFailure atomic.Bool
 	transport := &http.Transport{
-		DisableKeepAlives: true,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHealthHeaderBytes,
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			conn, err := network.Dial(ctx, address)
 			isDialFailure.Store(err != nil)
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -171,6 +171,9 @@
 		Server:   row.Name,
 	}, body)
 	o.reportServer(result)
+	if errors.Is(result.Err, courier.ErrExcess) {
+		o.options.Log.Emit(logger.ResponseOversized, "id", relay.ID, "service", relay.Service, "server", row.Name, "address", row.URL, "error", result.Err)
+	}
 	if result.Outcome != messenger.OutcomeDone {
 		cancel()
 		slot.Release(false)
