Serve uploads: bodies wait until the router of the server invites them

Each sender was within its own link; together they filled the receiving ones, so that the calls that bookings wait for (deadline 400 ms) were not answered and heartbeats came late.

Change: a body above 16 KiB stays with its caller. The router of the server checks the queue, reserves time on its receiving link (router/inviter) and invites the body, or refuses the request before any of it was sent. The head of a body (256 KiB) is received before the request takes a slot; all heads of a router take 16 MiB at most. A body of unknown length is held to the limit of the configuration. A router that does not announce that it invites is sent bodies as before. The length of a body counts in the choice of a server.

--- a/kernel/linker/pool.go
+++ b/kernel/linker/pool.go
@@ -61,6 +61,16 @@
 	return stream, nil
 }
 
+// Peer returns the hello message of the process at address. An error that wraps
+// ErrNotConnected means that there is no connection to it.
+func (p *Pool) Peer(ctx context.Context, address string) (messenger.Hello, error) {
+	link, err := p.getLink(ctx, address)
+	if err != nil {
+		return messenger.Hello{}, err
+	}
+	return link.Peer(), nil
+}
+
 // getLink returns the link to address, waiting for the dial attempt in progress if
 // there is one.
 func (p *Pool) getLink(ctx context.Context, address string) (*Link, error) {
--- a/kernel/messenger/messenger.go
+++ b/kernel/messenger/messenger.go
@@ -54,6 +54,10 @@
 	KindRelay
 	// KindJoin carries JoinQuery, JoinResponse (control to control).
 	KindJoin
+	// KindInvitedRelay carries Relay, then RelayInvitation, then the body if it was
+	// invited, then RelayResponse and body (router to router). It is opened only to a
+	// peer whose Hello has Invites.
+	KindInvitedRelay
 )
 
 // Hello is the first message on each connection, in both directions.
@@ -66,4 +70,6 @@
 	Role Role
 	// Name is the name of the sender, from its settings.
 	Name string
+	// Invites reports whether the sender accepts streams of KindInvitedRelay.
+	Invites bool
 }
--- a/kernel/messenger/relay.go
+++ b/kernel/messenger/relay.go
@@ -39,6 +39,15 @@
 	Version uint64
 }
 
+// RelayInvitation tells the entry router whether to send the body of a request. A request
+// whose body was not invited has not run, and a RelayResponse follows at once.
+type RelayInvitation struct {
+	//lint:ignore U1000 msgpack reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Invited bool
+}
+
 // RelayResponse is the response to a Relay. When Outcome is OutcomeDone, the body
 // follows on the stream.
 type RelayResponse struct {
--- a/router/acceptor/status.go
+++ b/router/acceptor/status.go
@@ -36,6 +36,8 @@
 	switch reason {
 	case messenger.ReasonExpired, messenger.ReasonRunning:
 		return http.StatusGatewayTimeout
+	case messenger.ReasonOversize:
+		return http.StatusRequestEntityTooLarge
 	}
 	return http.StatusBadGateway
 }
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -23,6 +23,7 @@
 	"marigoldhill/router/courier"
 	"marigoldhill/router/granter"
 	"marigoldhill/router/holder"
+	"marigoldhill/router/inviter"
 	"marigoldhill/router/keeper"
 	"marigoldhill/router/listener"
 	"marigoldhill/router/mapper"
@@ -149,7 +150,8 @@
 		IsConnected: func() bool { return rangeClient.IsConnected() || p.backend.IsConnected() },
 		Log:         options.Log,
 	})
-	p.pacedNetwork = pacer.New(options.Network, pacer.NewBucket(p.settings.LinkMbits*bytesPerMegabit))
+	inbound := inviter.New(p.settings.LinkMbits * bytesPerMegabit)
+	p.pacedNetwork = pacer.New(inviter.NewNetwork(options.Network, inbound), pacer.NewBucket(p.settings.LinkMbits*bytesPerMegabit))
 	p.pool = linker.NewPool(p.pacedNetwork, p.linkOptions())
 	p.members = p.settings.replicas()
 	p.keeper = keeper.New(keeper.Settings{
@@ -181,6 +183,7 @@
 		Admission:     p.admission,
 		Backend:       p.backend,
 		Sampler:       p.sampler,
+		Inbound:       inbound,
 		RequestUpdate: p.keeper.RequestUpdate,
 		Log:           options.Log,
 		Metrics:       options.Metrics,
@@ -206,6 +209,7 @@
 			Version: messenger.Version,
 			Role:    messenger.RoleRouter,
 			Name:    p.settings.Name,
+			Invites: true,
 		},
 		Metrics: p.options.Metrics,
 	}
@@ -255,7 +259,7 @@
 func (p *Routed) startLink(context.Context) error {
 	options := p.linkOptions()
 	options.Handler = func(ctx context.Context, link *linker.Link, stream *linker.Stream) {
-		if stream.Kind() == messenger.KindRelay {
+		if kind := stream.Kind(); kind == messenger.KindRelay || kind == messenger.KindInvitedRelay {
 			p.owner.Handle(ctx, link, stream)
 		}
 	}
--- a/router/queuer/admission.go
+++ b/router/queuer/admission.go
@@ -100,6 +100,20 @@
 	return messenger.ServerWork{Running: running, Waiting: waiting, Slots: slots, Pace: a.queue.Pace(), Slowness: float32(a.queue.Slowness())}
 }
 
+// Check returns the refusal that a job would get now, or nil.
+func (a *Admission) Check(job Job) *Refusal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.Check(a.Now(), job)
+}
+
+// Cost returns the expected service time of a kind.
+func (a *Admission) Cost(kind string) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.Cost(kind)
+}
+
 // Acquire waits for a slot and returns it, or the refusal. It refuses without waiting
 // if the job is not expected to finish in time.
 func (a *Admission) Acquire(ctx context.Context, job Job) (*Slot, *Refusal) {
--- a/router/queuer/queue.go
+++ b/router/queuer/queue.go
@@ -194,21 +194,38 @@
 	}
 	q.offered[job.Rank].add(now, entry.cost)
 	q.aims[job.Kind] = max(q.aims[job.Kind], job.Aim-now)
-	if now+entry.cost > job.Deadline {
-		return nil, &Refusal{Reason: messenger.ReasonDeadline}
+	if refusal := q.check(now, entry); refusal != nil {
+		return nil, refusal
 	}
 	if len(q.running) < q.slots && len(q.waiting) == 0 {
 		q.start(now, entry)
 		return entry, nil
 	}
-	expectedWait := q.expectedWait(now, entry)
-	if len(q.waiting) >= maxWaitingPerSlot*q.slots || now+expectedWait+entry.cost > job.Aim {
-		return nil, &Refusal{Reason: messenger.ReasonQueue, RetryAfter: q.retryAfter(now, job, expectedWait+entry.cost)}
-	}
 	q.waiting = append(q.waiting, entry)
 	return entry, nil
 }
 
+// Check returns the refusal that a job would get if it were offered, without a trace of it
+// in the queue.
+func (q *Queue) Check(now time.Duration, job Job) *Refusal {
+	return q.check(now, &Entry{Job: job, cost: q.Cost(job.Kind)})
+}
+
+// check returns the refusal of an entry, or nil if it can run or wait.
+func (q *Queue) check(now time.Duration, entry *Entry) *Refusal {
+	if now+entry.cost > entry.Deadline {
+		return &Refusal{Reason: messenger.ReasonDeadline}
+	}
+	if len(q.running) < q.slots && len(q.waiting) == 0 {
+		return nil
+	}
+	expectedWait := q.expectedWait(now, entry)
+	if len(q.waiting) >= maxWaitingPerSlot*q.slots || now+expectedWait+entry.cost > entry.Aim {
+		return &Refusal{Reason: messenger.ReasonQueue, RetryAfter: q.retryAfter(now, entry.Job, expectedWait+entry.cost)}
+	}
+	return nil
+}
+
 // expectedWait predicts how long a job would wait: until the next slot is free, plus
 // the time for the work ahead of it.
 func (q *Queue) expectedWait(now time.Duration, entry *Entry) time.Duration {
--- a/router/relayer/entry.go
+++ b/router/relayer/entry.go
@@ -44,9 +44,6 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("relayer")
 
-// maxReplayBytes is the size of the largest body that is buffered for a retry.
-const maxReplayBytes = 64 << 10
-
 // Call is a request as received from a caller.
 type Call struct {
 	// ID is the identifier that the caller gave to this attempt.
@@ -105,6 +102,13 @@
 	Body io.ReadCloser
 }
 
+// Opener opens streams to the routers of other servers. [linker.Pool] implements it.
+type Opener interface {
+	linker.Opener
+	// Peer returns the hello message of the router at address.
+	Peer(ctx context.Context, address string) (messenger.Hello, error)
+}
+
 // EntryOptions are the dependencies of an Entry.
 type EntryOptions struct {
 	// Domain is the failure domain of the router.
@@ -113,7 +117,7 @@
 	Service string
 	Mapper  *mapper.Mapper
 	Owner   *Owner
-	Opener  linker.Opener
+	Opener  Opener
 	Budget  *budgeter.Budgeter
 	// Session returns the session of this router, or 0 without one.
 	Session func() uint64
@@ -175,6 +179,7 @@
 		return e.finish(call, nil, started, Answer{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonOversize})
 	}
 	routedCall := &routedCall{entry: e, call: call, route: route, service: route.Service(), started: started}
+	routedCall.body = newRequestBody(call, routes.Configuration.Limits.BodyBytes)
 	routedCall.timeout = route.Treatment.Timeout
 	if call.TimeLeft > 0 && call.TimeLeft < routedCall.timeout {
 		routedCall.timeout = call.TimeLeft
@@ -294,21 +299,6 @@
 	return time.Duration(float64(delay) * (1 + jitterFraction*(rand.Float64()-0.5)))
 }
 
-// readBody reads a body of up to maxReplayBytes, so that it can be sent again. A
-// larger body, or one of unknown length, is not read.
-func readBody(call *Call) (data []byte, buffered bool, err error) {
-	if call.Length < 0 || call.Length > maxReplayBytes {
-		return nil, false, nil
-	}
-	data = make([]byte, call.Length)
-	if call.Length > 0 {
-		if _, err := io.ReadFull(call.Body, data); err != nil {
-			return nil, false, Error.New("reading the caller's body: %w", err)
-		}
-	}
-	return data, true, nil
-}
-
 // contextReason returns the reason for a call whose context or time has ended.
 func contextReason(ctx context.Context) messenger.Reason {
 	if errors.Is(context.Cause(ctx), context.Canceled) {
--- /dev/null
+++ b/router/relayer/exchange.go
@@ -0,0 +1,90 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/messenger"
+)
+
+var (
+	errUnsent     = errors.New("request was not sent")
+	errIDMismatch = errors.New("answer carries the ID of another request")
+)
+
+// exchange sends a request over a stream and receives the header of its answer. An error
+// that wraps errUnsent means that the request has not run.
+type exchange func(ctx context.Context, stream *linker.Stream, relay *messenger.Relay, body *requestBody) (*messenger.RelayResponse, error)
+
+// exchangeAtOnce sends the body with the request. A body that is not replayable is sent
+// while the answer is awaited.
+func exchangeAtOnce(ctx context.Context, stream *linker.Stream, relay *messenger.Relay, body *requestBody) (*messenger.RelayResponse, error) {
+	if body.isReplayable() {
+		if _, err := body.bytesWithin(ctx); err != nil {
+			return nil, Error.New("%w: %w", errUnsent, err)
+		}
+	}
+	if err := stream.Send(relay); err != nil {
+		return nil, Error.New("sending the header: %w: %w", errUnsent, err)
+	}
+	if !body.isReplayable() {
+		go sendBody(stream, body.reader())
+		return receiveResponse(stream, relay)
+	}
+	_, err := io.Copy(stream, body.reader())
+	if err == nil {
+		err = stream.CloseWrite()
+	}
+	// An owner that refuses may answer and reset the stream before it has read the
+	// body. The answer can still be received.
+	if err != nil && !errors.Is(err, linker.ErrReset) {
+		return nil, Error.New("sending the body: %w", err)
+	}
+	return receiveResponse(stream, relay)
+}
+
+// exchangeInvited sends the body once the owner has invited it.
+func exchangeInvited(ctx context.Context, stream *linker.Stream, relay *messenger.Relay, body *requestBody) (*messenger.RelayResponse, error) {
+	if err := stream.Send(relay); err != nil {
+		return nil, Error.New("sending the header: %w: %w", errUnsent, err)
+	}
+	var invitation messenger.RelayInvitation
+	if err := stream.Receive(&invitation); err != nil {
+		return nil, Error.New("receiving the invitation: %w: %w", errUnsent, err)
+	}
+	if !invitation.Invited {
+		return receiveResponse(stream, relay)
+	}
+	if body.isReplayable() {
+		// The request has not run if the caller does not send its whole body.
+		if _, err := body.bytesWithin(ctx); err != nil {
+			return nil, Error.New("%w: %w", errUnsent, err)
+		}
+	}
+	go sendBody(stream, body.reader())
+	return receiveResponse(stream, relay)
+}
+
+func receiveResponse(stream *linker.Stream, relay *messenger.Relay) (*messenger.RelayResponse, error) {
+	response := new(messenger.RelayResponse)
+	if err := stream.Receive(response); err != nil {
+		return nil, Error.New("receiving the answer: %w", err)
+	}
+	if response.ID != relay.ID {
+		return nil, Error.New("answer to %s: %w", response.ID, errIDMismatch)
+	}
+	return response, nil
+}
+
+// sendBody sends a body in the background.
+func sendBody(stream *linker.Stream, body io.Reader) {
+	if _, err := io.Copy(stream, body); err != nil {
+		// Resets the stream, so that the owner does not take the part for a complete
+		// body.
+		stream.Close()
+		return
+	}
+	_ = stream.CloseWrite()
+}
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -16,6 +17,7 @@
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/attendant"
 	"marigoldhill/router/courier"
+	"marigoldhill/router/inviter"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/stripper"
 )
@@ -59,6 +61,8 @@
 	Admission  *queuer.Admission
 	Backend    Backend
 	Sampler    Sampler
+	// Inbound is the account of the link that bodies arrive on.
+	Inbound *inviter.Link
 	// RequestUpdate requests an early update from the control group. It is called when
 	// another router has sent a request for a key that this router does not own
 	// according to its own state.
@@ -71,29 +75,36 @@
 type Owner struct {
 	options  OwnerOptions
 	duration *metrics.Histogram
+	// held is how many bytes of bodies are in memory at most.
+	held atomic.Int64
 }
 
 func NewOwner(options OwnerOptions) *Owner {
 	return &Owner{options: options, duration: options.Metrics.GetOrCreateHistogram("marigold_backend_seconds")}
 }
 
-// Handle serves a KindRelay stream of another router. It is a [linker.Handler].
+// Handle serves a KindRelay or KindInvitedRelay stream of another router. It is a
+// [linker.Handler].
 func (o *Owner) Handle(ctx context.Context, _ *linker.Link, stream *linker.Stream) {
 	var relay messenger.Relay
 	if err := stream.Receive(&relay); err != nil {
 		return
 	}
-	response, body := o.Run(ctx, &relay, stream)
-	if body != nil {
-		defer func() { _ = body.Close() }()
+	body := &remoteBody{stream: stream, withheld: stream.Kind() == messenger.KindInvitedRelay}
+	response, responseBody := o.Run(ctx, &relay, body)
+	if responseBody != nil {
+		defer func() { _ = responseBody.Close() }()
 	}
-	if err := stream.Send(response); err != nil || body == nil {
+	if err := body.decline(); err != nil {
+		return
+	}
+	if err := stream.Send(response); err != nil || responseBody == nil {
 		if err == nil {
 			_ = stream.CloseWrite()
 		}
 		return
 	}
-	if _, err := io.Copy(stream, body); err != nil {
+	if _, err := io.Copy(stream, responseBody); err != nil {
 		o.logFailure(&relay, response, "answer body truncated while it was sent to the entry router", err)
 		return // the stream is reset, so the entry router detects the truncation
 	}
@@ -118,12 +129,21 @@
 		return refusedResponse(reason, 0), nil
 	}
 	now := o.options.Admission.Now()
-	slot, refused := o.options.Admission.Acquire(ctx, queuer.Job{
+	job := queuer.Job{
 		Kind:     relay.Route,
 		Rank:     relay.Rank,
 		Aim:      now + min(relay.Aim, relay.Left),
 		Deadline: now + relay.Left,
-	})
+	}
+	if !isInline(relay.Length) {
+		received, response := o.receive(ctx, relay, job, body)
+		if response != nil {
+			return response, nil
+		}
+		defer received.release()
+		body = received
+	}
+	slot, refused := o.options.Admission.Acquire(ctx, job)
 	if refused != nil {
 		return refusedResponse(refused.Reason, refused.RetryAfter), nil
 	}
--- a/router/relayer/owner_test.go
+++ b/router/relayer/owner_test.go
@@ -20,6 +20,7 @@
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/attendant"
 	"marigoldhill/router/courier"
+	"marigoldhill/router/inviter"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
 )
@@ -72,11 +73,20 @@
 const serverAddress = "10.0.0.1:8080"
 
 func newTestOwner(run func(ctx context.Context) courier.Result) *testOwner {
-	o := &testOwner{backend: &fakeBackend{run: run}, keys: &fakeKeys{}, sampler: &fakeSampler{}, admission: queuer.NewAdmission(1)}
+	backend := &fakeBackend{run: run}
+	o := newTestOwnerWith(backend)
+	o.backend = backend
+	return o
+}
+
+// newTestOwnerWith returns a testOwner with a backend of another kind.
+func newTestOwnerWith(backend relayer.Backend) *testOwner {
+	o := &testOwner{keys: &fakeKeys{}, sampler: &fakeSampler{}, admission: queuer.NewAdmission(1)}
 	o.server = attendant.New(attendant.Options{Address: serverAddress, OnChange: func(*attendant.View) {}, IsConnected: func() bool { return false }, Log: logger.Discard()})
 	o.server.Announce(timer.Now(), attendant.Announcement{Row: messenger.ServerRow{Name: "s1", Service: "findings", URL: serverAddress, Slots: 1, Born: 1}})
 	o.Owner = relayer.NewOwner(relayer.OwnerOptions{
-		Server: o.server, KeyChecker: o.keys, Admission: o.admission, Backend: o.backend, Sampler: o.sampler,
+		Server: o.server, KeyChecker: o.keys, Admission: o.admission, Backend: backend, Sampler: o.sampler,
+		Inbound:       inviter.New(0),
 		RequestUpdate: func() { o.updatesRequested++ },
 		Log:           logger.Discard(), Metrics: metrics.NewSet(),
 	})
--- a/router/relayer/routed_call.go
+++ b/router/relayer/routed_call.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -53,9 +52,7 @@
 	started time.Time
 	// timeout is how long the call may take.
 	timeout time.Duration
-	// body is the complete body if it is buffered; otherwise it can be sent once.
-	body     []byte
-	buffered bool
+	body    *requestBody
 
 	// sends counts the attempts that may have reached a backend server.
 	sends int
@@ -79,9 +76,10 @@
 
 // run sends the request until it is answered, or until no further attempt is allowed.
 func (c *routedCall) run(ctx context.Context) Answer {
-	var err error
-	if c.body, c.buffered, err = readBody(c.call); err != nil {
-		return c.refuse(messenger.ReasonCanceled, 0)
+	if c.body.isInline() {
+		if _, err := c.body.bytesWithin(ctx); err != nil {
+			return c.refuse(contextReason(ctx), 0)
+		}
 	}
 	for {
 		routes := c.entry.options.Mapper.Load()
@@ -121,7 +119,7 @@
 	session := c.entry.balancer.Choose(c.entry.now(), candidates, chooser.Requirements{
 		Domain:        c.entry.options.Domain,
 		Aim:           c.route.Treatment.Aim,
-		Bytes:         c.entry.expectedBytes(c.route.Name) + headerBytes,
+		Bytes:         int(max(c.call.Length, 0)) + c.entry.expectedBytes(c.route.Name) + headerBytes,
 		MaxLocalDelay: time.Duration(localPreference * float64(c.route.Treatment.Aim)),
 		Exclude:       c.tried,
 	})
@@ -277,6 +275,9 @@
 		// the next attempt, and no other server may run it.
 		c.tried = append(c.tried, server.Session)
 	}
+	if c.body.oversize.Load() {
+		return c.refuse(messenger.ReasonOversize, 0), false
+	}
 	if ctx.Err() != nil {
 		return c.giveUp(contextReason(ctx)), false
 	}
@@ -298,7 +299,7 @@
 		}
 	case messenger.ReasonQueue, messenger.ReasonDeadline:
 		c.fullServers++
-		if c.keyless && c.fullServers < maxFullServers && c.buffered {
+		if c.keyless && c.fullServers < maxFullServers && c.body.canResend() {
 			return Answer{}, true
 		}
 	}
@@ -308,7 +309,7 @@
 // takeRetry reports whether the body can be sent again and both the attempts of the
 // route and the retry budget allow it. If so, it takes one retry from the budget.
 func (c *routedCall) takeRetry() bool {
-	if !c.buffered || c.sends >= c.route.Treatment.Attempts {
+	if !c.body.canResend() || c.sends >= c.route.Treatment.Attempts {
 		return false
 	}
 	return c.entry.options.Budget.Take(c.entry.now(), c.service, c.entry.options.Mapper.Load().RouterCount())
@@ -319,6 +320,9 @@
 	if ctx.Err() != nil {
 		return c.giveUp(contextReason(ctx)), false
 	}
+	if c.body.oversize.Load() {
+		return Answer{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonOversize}, false
+	}
 	if !c.route.Treatment.Idempotent || !c.takeRetry() {
 		return Answer{Outcome: messenger.OutcomeUnknown, Reason: response.Reason}, false
 	}
@@ -362,19 +366,15 @@
 
 // deliver sends a request to the router of a server, which may be this one.
 func (c *routedCall) deliver(ctx context.Context, server *mapper.Server, relay *messenger.Relay) (*messenger.RelayResponse, io.ReadCloser) {
-	body := c.call.Body
-	if c.buffered {
-		body = bytes.NewReader(c.body)
-	}
 	if server.Session == c.entry.options.Session() {
-		return c.entry.options.Owner.Run(ctx, relay, body)
+		return c.entry.options.Owner.Run(ctx, relay, c.body.reader())
 	}
-	stream, err := c.entry.options.Opener.Open(ctx, server.Address, messenger.KindRelay)
+	stream, exchange, err := c.open(ctx, server.Address)
 	if err != nil {
 		c.logLinkFailure(server, err)
 		return refusedResponse(messenger.ReasonUnreachable, 0), nil
 	}
-	response, err := exchange(stream, relay, body, c.buffered)
+	response, err := exchange(ctx, stream, relay, c.body)
 	if err != nil {
 		stream.Close()
 		c.logLinkFailure(server, err)
@@ -390,56 +390,30 @@
 	return response, streamBody{stream}
 }
 
-// logLinkFailure logs why there was no answer from the router of a server.
-func (c *routedCall) logLinkFailure(server *mapper.Server, err error) {
-	c.entry.options.Log.Emit(logger.RequestFailed, "id", c.call.ID, "route", c.route.Name, "service", c.service,
-		"key", c.call.Key, "version", c.version, "router", server.Router, "address", server.Address,
-		"cause", "no answer from the router of the backend server", "error", err)
-}
-
-var (
-	errUnsent     = errors.New("request was not sent")
-	errIDMismatch = errors.New("answer carries the ID of another request")
-)
-
-// exchange sends a request over a stream and receives the header of its answer. A body
-// that is not buffered is sent while the answer is awaited.
-func exchange(stream *linker.Stream, relay *messenger.Relay, body io.Reader, buffered bool) (*messenger.RelayResponse, error) {
-	if err := stream.Send(relay); err != nil {
-		return nil, Error.New("sending the header: %w: %w", errUnsent, err)
-	}
-	if buffered {
-		_, err := io.Copy(stream, body)
-		if err == nil {
-			err = stream.CloseWrite()
+// open opens a stream to a router and returns the way to exchange a request over it.
+func (c *routedCall) open(ctx context.Context, address string) (*linker.Stream, exchange, error) {
+	kind, exchange := messenger.KindRelay, exchangeAtOnce
+	if !c.body.isInline() {
+		peer, err := c.entry.options.Opener.Peer(ctx, address)
+		if err != nil {
+			return nil, nil, Error.New("connecting to the router: %w", err)
 		}
-		// An owner that refuses may answer and reset the stream before it has read the
-		// body. The answer can still be received.
-		if err != nil && !errors.Is(err, linker.ErrReset) {
-			return nil, Error.New("sending the body: %w", err)
+		if peer.Invites {
+			kind, exchange = messenger.KindInvitedRelay, exchangeInvited
 		}
-	} else {
-		go sendBody(stream, body)
-	}
-	response := new(messenger.RelayResponse)
-	if err := stream.Receive(response); err != nil {
-		return nil, Error.New("receiving the answer: %w", err)
 	}
-	if response.ID != relay.ID {
-		return nil, Error.New("answer to %s: %w", response.ID, errIDMismatch)
+	stream, err := c.entry.options.Opener.Open(ctx, address, kind)
+	if err != nil {
+		return nil, nil, Error.New("opening a stream: %w", err)
 	}
-	return response, nil
+	return stream, exchange, nil
 }
 
-// sendBody sends a body that is not buffered.
-func sendBody(stream *linker.Stream, body io.Reader) {
-	if _, err := io.Copy(stream, body); err != nil {
-		// Resets the stream, so that the owner does not take the part for a complete
-		// body.
-		stream.Close()
-		return
-	}
-	_ = stream.CloseWrite()
+// logLinkFailure logs why there was no answer from the router of a server.
+func (c *routedCall) logLinkFailure(server *mapper.Server, err error) {
+	c.entry.options.Log.Emit(logger.RequestFailed, "id", c.call.ID, "route", c.route.Name, "service", c.service,
+		"key", c.call.Key, "version", c.version, "router", server.Router, "address", server.Address,
+		"cause", "no answer from the router of the backend server", "error", err)
 }
 
 // streamBody is the body of an answer from another router.
