Wait for space when a disk fills up while a replica runs

Cause: a replica that met a full disk while it ran ended with status 1 (journaler: write failed), while one that starts on a full disk waits.

Change: a write that a full disk refuses is taken back by truncating the log to its last good record and tried again every 200 ms, with the events 206 and 207. Nothing is acknowledged that is not stored; a failed sync still ends the replica. Log files are opened for appending when they are created too: the new test found that a truncated file was continued at its old offset, which left a hole that the next start refused as corrupt.

Result: TestFullDiskIsWaitedFor fills each disk of three in turn, then all. On the code before, the replica stopped with "no space left on device".

--- a/control/journaler/disk.go
+++ b/control/journaler/disk.go
@@ -12,7 +12,7 @@
 	List(directory string) ([]string, error)
 	// Read returns the content of a file.
 	Read(path string) ([]byte, error)
-	// Create opens an empty file for writing, replacing an existing one.
+	// Create opens an empty file for writing at its end, replacing an existing one.
 	Create(path string) (File, error)
 	// Append opens a file for writing at its end.
 	Append(path string) (File, error)
@@ -63,7 +63,7 @@
 
 // Create implements [Disk].
 func (OSDisk) Create(path string) (File, error) {
-	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_APPEND|os.O_WRONLY, fileMode)
 }
 
 // Append implements [Disk].
--- a/control/journaler/files.go
+++ b/control/journaler/files.go
@@ -163,6 +163,7 @@
 	}
 	j.file = file
 	j.sequence = uint64(len(log.Records))
+	j.size = int64(log.ValidBytes)
 	return nil
 }
 
@@ -181,6 +182,7 @@
 	j.logPath = filepath.Join(j.directory, name)
 	j.file = file
 	j.sequence = 1
+	j.size = int64(len(data))
 	return nil
 }
 
--- a/control/journaler/journaler.go
+++ b/control/journaler/journaler.go
@@ -13,7 +13,8 @@
 // one. A torn record was never acknowledged and is removed; a complete one whose
 // sync is in doubt is synced when the directory is opened. A bad record that is
 // followed by a good one, or a failed sync, is an error after which the directory
-// is no longer used; no attempt is made to repair it.
+// is no longer used; no attempt is made to repair it. A write that a full disk refuses
+// is taken back, so it can be made again; see [Journal.OnFull].
 //
 // Each snapshot starts a new log file. The snapshot and this file together hold
 // the complete state; older files are removed once it is synced.
@@ -78,10 +79,12 @@
 	file      File
 	logPath   string
 	// number is the number of the current log file, sequence the sequence number of
-	// its last record.
+	// its last record, and size its size in bytes with that record.
 	number   uint64
 	sequence uint64
+	size     int64
 	failure  error
+	onFull   func(err error) bool
 }
 
 // Open locks and reads the data directory at path. An empty directory is initialized
@@ -168,7 +171,7 @@
 			if err := j.flush(&record); err != nil {
 				return err
 			}
-			if err := j.rotate(write); err != nil {
+			if err := j.retryWhenFull(func() error { return j.rotate(write) }); err != nil {
 				return err
 			}
 		}
@@ -192,13 +195,14 @@
 	if err != nil {
 		return err
 	}
-	if _, err := j.file.Write(data); err != nil {
-		return writeError(j.logPath, err)
+	if err := j.retryWhenFull(func() error { return j.appendLog(data) }); err != nil {
+		return err
 	}
 	if err := j.file.Sync(); err != nil {
 		return writeError(j.logPath, err)
 	}
 	j.sequence++
+	j.size += int64(len(data))
 	*record = Record{}
 	return nil
 }
--- a/control/replicator/change_test.go
+++ b/control/replicator/change_test.go
@@ -4,7 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -160,7 +164,8 @@
 	})
 }
 
-// failingFile fails to sync once failSync is set on its disk.
+// failingFile fails to sync once failSync is set on its disk, and takes half of each
+// write while full is set.
 type failingFile struct {
 	journaler.File
 	disk *failingDisk
@@ -169,6 +174,7 @@
 type failingDisk struct {
 	journaler.OSDisk
 	failSync bool
+	full     atomic.Bool
 }
 
 var errSync = errors.New("input/output error")
@@ -178,6 +184,19 @@
 	return &failingFile{File: file, disk: d}, err
 }
 
+func (d *failingDisk) Append(path string) (journaler.File, error) {
+	file, err := d.OSDisk.Append(path)
+	return &failingFile{File: file, disk: d}, err
+}
+
+func (f *failingFile) Write(data []byte) (int, error) {
+	if !f.disk.full.Load() {
+		return f.File.Write(data)
+	}
+	written, _ := f.File.Write(data[:len(data)/2])
+	return written, syscall.ENOSPC
+}
+
 func (f *failingFile) Sync() error {
 	if f.disk.failSync {
 		return errSync
@@ -205,6 +224,60 @@
 	})
 }
 
+// TestFullDiskIsWaitedFor fills the disk of each replica of a group in turn, then of all:
+// no replica stops, nothing is acknowledged that only full disks could have stored, and
+// the group goes on when there is space again, also after a restart.
+func TestFullDiskIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, "a", "b", "c")
+		defer g.stopAll()
+		kept := 0
+		propose := func() error {
+			err := g.propose(g.leader(), fmt.Sprint("command ", kept))
+			if err == nil {
+				kept++
+			}
+			return err
+		}
+		// The first election needs the disks of all founders.
+		qt.Assert(t, propose(), qt.IsNil)
+		for name := range g.hosts {
+			g.hosts[name].disk.full.Store(true)
+			for range 60 {
+				qt.Assert(t, propose(), qt.IsNil, qt.Commentf("one full disk of three"))
+			}
+			g.hosts[name].disk.full.Store(false)
+			time.Sleep(time.Second)
+			qt.Assert(t, g.hosts[name].replica.Err(), qt.IsNil)
+		}
+		for _, h := range g.hosts {
+			h.disk.full.Store(true)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		_, err := g.leader().replica.Propose(ctx, []byte("nowhere stored"))
+		qt.Assert(t, err, qt.IsNotNil)
+		for _, h := range g.hosts {
+			h.disk.full.Store(false)
+		}
+		time.Sleep(3 * time.Second)
+		qt.Assert(t, propose(), qt.IsNil)
+		names := slices.Collect(maps.Keys(g.hosts))
+		for _, name := range names {
+			qt.Check(t, g.hosts[name].replica.Err(), qt.IsNil)
+			g.stop(name)
+		}
+		for _, name := range names {
+			g.start(name, false)
+		}
+		restarted := g.leader()
+		qt.Assert(t, g.propose(restarted, "last"), qt.IsNil)
+		for _, want := range []int{0, kept - 1} {
+			qt.Check(t, slices.Contains(restarted.logMachine.commands, fmt.Sprint("command ", want)), qt.IsTrue, qt.Commentf("command %d", want))
+		}
+	})
+}
+
 // TestManyProposersAtOnce submits more concurrent proposals than fit into a batch
 // and checks that each gets a result.
 func TestManyProposersAtOnce(t *testing.T) {
--- a/control/replicator/replica.go
+++ b/control/replicator/replica.go
@@ -63,6 +63,9 @@
 	inputs     chan input
 	done       chan struct{}
 	raftStatus atomic.Pointer[publishedRaftStatus]
+	// diskFull is set from the first write that a full disk refused to the next one that
+	// it took.
+	diskFull atomic.Bool
 
 	// The following fields are accessed by the control goroutine only.
 	status    elector.Status
@@ -109,6 +112,7 @@
 	}
 	r.consensus = elector.New(r.config(), electorStored(options.Stored), timer.Now())
 	r.writer = newWriter(options.Journal)
+	options.Journal.OnFull(r.waitForSpace)
 	r.publish(timer.Now())
 	return r, nil
 }
@@ -179,6 +183,24 @@
 	return raftStatus
 }
 
+// spaceInterval is the time between two attempts to write to a full disk.
+const spaceInterval = 200 * time.Millisecond
+
+// waitForSpace waits before a write to a full disk is tried again. It returns false when
+// the replica stops. The replica keeps its role meanwhile, but acknowledges nothing that
+// it has not stored.
+func (r *Replica) waitForSpace(err error) bool {
+	if !r.diskFull.Swap(true) {
+		r.options.Log.Emit(logger.DiskUnwritable, "error", err)
+	}
+	select {
+	case <-time.After(spaceInterval):
+		return true
+	case <-r.ctx.Done():
+		return false
+	}
+}
+
 // run is the loop of the control goroutine.
 func (r *Replica) run() {
 	defer close(r.done)
--- a/control/replicator/step.go
+++ b/control/replicator/step.go
@@ -50,6 +50,9 @@
 		r.fail(result.err)
 		return
 	}
+	if r.diskFull.Swap(false) {
+		r.options.Log.Emit(logger.DiskWritable)
+	}
 	r.counters.syncs.Inc()
 	r.send(r.writer.completeWrite(result.number))
 	r.step(elector.Synced{Write: result.number})
