Name the start of a server in range calls, and keep its keys after a double restart

Cause: a call named its server, but not which start of it. A server that restarted under its name took renewals meant for its earlier start; and when its router was restarted too, the keys were free at once, although the new start could hold them.

Change: range calls carry the start in Marigold-Born, and a server refuses what is for another. A router that was restarted frees the keys of an earlier start only if the server that the session knows had another name; otherwise they wait until no grant of its earlier process can last.

--- a/bench/searcher/host_test.go
+++ b/bench/searcher/host_test.go
@@ -234,7 +234,9 @@
 	p.rangesMu.Lock()
 	defer p.rangesMu.Unlock()
 	view := p.server.View()
-	p.holder.SetRows(p.mapper.Load().OwnedRanges(service, p.keeper.Session()), view.Row, view.State)
+	routes, session := p.mapper.Load(), p.keeper.Session()
+	p.holder.SetRecordedServer(routes.ServerOf(session))
+	p.holder.SetRows(routes.OwnedRanges(service, session), view.Row, view.State)
 }
 
 // Report implements keeper.HeartbeatHandler.
@@ -339,7 +341,7 @@
 		w.count("refused")
 		return holder.NotSent, "", errFault
 	}
-	isOther := s.name != call.Server && !s.isFrozen(time.Now())
+	isOther := w.isForOther(s, call) && !s.isFrozen(time.Now())
 	w.mu.Unlock()
 	if isOther {
 		w.count("misdirected")
@@ -370,6 +372,11 @@
 	}
 }
 
+// isForOther reports whether a call names another server than s.
+func (w *world) isForOther(s *server, call *holder.Call) bool {
+	return s.name != call.Server || w.options.namedStarts && s.born != call.Born
+}
+
 // answer is the answer of a backend server.
 type answer struct {
 	result   holder.CallResult
@@ -389,7 +396,7 @@
 		if !s.up {
 			return
 		}
-		if s.name != call.Server {
+		if w.isForOther(s, call) {
 			if answered {
 				answers <- answer{result: holder.Misdirected}
 			}
--- a/bench/searcher/search_test.go
+++ b/bench/searcher/search_test.go
@@ -54,6 +54,12 @@
 	runSeeds(t, options{sameNames: true})
 }
 
+// TestGrantsToNamedStarts is TestGrants with servers that start again under the name that
+// they had, and calls that name the start of their server.
+func TestGrantsToNamedStarts(t *testing.T) {
+	runSeeds(t, options{sameNames: true, namedStarts: true})
+}
+
 // TestGrantsBesideRefusedConnections is TestGrants with servers whose port refuses
 // connections at times although they work.
 func TestGrantsBesideRefusedConnections(t *testing.T) {
--- a/bench/searcher/world_test.go
+++ b/bench/searcher/world_test.go
@@ -68,6 +68,9 @@
 type options struct {
 	// sameNames lets servers start again under the name that they had.
 	sameNames bool
+	// namedStarts makes calls name the start of their server, so that another start under
+	// the same name refuses them.
+	namedStarts bool
 	// refusals lets the ports of servers that work refuse connections.
 	refusals bool
 }
--- a/kernel/messenger/request.go
+++ b/kernel/messenger/request.go
@@ -25,6 +25,7 @@
 	HeaderReason         = "Marigold-Reason"
 	HeaderTimeout        = "Marigold-Timeout"
 	HeaderServer         = "Marigold-Server"
+	HeaderBorn           = "Marigold-Born"
 	HeaderFence          = "Marigold-Fence"
 	HeaderShard          = "Marigold-Shard"
 	HeaderDeadline       = "Marigold-Deadline"
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -234,7 +234,9 @@
 	if view.Row != nil {
 		service = view.Row.Service
 	}
-	p.holder.SetRows(p.mapper.Load().OwnedRanges(service, p.keeper.Session()), view.Row, view.State)
+	routes, session := p.mapper.Load(), p.keeper.Session()
+	p.holder.SetRecordedServer(routes.ServerOf(session))
+	p.holder.SetRows(routes.OwnedRanges(service, session), view.Row, view.State)
 }
 
 // isReady reports whether the router accepts requests of callers.
--- a/router/granter/ranges.go
+++ b/router/granter/ranges.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -35,6 +36,10 @@
 	// ServerHeader is the header with the name of the server that a call is for. A
 	// server with another name must respond with status 421 and not carry it out.
 	ServerHeader string
+	// StartHeader is the header with the start of that server, in Unix milliseconds. A
+	// server that was started at another time must respond with status 421 and not carry
+	// the call out. It is empty if the servers know no such header.
+	StartHeader string
 	// Body returns the value that is encoded as the JSON body of a call.
 	Body func(call *holder.Call) any
 	// Handover returns the handover token for the next holder from the header of a
@@ -101,6 +106,7 @@
 		GrantPath:    messenger.PathGrants,
 		ReleasePath:  messenger.PathRevokes,
 		ServerHeader: messenger.HeaderServer,
+		StartHeader:  messenger.HeaderBorn,
 		Body: func(call *holder.Call) any {
 			return messenger.RangeCall{
 				From: call.From, To: call.To, Fence: call.Fence, Hold: call.Hold.Milliseconds(), Handover: call.Handover,
@@ -132,6 +138,9 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(r.protocol.ServerHeader, call.Server)
+	if r.protocol.StartHeader != "" {
+		request.Header.Set(r.protocol.StartHeader, strconv.FormatInt(call.Born, 10))
+	}
 	response, err := r.client.Do(request)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		r.onRefused()
--- a/router/holder/call.go
+++ b/router/holder/call.go
@@ -23,9 +23,13 @@
 	// Server is the name of the backend server that the call is for. Any other server
 	// at its address refuses the call.
 	Server string
-	From   uint32
-	To     uint32
-	Fence  uint64
+	// Born is when the start of the server that the call is for began, in Unix
+	// milliseconds. Another start under the same name refuses the call, if the protocol of
+	// the server has a field for it.
+	Born  int64
+	From  uint32
+	To    uint32
+	Fence uint64
 	// Release revokes the keys; otherwise they are granted.
 	Release bool
 	// Hold and Handover are for grants.
--- a/router/holder/holder.go
+++ b/router/holder/holder.go
@@ -77,6 +77,7 @@
 	mu           sync.Mutex
 	stateMachine *stateMachine
 	server       *messenger.ServerRow
+	recorded     incarnation
 }
 
 // New returns a Holder without keys.
@@ -109,6 +110,7 @@
 	if state != messenger.ServerDown {
 		h.stateMachine.serverRecovered()
 	}
+	h.stateMachine.recorded = h.recorded
 	h.stateMachine.setRanges(timer.Now(), rows, current)
 	if state == messenger.ServerDown {
 		h.stateMachine.serverTerminated()
@@ -117,6 +119,17 @@
 	h.signal()
 }
 
+// SetRecordedServer sets the server that the session of this router has reported; nil
+// changes nothing. It matters until the first announcement to this process: grants of an
+// earlier process of this router were for that server.
+func (h *Holder) SetRecordedServer(server *messenger.ServerRow) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.server == nil && server != nil {
+		h.recorded = incarnation{name: server.Name, born: server.Born}
+	}
+}
+
 // Freed returns the ranges that the router owns but the server no longer holds.
 func (h *Holder) Freed() []messenger.RangeRef {
 	h.mu.Lock()
--- a/router/holder/keystate.go
+++ b/router/holder/keystate.go
@@ -83,7 +83,7 @@
 	case row.Life > m.server.born && state.phase != phaseFreed:
 		state.phase = phaseAwaited
 	case row.Life != m.server.born:
-		return stateAfterRestart(state, previous, m.server)
+		return m.stateAfterRestart(state, row, previous)
 	case state.phase == phaseAwaited:
 		state.phase = phaseOwned
 	}
@@ -98,16 +98,24 @@
 // server than the current one. A server with another name has refused all calls for its
 // predecessor. One with the same name may have accepted them before it announced itself,
 // so it must release the keys.
-func stateAfterRestart(state keyState, previous, server incarnation) keyState {
+func (m *stateMachine) stateAfterRestart(state keyState, row messenger.RangeRow, previous incarnation) keyState {
+	sameName := previous.name == m.server.name
 	switch {
-	case state.phase == phaseFreed || state.phase == phaseReleasing && previous == server:
-		return state
-	case previous.name == server.name && !state.grantedAt.IsZero():
-		state.phase = phaseReleasing
-		state.due = timer.Instant{}
+	case state.phase == phaseFreed || state.phase == phaseReleasing && previous == m.server:
 		return state
+	case state.grantedAt.IsZero() && state.inherited:
+		// An earlier process of this router may have granted the keys, to the server that
+		// the session knows.
+		sameName = m.recorded.born != row.Life || m.recorded.name == m.server.name
+	case state.grantedAt.IsZero():
+		sameName = false
+	}
+	if !sameName {
+		return freedState(state.fence, causeReplaced)
 	}
-	return freedState(state.fence, causeReplaced)
+	state.phase = phaseReleasing
+	state.due = timer.Instant{}
+	return state
 }
 
 func stateAfterCall(now timer.Instant, v keyState, call *Call, result CallResult, handover string, server incarnation) keyState {
--- a/router/holder/plan.go
+++ b/router/holder/plan.go
@@ -82,6 +82,7 @@
 	call := &Call{
 		Service: m.service,
 		Server:  m.server.name,
+		Born:    m.server.born,
 		From:    first.From,
 		To:      group[len(group)-1].To,
 		Fence:   first.Value.fence,
@@ -145,7 +146,7 @@
 // effect any more: such a grant would give the keys to the server again.
 func (m *stateMachine) planRelease(now timer.Instant, group []splitter.Piece[keyState], call *Call) *Call {
 	for _, piece := range group {
-		if !isDue(now, piece.Value.due) {
+		if !isDue(now, piece.Value.due) || m.isUnaccounted(now, piece.Value) {
 			return nil
 		}
 	}
--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -43,6 +43,9 @@
 	service string
 	// server is zero before a server has announced itself.
 	server incarnation
+	// recorded is the server that the session of this router knew before this process had
+	// an announcement of one.
+	recorded incarnation
 	// terminated is set while the server is known to have ended.
 	terminated bool
 	// leased is set while this process has had a lease since it last owned no ranges. The
--- a/router/holder/statemachine_test.go
+++ b/router/holder/statemachine_test.go
@@ -161,7 +161,7 @@
 	}, server)
 	calls := machine.plan(at(100*time.Millisecond), lease)
 	qt.Assert(t, calls, qt.HasLen, 1)
-	qt.Assert(t, *calls[0] == Call{Service: "findings", Server: "d1", From: 40, To: 59, Fence: 5, Release: true, plannedAt: at(100 * time.Millisecond)}, qt.IsTrue)
+	qt.Assert(t, *calls[0] == Call{Service: "findings", Server: "d1", Born: 1000, From: 40, To: 59, Fence: 5, Release: true, plannedAt: at(100 * time.Millisecond)}, qt.IsTrue)
 	qt.Assert(t, machine.freed(), qt.HasLen, 0)
 	machine.endCall(at(200*time.Millisecond), calls[0], Accepted, "warm")
 	qt.Assert(t, machine.freed(), qt.DeepEquals, []messenger.RangeRef{{Service: "findings", From: 40, To: 59, Fence: 5, Handover: "warm"}})
@@ -275,6 +275,50 @@
 	qt.Check(t, machine.freed(), qt.HasLen, 1)
 }
 
+// TestRestartOfRouterAndServerUnderOneName restarts the router together with its server.
+// The start that is announced may have taken a renewal of the router's earlier process
+// under the name that it had, unless it has another name now.
+func TestRestartOfRouterAndServerUnderOneName(t *testing.T) {
+	tests := []struct {
+		name     string
+		recorded incarnation
+		next     incarnation
+		// early is set if the server announces itself before the ranges are known.
+		early bool
+		freed bool
+	}{
+		{name: "same name", recorded: server, next: incarnation{name: server.name, born: restarted.born}},
+		{name: "same name, announced early", recorded: server, next: incarnation{name: server.name, born: restarted.born}, early: true},
+		{name: "another name", recorded: server, next: restarted, freed: true},
+		{name: "another name, announced early", recorded: server, next: restarted, early: true, freed: true},
+		{name: "no name is known", next: restarted},
+		{name: "another start is known", recorded: incarnation{name: server.name, born: 1}, next: restarted},
+	}
+	for _, test := range tests {
+		comment := qt.Commentf(test.name)
+		machine := newStateMachine("findings", lease)
+		machine.recorded = test.recorded
+		rows := []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}
+		if test.early {
+			machine.setRanges(at(0), nil, test.next)
+		} else {
+			machine.setRanges(at(0), rows, incarnation{})
+			qt.Check(t, machine.freed(), qt.HasLen, 0, comment)
+		}
+		machine.setRanges(at(100*time.Millisecond), rows, test.next)
+		if test.freed {
+			qt.Check(t, machine.freed(), qt.HasLen, 1, comment)
+			continue
+		}
+		qt.Check(t, machine.freed(), qt.HasLen, 0, comment)
+		// A late grant of the earlier process could follow a release.
+		qt.Check(t, machine.plan(at(lease), lease), qt.HasLen, 0, comment)
+		qt.Check(t, machine.freed(), qt.HasLen, 0, comment)
+		qt.Check(t, machine.plan(at(lease+2*maxDeliveryDelay), lease), qt.HasLen, 0, comment)
+		qt.Check(t, machine.freed(), qt.HasLen, 1, comment)
+	}
+}
+
 // TestRangesOfATerminatedServerAreFreedAtOnce gives ranges to a router whose server has
 // terminated: the control group did not know of it yet.
 func TestRangesOfATerminatedServerAreFreedAtOnce(t *testing.T) {
--- a/router/mapper/mapper.go
+++ b/router/mapper/mapper.go
@@ -121,6 +121,14 @@
 	return servers
 }
 
+// ServerOf returns the server that a session has reported, nil if there is none.
+func (m *Map) ServerOf(session uint64) *messenger.ServerRow {
+	if server := m.owners[session]; server != nil {
+		return &server.Row
+	}
+	return nil
+}
+
 // RouterCount returns the number of routers with a session.
 func (m *Map) RouterCount() int {
 	return len(m.sessions)
