Bound the memory of an idle link

Cause: each end of a link kept a read buffer of 64 KiB, the buffer of its largest payload and two send buffers of up to 512 KiB. A router has up to two links to each other router, so its memory grew by 0.2 to 0.3 MB with each of them.

Change: a read buffer of 4 KiB, payloads above 4 KiB in pooled buffers, and send buffers of up to 8 KiB are kept.

--- a/kernel/framer/framer.go
+++ b/kernel/framer/framer.go
@@ -24,6 +24,7 @@
 	"bufio"
 	"encoding/binary"
 	"io"
+	"sync"
 
 	"github.com/zeebo/errs"
 )
@@ -43,9 +44,15 @@
 	// MaxPayloadBytes is the maximum size of a frame payload in bytes.
 	MaxPayloadBytes = 32 << 10
 
-	readBufferSize = 64 << 10
+	// readBufferSize and maxKeptPayload bound the memory of an idle connection: a process
+	// keeps one to each of hundreds of others.
+	readBufferSize = 4 << 10
+	maxKeptPayload = 4 << 10
 )
 
+// payloadBuffers holds the buffers for payloads above maxKeptPayload.
+var payloadBuffers = sync.Pool{New: func() any { return new([MaxPayloadBytes]byte) }}
+
 // Type is the type of a frame.
 type Type uint8
 
@@ -97,6 +104,8 @@
 	source  *bufio.Reader
 	header  [HeaderSize]byte
 	payload []byte
+	// pooled is the buffer of the last payload if it was large.
+	pooled *[MaxPayloadBytes]byte
 }
 
 // NewReader returns a Reader that reads from source.
@@ -107,6 +116,10 @@
 // Read reads the next frame. It returns io.EOF, unwrapped, when the input ends
 // between two frames.
 func (r *Reader) Read() (Frame, error) {
+	if r.pooled != nil {
+		payloadBuffers.Put(r.pooled)
+		r.pooled = nil
+	}
 	if _, err := io.ReadFull(r.source, r.header[:]); err != nil {
 		if err == io.EOF {
 			return Frame{}, io.EOF
@@ -134,12 +147,21 @@
 }
 
 func (r *Reader) readPayload(length int) ([]byte, error) {
+	payload := r.buffer(length)
+	if _, err := io.ReadFull(r.source, payload); err != nil {
+		return nil, Error.New("reading the frame payload: %w", err)
+	}
+	return payload, nil
+}
+
+// buffer returns a buffer for a payload, which is valid until the next Read.
+func (r *Reader) buffer(length int) []byte {
+	if length > maxKeptPayload {
+		r.pooled = payloadBuffers.Get().(*[MaxPayloadBytes]byte)
+		return r.pooled[:length]
+	}
 	if cap(r.payload) < length {
 		r.payload = make([]byte, length)
 	}
-	r.payload = r.payload[:length]
-	if _, err := io.ReadFull(r.source, r.payload); err != nil {
-		return nil, Error.New("reading the frame payload: %w", err)
-	}
-	return r.payload, nil
+	return r.payload[:length]
 }
--- a/kernel/linker/sendqueue.go
+++ b/kernel/linker/sendqueue.go
@@ -16,8 +16,8 @@
 	// beyond maxPendingSize.
 	maxQueuedSize = 8 << 20
 	// maxReusedSize is the capacity up to which a buffer is reused for the next
-	// batch.
-	maxReusedSize = 512 << 10
+	// batch. Each idle connection keeps two such buffers.
+	maxReusedSize = 8 << 10
 )
 
 // sendQueue holds the encoded frames that have not been written to the connection
