Recognize a late copy of a response in sharded mode

Cause: a connection to a backend server was reused without anything that ties a response to its request. A second copy of a response that arrives between the check of the idle connection and the next request was handed to the next caller as its answer.

Change: each request carries Marigold-Request, and a response with another number is a truncated answer of unknown outcome. Connections are reused only with servers that return the number; others get one request a connection. Stand-in servers return it. TestNoResendOnReusedConnection uses such a server now, and a third request, since the first one has a connection of its own.

Result: TestLateCopyIsNotTakenForTheNextResponse got the second request's body for the third caller before.

--- a/bench/responder/routes.go
+++ b/bench/responder/routes.go
@@ -41,10 +41,13 @@
 	return router
 }
 
-// gateMiddleware blocks requests while the server is frozen.
+// gateMiddleware blocks requests while the server is frozen, and returns their numbers.
 func (s *Server) gateMiddleware(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		s.gate.waitContext(c.Request().Context())
+		if number := c.Request().Header.Get(messenger.HeaderRequestNumber); number != "" {
+			c.Response().Header().Set(messenger.HeaderRequestNumber, number)
+		}
 		return next(c)
 	}
 }
--- a/router/dispatcher/dispatcher.go
+++ b/router/dispatcher/dispatcher.go
@@ -10,6 +10,11 @@
 // them those with an Idempotency-Key; the dispatcher prevents this with a body that
 // cannot be replayed.
 //
+// Each request carries its number, and a server that returns it in its responses is sent
+// many requests over one connection: a response with another number, such as a late copy of
+// an earlier one, is recognized. A server that does not is sent one request over each
+// connection, so that nothing late can arrive on a connection in use.
+//
 // # Usage
 //
 //	backend := dispatcher.New(network)
@@ -24,6 +29,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -87,6 +93,8 @@
 // concurrent use.
 type Dispatcher struct {
 	transport *http.Transport
+	// numbering is set while the server returns the numbers of requests.
+	numbering atomic.Bool
 }
 
 // New returns a Dispatcher that dials through network.
@@ -121,13 +129,33 @@
 	if err != nil {
 		return refusedResult(messenger.ReasonMalformed, CauseNone)
 	}
+	request.Close = !d.numbering.Load()
 	response, err := d.transport.RoundTrip(request)
 	if err != nil {
 		return d.failedResult(ctx, &conns, err)
 	}
+	if !d.belongsTo(response, serverRequest.Request.Number, request.Close) {
+		conns.close()
+		return Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonTruncated, Cause: CauseNone}
+	}
 	return responseResult(response)
 }
 
+// belongsTo reports whether a response belongs to the request with a number. It takes a
+// response without a number only from a connection that served no other request.
+func (d *Dispatcher) belongsTo(response *http.Response, number string, soleRequest bool) bool {
+	returned := response.Header.Get(messenger.HeaderRequestNumber)
+	switch {
+	case returned == "" || number == "":
+		d.numbering.Store(false)
+		return soleRequest
+	case returned != number:
+		return false
+	}
+	d.numbering.Store(true)
+	return true
+}
+
 // failedResult returns the result of a request without a response.
 func (d *Dispatcher) failedResult(ctx context.Context, conns *usedConns, err error) Result {
 	if conns.blockWrites() {
--- a/router/dispatcher/dispatcher_test.go
+++ b/router/dispatcher/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -119,13 +120,15 @@
 		if request == 1 {
 			return ""
 		}
-		return completeAnswer
+		return strings.Replace(completeAnswer, "\r\n", "\r\nMarigold-Request: n1\r\n", 1)
 	})
 	for _, empty := range []bool{false, true} {
 		backend := dispatcher.New(networker.TCP{})
 		var last dispatcher.Result
-		for range 2 {
+		// The first request has a connection of its own, the others share one.
+		for range 3 {
 			serverRequest := serverRequest(url)
+			serverRequest.Request.Number = "n1"
 			if empty {
 				serverRequest.Body = nil
 				serverRequest.Request.Length = 0
@@ -138,7 +141,7 @@
 		}
 		qt.Assert(t, last.Outcome, qt.Equals, messenger.OutcomeUnknown)
 	}
-	qt.Assert(t, runs.Load(), qt.Equals, int64(4))
+	qt.Assert(t, runs.Load(), qt.Equals, int64(6))
 }
 
 func TestRefusedConnectionMeansNotRun(t *testing.T) {
@@ -184,3 +187,55 @@
 	qt.Assert(t, got.Header.Get("X-Keep"), qt.Equals, "1")
 	qt.Assert(t, got.Header.Get("X-Drop"), qt.Equals, "")
 }
+
+// Guards against the response to an earlier request that a server sends a second time, on
+// a connection that was reused: the next caller would get an answer that is not its own.
+func TestLateCopyIsNotTakenForTheNextResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+	tests := []struct {
+		name string
+		// numbered is set if the server returns the numbers of requests.
+		numbered bool
+		want     messenger.Outcome
+	}{
+		{name: "numbered", numbered: true, want: messenger.OutcomeUnknown},
+		{name: "without numbers", want: messenger.OutcomeDone},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			respond := func(number string) string {
+				if test.numbered {
+					return head + "Marigold-Request: " + number + "\r\n\r\n" + number
+				}
+				return head + "\r\n" + number
+			}
+			url, _ := serve(t, func(conn, request int) string {
+				// Every connection answers its third request with a copy of its second one.
+				return respond(fmt.Sprint(conn + min(request, 1)))
+			})
+			backend := dispatcher.New(networker.TCP{})
+			defer backend.Close()
+			send := func(number string) (dispatcher.Result, string) {
+				next := serverRequest(url)
+				next.Request.Number = number
+				result := backend.Send(t.Context(), next)
+				if result.Body == nil {
+					return result, ""
+				}
+				data, err := io.ReadAll(result.Body)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, result.Body.Close(), qt.IsNil)
+				return result, string(data)
+			}
+			// The first request opens a connection of its own.
+			for number := range 3 {
+				result, body := send(fmt.Sprint(number))
+				qt.Assert(t, result.Outcome, qt.Equals, messenger.OutcomeDone)
+				qt.Assert(t, body, qt.Equals, fmt.Sprint(number))
+			}
+			result, body := send("3")
+			qt.Check(t, result.Outcome, qt.Equals, test.want)
+			qt.Check(t, body, qt.Not(qt.Equals), "2")
+		})
+	}
+}
--- a/router/dispatcher/exchange.go
+++ b/router/dispatcher/exchange.go
@@ -39,6 +39,9 @@
 	request.Header.Set(messenger.HeaderFence, strconv.FormatUint(serverRequest.Fence, 10))
 	request.Header.Set(messenger.HeaderShard, strconv.FormatUint(uint64(serverRequest.Shard), 10))
 	request.Header.Set(messenger.HeaderDeadline, strconv.FormatInt(serverRequest.Deadline.UnixMilli(), 10))
+	if source.Number != "" {
+		request.Header.Set(messenger.HeaderRequestNumber, source.Number)
+	}
 	if source.Idempotency != "" {
 		request.Header.Set(messenger.HeaderIdempotencyKey, source.Idempotency)
 	}
--- a/router/dispatcher/tracked_conn.go
+++ b/router/dispatcher/tracked_conn.go
@@ -84,3 +84,12 @@
 	}
 	return written
 }
+
+// close closes the connections of the request.
+func (u *usedConns) close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, conn := range u.conns {
+		_ = conn.Close()
+	}
+}
