Answer requests that have begun to arrive when a planned stop begins

Cause: http.Server.Shutdown drops a request whose header it finishes reading after the stop began, and connections that the kernel has accepted and the server has not. In routed mode a stop waits for callers to leave first, which made this rare; in sharded mode nothing did.

Change: listener.Guard stops the server instead: it accepts the backlog, lets each request that has begun to arrive get its response with Connection: close, and ends connections without one through their read deadline, so that a request that arrives at that moment is still served. Failed tries: to ignore the Close that Shutdown makes on such connections (net/http drops the request all the same after it has read it), and a single accept timeout (on a busy machine it passed before the first look at the backlog).

--- a/kernel/pacer/pacer.go
+++ b/kernel/pacer/pacer.go
@@ -141,3 +141,8 @@
 	}
 	return written, nil
 }
+
+// NetConn returns the connection that c wraps.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
--- a/router/acceptor/acceptor.go
+++ b/router/acceptor/acceptor.go
@@ -20,7 +20,6 @@
 	"context"
 	"io"
 	"log"
-	"net"
 	"net/http"
 	"time"
 
@@ -34,6 +33,7 @@
 	"marigoldhill/kernel/registrar"
 	"marigoldhill/router/executor"
 	"marigoldhill/router/forwarder"
+	"marigoldhill/router/listener"
 	"marigoldhill/router/locator"
 )
 
@@ -94,7 +94,7 @@
 	requestIDs *idGenerator
 	counters   *counters
 	server     *http.Server
-	listener   net.Listener
+	guard      *listener.Guard
 	serveDone  chan struct{}
 }
 
@@ -145,15 +145,17 @@
 
 // Start implements [registrar.Service]. It starts to listen.
 func (a *Acceptor) Start(context.Context, *registrar.Registrar) error {
-	listener, err := a.options.Network.Listen(a.settings.Listen)
+	socket, err := a.options.Network.Listen(a.settings.Listen)
 	if err != nil {
 		return Error.New("listening for callers: %w", err)
 	}
-	a.listener = listener
+	a.guard = listener.NewGuard(socket)
+	a.server.Handler = a.guard.Handler(a.server.Handler)
+	a.server.ConnState = a.guard.ConnState
 	go func() {
 		defer close(a.serveDone)
 		// Serve returns when Stop closes the listener.
-		_ = a.server.Serve(&inspectingListener{Listener: a.listener, counters: a.counters})
+		_ = a.server.Serve(&inspectingListener{Listener: a.guard, counters: a.counters})
 	}()
 	a.options.Log.Emit(logger.CallerListening, "address", a.Address())
 	return nil
@@ -161,16 +163,15 @@
 
 // Address returns the address that the listener is bound to.
 func (a *Acceptor) Address() string {
-	return a.listener.Addr().String()
+	return a.guard.Addr().String()
 }
 
 // Stop implements [registrar.Service]. It accepts no more requests and waits for those
 // in flight. When ctx is done first, it closes their connections.
 func (a *Acceptor) Stop(ctx context.Context) error {
-	err := a.server.Shutdown(ctx)
+	err := a.guard.Stop(ctx, a.server)
 	if err != nil {
 		err = Error.New("closing connections with requests in flight: %w", err)
-		_ = a.server.Close()
 	}
 	<-a.serveDone
 	return err
--- a/router/acceptor/inspecting_listener.go
+++ b/router/acceptor/inspecting_listener.go
@@ -53,3 +53,8 @@
 	}
 	return nil
 }
+
+// NetConn returns the connection that c wraps.
+func (c *inspectingConn) NetConn() net.Conn {
+	return c.Conn
+}
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -104,6 +104,9 @@
 	sampler  *sampler.Sampler
 	owner    *relayer.Owner
 	entry    *relayer.Entry
+	// inbound and outbound account for the link of the VM.
+	inbound  *inviter.Link
+	outbound *pacer.Bucket
 	// pacedNetwork is the network for all traffic to and from other VMs.
 	pacedNetwork networker.Network
 	pool         *linker.Pool
@@ -112,6 +115,7 @@
 	members      []string
 
 	callerServer     *http.Server
+	callerGuard      *listener.Guard
 	announceListener *listener.Listener
 	readyListener    *listener.Listener
 	metricsListener  *listener.Listener
@@ -150,8 +154,9 @@
 		IsConnected: func() bool { return rangeClient.IsConnected() || p.backend.IsConnected() },
 		Log:         options.Log,
 	})
-	inbound := inviter.New(p.settings.LinkMbits * bytesPerMegabit)
-	p.pacedNetwork = pacer.New(inviter.NewNetwork(options.Network, inbound), pacer.NewBucket(p.settings.LinkMbits*bytesPerMegabit))
+	p.inbound = inviter.New(p.settings.LinkMbits * bytesPerMegabit)
+	p.outbound = pacer.NewBucket(p.settings.LinkMbits * bytesPerMegabit)
+	p.pacedNetwork = p.paced(options.Network)
 	p.pool = linker.NewPool(p.pacedNetwork, p.linkOptions())
 	p.members = p.settings.replicas()
 	p.keeper = keeper.New(keeper.Settings{
@@ -183,7 +188,7 @@
 		Admission:     p.admission,
 		Backend:       p.backend,
 		Sampler:       p.sampler,
-		Inbound:       inbound,
+		Inbound:       p.inbound,
 		RequestUpdate: p.keeper.RequestUpdate,
 		Log:           options.Log,
 		Metrics:       options.Metrics,
@@ -202,6 +207,11 @@
 	})
 }
 
+// paced returns network with the account of the link of the VM.
+func (p *Routed) paced(network networker.Network) networker.Network {
+	return pacer.New(inviter.NewNetwork(network, p.inbound), p.outbound)
+}
+
 func (p *Routed) linkOptions() linker.Options {
 	return linker.Options{
 		Hello: messenger.Hello{
@@ -352,14 +362,17 @@
 }
 
 func (p *Routed) startCallers(context.Context) error {
-	socket, err := p.pacedNetwork.Listen(p.settings.Callers)
+	guarded := &listener.GuardNetwork{Network: p.options.Network}
+	socket, err := p.paced(guarded).Listen(p.settings.Callers)
 	if err != nil {
 		return Error.New("listening for callers: %w", err)
 	}
+	p.callerGuard = guarded.Guard
 	p.callerServer = &http.Server{
-		Handler:           p.closeWhenLeaving(p.options.Callers(p.entry)),
+		Handler:           p.callerGuard.Handler(p.closeWhenLeaving(p.options.Callers(p.entry))),
 		ReadHeaderTimeout: callerHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
+		ConnState:         p.callerGuard.ConnState,
 	}
 	go p.serveCallers(socket)
 	return nil
@@ -385,8 +398,7 @@
 }
 
 func (p *Routed) stopCallers(ctx context.Context) error {
-	if err := p.callerServer.Shutdown(ctx); err != nil {
-		_ = p.callerServer.Close()
+	if err := p.callerGuard.Stop(ctx, p.callerServer); err != nil {
 		return Error.New("waiting for the requests of callers: %w", err)
 	}
 	return nil
--- a/router/inviter/network.go
+++ b/router/inviter/network.go
@@ -66,3 +66,8 @@
 	c.link.Charge(c.link.Now(), int64(n))
 	return n, err
 }
+
+// NetConn returns the connection that c wraps.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
--- /dev/null
+++ b/router/listener/guard.go
@@ -0,0 +1,251 @@
+package listener
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"marigoldhill/kernel/networker"
+)
+
+const (
+	// backlogTimeout is how long a closing Guard waits for each connection that the kernel
+	// has accepted already, backlogAttempts how often it does: on a busy machine the time
+	// may pass before the first look.
+	backlogTimeout  = 10 * time.Millisecond
+	backlogAttempts = 3
+	// firstRequestTimeout is how long a new connection may take to send its first byte
+	// during a stop.
+	firstRequestTimeout = 300 * time.Millisecond
+	// stopPollInterval is the time between two looks for connections without a request.
+	stopPollInterval = 5 * time.Millisecond
+)
+
+// Guard is a listener for an [http.Server] that is stopped under load. Shutdown of that
+// server drops a request whose header it has not finished reading, and connections that
+// wait in the backlog. [Guard.Stop] accepts these, lets every request that has begun to
+// arrive get its response, and ends connections without one.
+//
+// # Usage
+//
+//	guard := listener.NewGuard(socket)
+//	server := &http.Server{Handler: guard.Handler(handler), ConnState: guard.ConnState}
+//	go server.Serve(guard)
+//	...
+//	err := guard.Stop(ctx, server)
+type Guard struct {
+	net.Listener
+	leaving atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*guardedConn]struct{}
+}
+
+// GuardNetwork is a network whose listeners are Guards.
+type GuardNetwork struct {
+	networker.Network
+	// Guard is the Guard of the last call of Listen.
+	Guard *Guard
+}
+
+// Listen implements [networker.Network].
+func (n *GuardNetwork) Listen(address string) (net.Listener, error) {
+	socket, err := n.Network.Listen(address)
+	if err != nil {
+		return nil, Error.New("listening: %w", err)
+	}
+	n.Guard = NewGuard(socket)
+	return n.Guard, nil
+}
+
+// NewGuard returns a Guard of socket.
+func NewGuard(socket net.Listener) *Guard {
+	return &Guard{Listener: socket, conns: make(map[*guardedConn]struct{})}
+}
+
+// Handler returns a handler whose responses end their connection during a stop.
+func (g *Guard) Handler(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// Stop stops server, which must use the Handler and the ConnState of the Guard. When ctx
+// is done first, it closes the connections that are left and returns an error.
+func (g *Guard) Stop(ctx context.Context, server *http.Server) error {
+	g.leaving.Store(true)
+	g.closeAfterBacklog()
+	ticker := time.NewTicker(stopPollInterval)
+	defer ticker.Stop()
+	for open := g.expireWaiting(); open > 0; open = g.expireWaiting() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			_ = server.Close()
+			return Error.New("waiting for %d connections: %w", open, ctx.Err())
+		}
+	}
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close()
+		return Error.New("shutting the server down: %w", err)
+	}
+	return nil
+}
+
+// deadliner is a listener whose Accept can time out.
+type deadliner interface {
+	SetDeadline(t time.Time) error
+}
+
+// closeAfterBacklog makes Accept close the listener once no connection waits.
+func (g *Guard) closeAfterBacklog() {
+	socket, ok := g.Listener.(deadliner)
+	if !ok || socket.SetDeadline(time.Now().Add(backlogTimeout)) != nil {
+		_ = g.Close()
+	}
+}
+
+// expireWaiting ends the connections on which no request has begun to arrive, and returns
+// how many connections are open.
+func (g *Guard) expireWaiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for conn := range g.conns {
+		conn.expire()
+	}
+	return len(g.conns)
+}
+
+// Accept implements [net.Listener].
+func (g *Guard) Accept() (net.Conn, error) {
+	conn, err := g.Listener.Accept()
+	for attempt := 0; errors.Is(err, os.ErrDeadlineExceeded); attempt++ {
+		if attempt == backlogAttempts {
+			_ = g.Close()
+			return nil, net.ErrClosed
+		}
+		g.closeAfterBacklog()
+		conn, err = g.Listener.Accept()
+	}
+	if err != nil {
+		return nil, err
+	}
+	guarded := &guardedConn{Conn: conn, guard: g, acceptedAt: time.Now(), isNew: true, waiting: true}
+	g.mu.Lock()
+	g.conns[guarded] = struct{}{}
+	g.mu.Unlock()
+	return guarded, nil
+}
+
+// Close implements [net.Listener]. Closing again has no effect.
+func (g *Guard) Close() error {
+	if err := g.Listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return Error.New("closing the listener: %w", err)
+	}
+	return nil
+}
+
+// ConnState is the hook of the server for states of connections.
+func (g *Guard) ConnState(conn net.Conn, state http.ConnState) {
+	for {
+		if guarded, ok := conn.(*guardedConn); ok {
+			guarded.setState(state)
+			return
+		}
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return
+		}
+		conn = wrapper.NetConn()
+	}
+}
+
+// guardedConn is a connection that knows whether a request has begun to arrive on it.
+type guardedConn struct {
+	net.Conn
+	guard      *Guard
+	acceptedAt time.Time
+
+	mu sync.Mutex
+	// isNew is set until the first byte arrives.
+	isNew bool
+	// waiting is set while the server waits for a request.
+	waiting bool
+	// expired is set while a read is made to fail.
+	expired bool
+}
+
+func (c *guardedConn) setState(state http.ConnState) {
+	if state != http.StateIdle {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = true
+}
+
+// Read implements [net.Conn].
+func (c *guardedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isNew, c.waiting = false, false
+	if c.expired {
+		// The request arrived just before the read would have failed.
+		c.expired = false
+		if err := c.SetReadDeadline(time.Now().Add(readHeaderTimeout)); err != nil {
+			return n, Error.New("extending the time of a read: %w", err)
+		}
+	}
+	return n, err
+}
+
+// expire makes the server end the connection if no request has begun to arrive on it.
+func (c *guardedConn) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waiting || c.isNew && time.Since(c.acceptedAt) < firstRequestTimeout || hasArrived(c.Conn) {
+		return
+	}
+	c.expired = true
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// Close implements [net.Conn].
+func (c *guardedConn) Close() error {
+	c.guard.mu.Lock()
+	delete(c.guard.conns, c)
+	c.guard.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// hasArrived reports whether bytes wait to be read from a connection.
+func hasArrived(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	arrived := false
+	err = raw.Control(func(descriptor uintptr) {
+		var peeked [1]byte
+		n, _, err := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		arrived = err == nil && n > 0
+	})
+	return err == nil && arrived
+}
