Relieve other servers while one key overloads its own

Cause: a round of balancing looked at the most loaded server only and ended when no move could relieve it. A key that exceeds its server cannot be divided, so while there is one (nearly always in a large fleet) no other server was relieved.

Change: a server that no move can relieve is passed over, also in the mean that the others are compared with.

--- a/control/balancer/range_load.go
+++ b/control/balancer/range_load.go
@@ -27,6 +27,8 @@
 	// medianFailureRate is the baseline for the failure rates of servers, since all
 	// of them fail requests when a service that they call fails.
 	medianFailureRate float64
+	// passedOver are the servers that no move can relieve.
+	passedOver map[uint64]bool
 }
 
 func newRangeLoads(ranges []Range, servers []RangeServer, arrivals []float64) *rangeLoads {
@@ -35,6 +37,7 @@
 		servers:            make(map[uint64]*RangeServer),
 		load:               make(map[uint64]float64),
 		keys:               make(map[uint64]float64),
+		passedOver:         make(map[uint64]bool),
 		meanRequestSeconds: meanRequestSecondsOf(servers),
 		medianFailureRate:  medianFailureRateOf(servers),
 	}
@@ -136,12 +139,13 @@
 	return best
 }
 
-// extremes returns the most and the least loaded server, and the mean utilization.
+// extremes returns the most and the least loaded server, and the mean utilization, of the
+// servers that are not passed over.
 func (l *rangeLoads) extremes() (mostLoaded, leastLoaded uint64, mean float64) {
 	leastLoaded = l.leastLoaded(0)
 	sum, count := 0.0, 0
 	for session, server := range l.servers {
-		if !server.Accepts {
+		if !server.Accepts || l.passedOver[session] {
 			continue
 		}
 		sum += l.utilization(session)
--- a/control/balancer/range_test.go
+++ b/control/balancer/range_test.go
@@ -325,3 +325,68 @@
 		qt.Assert(t, owner, qt.Equals, uint64(1), qt.Commentf("key %d", key))
 	}
 }
+
+// fleetLoad returns the servers of a large fleet, whose speeds differ, with ranges placed
+// by slots, and arrivals for three quarters of their slots, with a share on top for one key.
+func fleetLoad(count int, seed uint64, hotShare float64) ([]balancer.RangeServer, []uint64, []float64) {
+	random := rand.New(rand.NewPCG(seed, 11))
+	seconds := make([]float64, count)
+	for n := range seconds {
+		seconds[n] = []float64{0.17, 0.24, 0.38}[random.IntN(3)]
+	}
+	servers := newServers(seconds...)
+	rate := 0.75 * 6 * float64(count) / 0.26
+	arrivals := make([]float64, keys)
+	sum := 0.0
+	for n := range arrivals {
+		arrivals[n] = math.Pow(float64(n+1), -0.43)
+		sum += arrivals[n]
+	}
+	random.Shuffle(len(arrivals), func(i, j int) { arrivals[i], arrivals[j] = arrivals[j], arrivals[i] })
+	for n := range arrivals {
+		arrivals[n] *= rate / sum
+	}
+	arrivals[random.IntN(keys)] += rate * hotShare
+	return servers, ownersOf(nil, balancer.PlaceInitial(servers)), arrivals
+}
+
+// excessLoad returns the fraction of the load that is above the capacity of its server. One
+// server, that of the hot key, is left out.
+func excessLoad(owners []uint64, servers []balancer.RangeServer, arrivals []float64) float64 {
+	arrivalsOf := make(map[uint64]float64)
+	total := 0.0
+	for key, owner := range owners {
+		arrivalsOf[owner] += arrivals[key]
+	}
+	var excess []float64
+	for _, server := range servers {
+		capacity := float64(server.Slots) / server.RequestSeconds
+		excess = append(excess, math.Max(arrivalsOf[server.Session]-capacity, 0))
+		total += math.Min(arrivalsOf[server.Session], capacity)
+	}
+	slices.Sort(excess)
+	sum := 0.0
+	for _, e := range excess[:len(excess)-1] {
+		sum += e
+	}
+	return sum / total
+}
+
+// Replays a key with a fifth of the load of a large fleet: its server cannot be relieved,
+// and must not keep the others from being relieved.
+func TestHotKeyDoesNotStopTheBalancingOfOthers(t *testing.T) {
+	for _, count := range []int{30, 116} {
+		for _, hotShare := range []float64{0, 0.2} {
+			for seed := range uint64(4) {
+				servers, owners, arrivals := fleetLoad(count, seed, hotShare)
+				before := excessLoad(owners, servers, arrivals)
+				for range 12 {
+					owners = ownersOf(rangesOf(owners), balancer.Rebalance(rangesOf(owners), servers, arrivals))
+				}
+				after := excessLoad(owners, servers, arrivals)
+				t.Logf("%d servers, hot key %.1f, seed %d: excess load %.3f, was %.3f", count, hotShare, seed, after, before)
+				qt.Check(t, after <= 0.01, qt.IsTrue, qt.Commentf("%d servers, hot key %.1f, seed %d: excess load %.3f, was %.3f", count, hotShare, seed, after, before))
+			}
+		}
+	}
+}
--- a/control/balancer/rebalance.go
+++ b/control/balancer/rebalance.go
@@ -33,17 +33,26 @@
 // the most loaded server the shortest run of keys that carries about half of the
 // difference to the least loaded one. A key that exceeds the capacity of any server
 // goes to the fastest.
+//
+// The load pattern that it answers: in a large fleet there is nearly always a key that
+// overloads its server and cannot be divided. A server that no move can relieve is passed
+// over, so that the others are relieved all the same.
 func Rebalance(ranges []Range, servers []RangeServer, arrivals []float64) []PlacedRange {
 	loads := newRangeLoads(ranges, servers, arrivals)
 	ranges = slices.Clone(ranges)
 	var moves []PlacedRange
-	for range maxMoves {
+	for len(moves) < maxMoves {
 		move, n := loads.chooseMove(ranges)
 		if n < 0 {
 			move, n = loads.chooseHotKeyMove(ranges)
 		}
 		if n < 0 {
-			break
+			mostLoaded, _, _ := loads.extremes()
+			if mostLoaded == 0 || !loads.isOverloaded(mostLoaded) {
+				break
+			}
+			loads.passedOver[mostLoaded] = true
+			continue
 		}
 		moves = append(moves, move)
 		loads.addRange(ranges[n].Owner, move.From, move.To, -1)
@@ -70,7 +79,7 @@
 // the index of the range that it is part of, -1 when no move is worth its cost.
 func (l *rangeLoads) chooseMove(ranges []Range) (PlacedRange, int) {
 	mostLoaded, leastLoaded, mean := l.extremes()
-	if mostLoaded == 0 || leastLoaded == 0 || l.utilization(mostLoaded) < max(minUtilization, rebalanceThreshold*mean) {
+	if mostLoaded == 0 || leastLoaded == 0 || !l.isOverloaded(mostLoaded) {
 		return PlacedRange{}, -1
 	}
 	// Moving a rate of x lowers the utilization of the one server by x times its
@@ -94,6 +103,13 @@
 	return best, index
 }
 
+// isOverloaded reports whether a server has so much more load than the others that ranges
+// should move away from it.
+func (l *rangeLoads) isOverloaded(session uint64) bool {
+	_, _, mean := l.extremes()
+	return l.utilization(session) >= max(minUtilization, rebalanceThreshold*mean)
+}
+
 // chooseHotKeyMove chooses the move of a key that alone exceeds the capacity of its
 // owner to a faster server, and returns the index of the range that it is part of,
 // -1 when there is none. Splitting the range would not help with such a key.
