Do not say that a route does not exist from an old configuration

Cause: a router that has lost the control group goes on with the last configuration that it has.

Change: the answer that a route does not exist needs a confirmation that the configuration is the newest one, at most a second old (the lease is renewed from when the heartbeat was sent, once the table is applied). Otherwise the request is refused with 503 and a time to come back. Routes that the router knows are served as before.

Result: TestEntryRefusals, new case, failed before.

--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -204,6 +204,8 @@
 		RequestUpdate: p.keeper.RequestUpdate,
 		Log:           options.Log,
 		Metrics:       options.Metrics,
+
+		ConfigurationAge: func() time.Duration { return timer.Now().Since(p.keeper.Lease().RenewedAt) },
 	})
 }
 
--- a/router/relayer/entry.go
+++ b/router/relayer/entry.go
@@ -121,6 +121,9 @@
 	Budget  *budgeter.Budgeter
 	// Session returns the session of this router, or 0 without one.
 	Session func() uint64
+	// ConfigurationAge returns how long ago the control group confirmed the configuration
+	// of the map as the newest one.
+	ConfigurationAge func() time.Duration
 	// RequestUpdate requests an early update from the control group. It is called while a
 	// request waits for a newer map.
 	RequestUpdate func()
@@ -172,6 +175,10 @@
 		return e.finish(call, nil, started, Answer{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonUnready, RetryAfter: unreadyRetryAfter})
 	}
 	route := routes.Match(call.Host, call.Path())
+	if route == nil && e.options.ConfigurationAge() > maxConfigurationAge {
+		e.options.RequestUpdate()
+		return e.finish(call, nil, started, Answer{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonUnready, RetryAfter: unreadyRetryAfter})
+	}
 	if route == nil {
 		return e.finish(call, nil, started, Answer{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonRoute})
 	}
@@ -198,6 +205,11 @@
 	return e.finish(call, routedCall, started, answer)
 }
 
+// maxConfigurationAge is how old the confirmation of a configuration may be for the answer
+// that a route does not exist. A router that is cut off from the control group goes on to
+// serve the routes that it knows, but cannot know that there is no other.
+const maxConfigurationAge = time.Second
+
 // unreadyRetryAfter is the delay after which callers of a router without
 // configuration should retry. The router receives one with its first heartbeat.
 const unreadyRetryAfter = 500 * time.Millisecond
--- a/router/relayer/entry_test.go
+++ b/router/relayer/entry_test.go
@@ -24,6 +24,11 @@
 // newEntry returns an Entry of the router beside o, with an idempotent route and one
 // that is not. Its server owns the keys 0 to 99 and the moving keys 200 to 299.
 func newEntry(t *testing.T, o *testOwner, configured bool) (*relayer.Entry, *mapper.Mapper) {
+	return newEntryOfAge(t, o, configured, 0)
+}
+
+// newEntryOfAge is newEntry with a configuration that was confirmed some time ago.
+func newEntryOfAge(t *testing.T, o *testOwner, configured bool, age time.Duration) (*relayer.Entry, *mapper.Mapper) {
 	routes := mapper.New()
 	if configured {
 		part := []messenger.RoutePart{{Service: "findings", Weight: 1}}
@@ -47,8 +52,9 @@
 	}
 	return relayer.NewEntry(relayer.EntryOptions{
 		Mapper: routes, Owner: o.Owner, Session: func() uint64 { return ownSession }, RequestUpdate: func() {},
-		Budget: budgeter.New(budgeter.Settings{Ratio: 1, Reserve: 10, Window: 10 * time.Second}),
-		Log:    logger.Discard(), Metrics: metrics.NewSet(),
+		ConfigurationAge: func() time.Duration { return age },
+		Budget:           budgeter.New(budgeter.Settings{Ratio: 1, Reserve: 10, Window: 10 * time.Second}),
+		Log:              logger.Discard(), Metrics: metrics.NewSet(),
 	}), routes
 }
 
@@ -65,6 +71,8 @@
 		name       string
 		configured bool
 		call       *relayer.Call
+		// age is how long ago the configuration was confirmed.
+		age time.Duration
 		// released is set if the owner has released the key.
 		released bool
 		reason   messenger.Reason
@@ -73,6 +81,8 @@
 	}{
 		{name: "no configuration yet", call: call("/find/x", 7), reason: messenger.ReasonUnready},
 		{name: "no route", configured: true, call: call("/none/x", 7), reason: messenger.ReasonRoute},
+		{name: "no route, confirmed lately", configured: true, call: call("/none/x", 7), age: time.Second, reason: messenger.ReasonRoute},
+		{name: "no route, not confirmed lately", configured: true, call: call("/none/x", 7), age: 1100 * time.Millisecond, reason: messenger.ReasonUnready},
 		{name: "body too large", configured: true, call: largeBody, reason: messenger.ReasonOversize},
 		{name: "header too large", configured: true, call: largeHeader, reason: messenger.ReasonOversize},
 		{name: "key is missing", configured: true, call: call("/find/x", messenger.NoKey), reason: messenger.ReasonMalformed},
@@ -86,7 +96,7 @@
 				if test.released {
 					o.keys.set(messenger.ReasonMoving)
 				}
-				entry, _ := newEntry(t, o, test.configured)
+				entry, _ := newEntryOfAge(t, o, test.configured, test.age)
 				started := time.Now()
 				answer := entry.Serve(t.Context(), test.call)
 				qt.Assert(t, answer.Outcome, qt.Equals, messenger.OutcomeRefused)
--- a/router/relayer/upload_test.go
+++ b/router/relayer/upload_test.go
@@ -91,8 +91,9 @@
 	}), qt.IsNil)
 	entry := relayer.NewEntry(relayer.EntryOptions{
 		Mapper: routes, Owner: o.Owner, Opener: pool, Session: func() uint64 { return ownSession }, RequestUpdate: func() {},
-		Budget: budgeter.New(budgeter.Settings{Ratio: 1, Reserve: 10, Window: 10 * time.Second}),
-		Log:    logger.Discard(), Metrics: metrics.NewSet(),
+		ConfigurationAge: func() time.Duration { return 0 },
+		Budget:           budgeter.New(budgeter.Settings{Ratio: 1, Reserve: 10, Window: 10 * time.Second}),
+		Log:              logger.Discard(), Metrics: metrics.NewSet(),
 	})
 	return &remoteFixture{entry: entry, owner: o, backend: backend}
 }
