Ask a server to release the keys of an earlier start at once

Change: without a known name the server is asked to release the keys, which takes one call. They wait only if the session knows that the names are equal.

--- a/router/holder/keystate.go
+++ b/router/holder/keystate.go
@@ -105,8 +105,11 @@
 		return state
 	case state.grantedAt.IsZero() && state.inherited:
 		// An earlier process of this router may have granted the keys, to the server that
-		// the session knows.
-		sameName = m.recorded.born != row.Life || m.recorded.name == m.server.name
+		// the session knows. Without a name of it, the server is asked to release them: a
+		// late grant that follows is for a name that is hardly the same.
+		known := m.recorded.born == row.Life
+		sameName = !known || m.recorded.name == m.server.name
+		state.inherited = known
 	case state.grantedAt.IsZero():
 		sameName = false
 	}
--- a/router/holder/statemachine_test.go
+++ b/router/holder/statemachine_test.go
@@ -286,13 +286,16 @@
 		// early is set if the server announces itself before the ranges are known.
 		early bool
 		freed bool
+		// released is set if the server is asked to release the keys at once.
+		released bool
 	}{
 		{name: "same name", recorded: server, next: incarnation{name: server.name, born: restarted.born}},
 		{name: "same name, announced early", recorded: server, next: incarnation{name: server.name, born: restarted.born}, early: true},
 		{name: "another name", recorded: server, next: restarted, freed: true},
 		{name: "another name, announced early", recorded: server, next: restarted, early: true, freed: true},
-		{name: "no name is known", next: restarted},
-		{name: "another start is known", recorded: incarnation{name: server.name, born: 1}, next: restarted},
+		{name: "no name is known", next: restarted, released: true},
+		{name: "no name is known, announced early", next: restarted, early: true, released: true},
+		{name: "another start is known", recorded: incarnation{name: server.name, born: 1}, next: restarted, released: true},
 	}
 	for _, test := range tests {
 		comment := qt.Commentf(test.name)
@@ -311,6 +314,14 @@
 			continue
 		}
 		qt.Check(t, machine.freed(), qt.HasLen, 0, comment)
+		if test.released {
+			calls := machine.plan(at(200*time.Millisecond), lease)
+			qt.Assert(t, calls, qt.HasLen, 1, comment)
+			qt.Check(t, calls[0].Release, qt.IsTrue, comment)
+			machine.endCall(at(210*time.Millisecond), calls[0], Accepted, "")
+			qt.Check(t, machine.freed(), qt.HasLen, 1, comment)
+			continue
+		}
 		// A late grant of the earlier process could follow a release.
 		qt.Check(t, machine.plan(at(lease), lease), qt.HasLen, 0, comment)
 		qt.Check(t, machine.freed(), qt.HasLen, 0, comment)
