Reset an HTTP/1.0 connection whose response breaks off

Cause: the body of a response without length ends with the connection for a caller of HTTP/1.0. When the server's answer broke off, the connection was closed like after a complete one.

Change: such a connection is reset. Also, a Guard that stops accepts connections for 200 ms at most: with callers that go on connecting, its stop did not end (TestStopWaitsForRequestsInFlight hung for 600 s beside load).

--- a/router/acceptor/handle.go
+++ b/router/acceptor/handle.go
@@ -119,7 +119,7 @@
 		a.writeFailure(w, &answer.Response, body)
 		return
 	}
-	a.writeBackendResponse(w, answer)
+	a.writeBackendResponse(w, r, answer)
 }
 
 // setDeadlines limits how long a caller that sends or reads nothing can hold a request
@@ -153,7 +153,7 @@
 }
 
 // writeBackendResponse streams the response of the backend server to the caller.
-func (a *Acceptor) writeBackendResponse(w http.ResponseWriter, answer executor.Answer) {
+func (a *Acceptor) writeBackendResponse(w http.ResponseWriter, r *http.Request, answer executor.Answer) {
 	response := &answer.Response
 	header := w.Header()
 	for _, field := range response.Header {
@@ -170,7 +170,7 @@
 		// complete one.
 		a.counters.aborted.Inc()
 		a.counters.count(messenger.OutcomeUnknown, messenger.ReasonTruncated)
-		panic(http.ErrAbortHandler)
+		abortResponse(w, r)
 	}
 	a.counters.count(messenger.OutcomeDone, messenger.ReasonNone)
 }
--- a/router/acceptor/routed.go
+++ b/router/acceptor/routed.go
@@ -104,6 +104,6 @@
 		return
 	}
 	if _, err := io.Copy(w, answer.Body); err != nil {
-		panic(http.ErrAbortHandler)
+		abortResponse(w, r)
 	}
 }
--- a/router/listener/guard.go
+++ b/router/listener/guard.go
@@ -20,6 +20,9 @@
 	// may pass before the first look.
 	backlogTimeout  = 10 * time.Millisecond
 	backlogAttempts = 3
+	// maxBacklogTime is how long a closing Guard accepts connections at most. It must end
+	// while callers go on connecting.
+	maxBacklogTime = 200 * time.Millisecond
 	// firstRequestTimeout is how long a new connection may take to send its first byte
 	// during a stop.
 	firstRequestTimeout = 300 * time.Millisecond
@@ -42,6 +45,9 @@
 type Guard struct {
 	net.Listener
 	leaving atomic.Bool
+	// acceptUntil is when a Guard that leaves accepts no more connections. It is set before
+	// leaving.
+	acceptUntil time.Time
 
 	mu    sync.Mutex
 	conns map[*guardedConn]struct{}
@@ -82,6 +88,7 @@
 // Stop stops server, which must use the Handler and the ConnState of the Guard. When ctx
 // is done first, it closes the connections that are left and returns an error.
 func (g *Guard) Stop(ctx context.Context, server *http.Server) error {
+	g.acceptUntil = time.Now().Add(maxBacklogTime)
 	g.leaving.Store(true)
 	g.closeAfterBacklog()
 	ticker := time.NewTicker(stopPollInterval)
@@ -127,6 +134,10 @@
 
 // Accept implements [net.Listener].
 func (g *Guard) Accept() (net.Conn, error) {
+	if g.leaving.Load() && time.Now().After(g.acceptUntil) {
+		_ = g.Close()
+		return nil, net.ErrClosed
+	}
 	conn, err := g.Listener.Accept()
 	for attempt := 0; errors.Is(err, os.ErrDeadlineExceeded); attempt++ {
 		if attempt == backlogAttempts {
@@ -223,6 +234,11 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
 
+// NetConn returns the connection that c wraps.
+func (c *guardedConn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Close implements [net.Conn].
 func (c *guardedConn) Close() error {
 	c.guard.mu.Lock()
--- a/router/listener/guard_test.go
+++ b/router/listener/guard_test.go
@@ -104,6 +104,23 @@
 	}
 }
 
+// Guards against a stop that never ends because callers go on connecting.
+func TestStopEndsWhileCallersConnect(t *testing.T) {
+	address, stop := startGuarded(t, okHandler)
+	stopped := make(chan error, 1)
+	go func() { stopped <- stop() }()
+	started := time.Now()
+	for time.Since(started) < 2*time.Second {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			break
+		}
+		_ = conn.Close()
+	}
+	qt.Check(t, time.Since(started) < time.Second, qt.IsTrue, qt.Commentf("connections were accepted for %s", time.Since(started)))
+	qt.Check(t, <-stopped, qt.IsNil)
+}
+
 // A connection on which nothing was asked does not delay a stop, and neither does one whose
 // caller leaves in the middle of a header, or whose handler breaks its response off.
 func TestStopClosesOtherConnections(t *testing.T) {
