--- a/control/journaler/space.go
+++ b/control/journaler/space.go
@@ -32,8 +32,9 @@
 	}
 	if errors.Is(err, syscall.ENOSPC) && written > 0 {
 		if failure := j.disk.Truncate(j.logPath, j.size); failure != nil {
-			// The torn record must stay the last one, so there is no second attempt.
-			return writeError(j.logPath, fmt.Errorf("%v, and removing the part that was written: %v", err, failure)) //nolint:errorlint
+			// The torn record must stay the last one. The cause is not wrapped, so that
+			// there is no second attempt.
+			return writeError(j.logPath, fmt.Errorf("%v, and removing the part that was written: %v", err, failure))
 		}
 	}
 	return writeError(j.logPath, err)
--- a/router/courier/conn.go
+++ b/router/courier/conn.go
@@ -145,7 +145,7 @@
 	switch {
 	case errors.As(err, &exceeded):
 		reason = messenger.ReasonTruncated
-		client.count("excess", exceeded.part)
+		client.countExcess(exceeded.part)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		reason = messenger.ReasonExpired
 	}
--- a/router/courier/courier.go
+++ b/router/courier/courier.go
@@ -226,16 +226,19 @@
 	c.idle = append(c.idle, conn)
 }
 
-// count increments a counter, with the part of a response as its label if there is one.
-func (c *Client) count(name string, part ...string) {
-	if c.options.Metrics == nil {
-		return
-	}
-	name = "marigold_backend_" + name + "_total"
-	for _, label := range part {
-		name += `{part="` + label + `"}`
+func (c *Client) count(name string) {
+	c.increment("marigold_backend_" + name + "_total")
+}
+
+// countExcess counts a response of which a part exceeded its bound.
+func (c *Client) countExcess(part string) {
+	c.increment(`marigold_backend_excess_total{part="` + part + `"}`)
+}
+
+func (c *Client) increment(metric string) {
+	if c.options.Metrics != nil {
+		c.options.Metrics.GetOrCreateCounter(metric).Inc()
 	}
-	c.options.Metrics.GetOrCreateCounter(name).Inc()
 }
 
 func refusedResult(reason messenger.Reason, err error) Result {
--- a/router/courier/endless_test.go
+++ b/router/courier/endless_test.go
@@ -11,31 +11,11 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"marigoldhill/kernel/disrupter"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/router/courier"
 )
 
-// maxEndlessBytes is how much a server of these tests writes before it gives up. A bound
-// that does not work shows as this many bytes.
-const maxEndlessBytes = 64 << 20
-
-// writeEndlessly returns a script that writes head once and then repeats part until the
-// client closes the connection. It sends the number of bytes written to written.
-func writeEndlessly(head, part string, written chan<- int) script {
-	return func(conn net.Conn, _ *http.Request) {
-		count, _ := io.WriteString(conn, head)
-		block := strings.Repeat(part, 1+(32<<10)/len(part))
-		for count < maxEndlessBytes {
-			n, err := io.WriteString(conn, block)
-			count += n
-			if err != nil {
-				break
-			}
-		}
-		written <- count
-	}
-}
-
 // Guards against a server that exhausts the memory of its router, or keeps a request past
 // its deadline, with bytes that are no response.
 func TestEndlessResponsesAreBounded(t *testing.T) {
@@ -65,21 +45,22 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			written := make(chan int, 1)
-			address, _ := startServer(t, writeEndlessly(test.head, test.part, written))
+			server, err := disrupter.ServeEndless(test.head, test.part)
+			qt.Assert(t, err, qt.IsNil)
+			defer server.Close()
 			client, set := newCountedClient()
 			serverRequest := newServerRequest("1")
 			serverRequest.Deadline = time.Now().Add(5 * time.Second)
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
 			started := time.Now()
-			result := client.Send(t.Context(), address, serverRequest, nil)
+			result := client.Send(t.Context(), server.Address(), serverRequest, nil)
 			took := time.Since(started)
 			runtime.ReadMemStats(&after)
 			qt.Check(t, result.Outcome, qt.Equals, messenger.OutcomeUnknown)
 			qt.Check(t, result.Reason, qt.Equals, messenger.ReasonTruncated, qt.Commentf("%v", result.Err))
 			qt.Check(t, took < 2*time.Second, qt.IsTrue, qt.Commentf("took %v", took))
-			qt.Check(t, <-written < maxKernelBytes, qt.IsTrue)
+			qt.Check(t, server.Written() < maxKernelBytes, qt.IsTrue)
 			qt.Check(t, after.TotalAlloc-before.TotalAlloc < maxHeapBytes, qt.IsTrue, qt.Commentf("allocated %d bytes", after.TotalAlloc-before.TotalAlloc))
 			if test.metric != "" {
 				qt.Check(t, result.Err, qt.ErrorIs, courier.ErrExcess)
--- a/router/relayer/routed_call.go
+++ b/router/relayer/routed_call.go
@@ -369,12 +369,12 @@
 	if server.Session == c.entry.options.Session() {
 		return c.entry.options.Owner.Run(ctx, relay, c.body.reader())
 	}
-	stream, exchange, err := c.open(ctx, server.Address)
+	stream, run, err := c.open(ctx, server.Address)
 	if err != nil {
 		c.logLinkFailure(server, err)
 		return refusedResponse(messenger.ReasonUnreachable, 0), nil
 	}
-	response, err := exchange(ctx, stream, relay, c.body)
+	response, err := run(ctx, stream, relay, c.body)
 	if err != nil {
 		stream.Close()
 		c.logLinkFailure(server, err)
@@ -392,21 +392,21 @@
 
 // open opens a stream to a router and returns the way to exchange a request over it.
 func (c *routedCall) open(ctx context.Context, address string) (*linker.Stream, exchange, error) {
-	kind, exchange := messenger.KindRelay, exchangeAtOnce
+	kind, run := messenger.KindRelay, exchange(exchangeAtOnce)
 	if !c.body.isInline() {
 		peer, err := c.entry.options.Opener.Peer(ctx, address)
 		if err != nil {
 			return nil, nil, Error.New("connecting to the router: %w", err)
 		}
 		if peer.Invites {
-			kind, exchange = messenger.KindInvitedRelay, exchangeInvited
+			kind, run = messenger.KindInvitedRelay, exchangeInvited
 		}
 	}
 	stream, err := c.entry.options.Opener.Open(ctx, address, kind)
 	if err != nil {
 		return nil, nil, Error.New("opening a stream: %w", err)
 	}
-	return stream, exchange, nil
+	return stream, run, nil
 }
 
 // logLinkFailure logs why there was no answer from the router of a server.
