Keep smaller buffers in idle links

Change: read buffers of 1 KiB, payloads above 1 KiB from the pool, send buffers of up to 4 KiB. Failed try: 2 KiB for the latter alone, which changed nothing.

The bound is as it was.

--- a/kernel/framer/framer.go
+++ b/kernel/framer/framer.go
@@ -46,8 +46,8 @@
 
 	// readBufferSize and maxKeptPayload bound the memory of an idle connection: a process
 	// keeps one to each of hundreds of others.
-	readBufferSize = 4 << 10
-	maxKeptPayload = 4 << 10
+	readBufferSize = 1 << 10
+	maxKeptPayload = 1 << 10
 )
 
 // payloadBuffers holds the buffers for payloads above maxKeptPayload.
--- a/kernel/linker/sendqueue.go
+++ b/kernel/linker/sendqueue.go
@@ -17,7 +17,7 @@
 	maxQueuedSize = 8 << 20
 	// maxReusedSize is the capacity up to which a buffer is reused for the next
 	// batch. Each idle connection keeps two such buffers.
-	maxReusedSize = 8 << 10
+	maxReusedSize = 4 << 10
 )
 
 // sendQueue holds the encoded frames that have not been written to the connection
