--- a/router/listener/guard.go
+++ b/router/listener/guard.go
@@ -19,10 +19,10 @@
 	// has accepted already, backlogAttempts how often it does: on a busy machine the time
 	// may pass before the first look.
 	backlogTimeout  = 10 * time.Millisecond
-	backlogAttempts = 3
+	backlogAttempts = 5
 	// maxBacklogTime is how long a closing Guard accepts connections at most. It must end
 	// while callers go on connecting.
-	maxBacklogTime = 200 * time.Millisecond
+	maxBacklogTime = 500 * time.Millisecond
 	// firstRequestTimeout is how long a new connection may take to send its first byte
 	// during a stop.
 	firstRequestTimeout = 300 * time.Millisecond
