Log what was in flight when a backend server ended, in routed mode

Events 351 and 352 named a request only by the identifier of one attempt, so copies of one request could not be told from different requests, and no event said that a server had ended. The entry router computes a fingerprint of service, key, method, host, target and body, as sharded mode does, and sends it with the request; 351 and 352 carry it, and event 312 lists those in flight at the end of a server. Nothing acts on it yet.

The field is the last of a message that is encoded as an array: older processes skip it.

--- a/kernel/messenger/relay.go
+++ b/kernel/messenger/relay.go
@@ -37,6 +37,9 @@
 	Grace time.Duration
 	// Version is the version of the configuration that the entry router used.
 	Version uint64
+	// Fingerprint identifies requests for the same work, whoever sends them; see
+	// [hasher.Fingerprint]. It is empty if the entry router sends none.
+	Fingerprint string
 }
 
 // RelayInvitation tells the entry router whether to send the body of a request. A request
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -24,6 +24,7 @@
 	"marigoldhill/router/granter"
 	"marigoldhill/router/holder"
 	"marigoldhill/router/inviter"
+	"marigoldhill/router/isolator"
 	"marigoldhill/router/keeper"
 	"marigoldhill/router/listener"
 	"marigoldhill/router/mapper"
@@ -182,12 +183,15 @@
 		Log:           options.Log,
 		Metrics:       options.Metrics,
 	})
+	isolation := isolator.New()
 	p.owner = relayer.NewOwner(relayer.OwnerOptions{
 		Server:        p.server,
 		KeyChecker:    p.holder,
 		Admission:     p.admission,
 		Backend:       p.backend,
 		Sampler:       p.sampler,
+		Isolator:      isolation,
+		Detector:      isolator.NewDetector(options.Network, isolation, p.serverCrashed),
 		Inbound:       p.inbound,
 		RequestUpdate: p.keeper.RequestUpdate,
 		Log:           options.Log,
@@ -236,6 +240,15 @@
 	p.keeper.RequestHeartbeat()
 }
 
+// serverCrashed handles a crash of the backend server with requests in flight.
+func (p *Routed) serverCrashed(rows []messenger.QuarantineRow) {
+	prints := make([]string, 0, len(rows))
+	for _, row := range rows {
+		prints = append(prints, row.Fingerprint)
+	}
+	p.options.Log.Emit(logger.ServerTerminated, "requests", len(rows), "fingerprints", prints)
+}
+
 // updateRanges passes the key ranges that the session of this router owns to the
 // holder.
 func (p *Routed) updateRanges() {
--- a/router/executor/dispatch.go
+++ b/router/executor/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/url"
 	"time"
 
 	"marigoldhill/kernel/messenger"
@@ -104,7 +105,9 @@
 		server.Observe(prober.TrafficRefused)
 	case dispatcher.CauseBroken:
 		server.Observe(prober.TrafficDisconnected)
-		r.options.Detector.ConnectionBroken(r.view.Row)
+		if base, err := url.Parse(r.view.Row.URL); err == nil {
+			r.options.Detector.ConnectionBroken(base.Host)
+		}
 	case dispatcher.CauseCanceled:
 		if errors.Is(lifetime.cause(), errDeadline) {
 			server.Observe(prober.TrafficExpired)
--- a/router/executor/executor.go
+++ b/router/executor/executor.go
@@ -44,7 +44,7 @@
 // Detector determines whether the backend server crashed when a connection to it
 // broke.
 type Detector interface {
-	ConnectionBroken(server *messenger.ServerRow)
+	ConnectionBroken(address string)
 }
 
 // Options are the dependencies of an Executor. All are required.
--- a/router/executor/harness_test.go
+++ b/router/executor/harness_test.go
@@ -67,7 +67,7 @@
 
 func (s *server) Observe(prober.Evidence) {}
 
-func (s *server) ConnectionBroken(*messenger.ServerRow) { s.broken.Add(1) }
+func (s *server) ConnectionBroken(string) { s.broken.Add(1) }
 
 func (s *server) set(state messenger.ServerState, fences bool) {
 	s.view.Store(&prober.View{State: state, Row: &messenger.ServerRow{Name: "d1", Slots: 2, Fences: fences}})
--- a/router/isolator/detector.go
+++ b/router/isolator/detector.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/url"
 	"sync"
 	"time"
 
@@ -37,21 +36,17 @@
 	return &Detector{network: network, isolation: isolation, onDeath: onDeath}
 }
 
-// ConnectionBroken must be called when a connection to the server has ended while a
-// request ran, before that request leaves the Isolator. It starts a watch unless one is
+// ConnectionBroken must be called when a connection to the server at address has ended
+// while a request ran, before that request leaves the Isolator. It starts a watch unless one is
 // running.
-func (d *Detector) ConnectionBroken(server *messenger.ServerRow) {
+func (d *Detector) ConnectionBroken(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.watching {
 		return
 	}
-	base, err := url.Parse(server.URL)
-	if err != nil {
-		return
-	}
 	d.watching = true
-	go d.watch(base.Host, d.isolation.InFlight())
+	go d.watch(address, d.isolation.InFlight())
 }
 
 func (d *Detector) watch(address string, rows []messenger.QuarantineRow) {
--- a/router/isolator/isolator_test.go
+++ b/router/isolator/isolator_test.go
@@ -83,7 +83,7 @@
 				deaths = append(deaths, rows)
 			})
 			for range 3 {
-				detector.ConnectionBroken(&messenger.ServerRow{URL: "http://r1:9001"})
+				detector.ConnectionBroken("r1:9001")
 			}
 			time.Sleep(2 * time.Second)
 			synctest.Wait()
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,7 @@
 	"marigoldhill/router/attendant"
 	"marigoldhill/router/courier"
 	"marigoldhill/router/inviter"
+	"marigoldhill/router/isolator"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/stripper"
 )
@@ -54,6 +56,12 @@
 	Send(ctx context.Context, address string, serverRequest *courier.ServerRequest, body io.Reader) courier.Result
 }
 
+// Detector determines whether the backend server crashed when a connection to it ended
+// while a request ran. [isolator.Detector] implements it.
+type Detector interface {
+	ConnectionBroken(address string)
+}
+
 // OwnerOptions are the dependencies of an Owner.
 type OwnerOptions struct {
 	Server     *attendant.Attendant
@@ -61,6 +69,9 @@
 	Admission  *queuer.Admission
 	Backend    Backend
 	Sampler    Sampler
+	// Isolator keeps the requests in flight, the suspects if the server crashes.
+	Isolator *isolator.Isolator
+	Detector Detector
 	// Inbound is the account of the link that bodies arrive on.
 	Inbound *inviter.Link
 	// RequestUpdate requests an early update from the control group. It is called when
@@ -153,7 +164,13 @@
 		slot.Release(false)
 		return refusedResponse(reason, 0), nil
 	}
-	return o.send(ctx, started, relay, view.Row, slot, body)
+	row := messenger.QuarantineRow{Fingerprint: relay.Fingerprint, Service: relay.Service, Key: keyText(relay.Key), Route: relay.Route}
+	pass, err := o.options.Isolator.Enter(ctx, row, false)
+	if err != nil {
+		slot.Release(false)
+		return refusedResponse(contextReason(ctx), 0), nil
+	}
+	return o.send(ctx, started, relay, view.Row, slot, pass, body)
 }
 
 // check returns the state of the server beside this router if the server may run the
@@ -181,7 +198,7 @@
 }
 
 // send sends a request to the backend server.
-func (o *Owner) send(ctx context.Context, started timer.Instant, relay *messenger.Relay, row *messenger.ServerRow, slot *queuer.Slot, body io.Reader) (*messenger.RelayResponse, io.ReadCloser) {
+func (o *Owner) send(ctx context.Context, started timer.Instant, relay *messenger.Relay, row *messenger.ServerRow, slot *queuer.Slot, pass *isolator.Pass, body io.Reader) (*messenger.RelayResponse, io.ReadCloser) {
 	left := relay.Left - timer.Now().Since(started)
 	ctx, cancel := context.WithTimeout(ctx, left+relay.Grace)
 	sentAt := time.Now()
@@ -190,12 +207,13 @@
 		Deadline: sentAt.Add(left),
 		Server:   row.Name,
 	}, body)
-	o.reportServer(result)
+	o.reportServer(row, result)
 	if errors.Is(result.Err, courier.ErrExcess) {
 		o.options.Log.Emit(logger.ResponseOversized, "id", relay.ID, "service", relay.Service, "server", row.Name, "address", row.URL, "error", result.Err)
 	}
 	if result.Outcome != messenger.OutcomeDone {
 		cancel()
+		pass.Leave()
 		slot.Release(false)
 		if isServerFailure(result) {
 			o.options.Sampler.Judged(true)
@@ -212,6 +230,10 @@
 	finish := func(complete bool, readErr error) {
 		left := errors.Is(ctx.Err(), context.Canceled)
 		cancel()
+		if readErr != nil && !left {
+			o.options.Detector.ConnectionBroken(row.URL)
+		}
+		pass.Leave()
 		duration := time.Since(sentAt)
 		succeeded := complete && result.Status < http.StatusInternalServerError
 		slot.Release(succeeded)
@@ -261,10 +283,12 @@
 	return result.Outcome == messenger.OutcomeUnknown && result.Reason == messenger.ReasonExpired
 }
 
-// reportServer reports to the attendant whether the server answered or refused the
-// connection.
-func (o *Owner) reportServer(result courier.Result) {
+// reportServer reports whether the server answered, refused the connection or ended it
+// while the request ran.
+func (o *Owner) reportServer(row *messenger.ServerRow, result courier.Result) {
 	switch {
+	case result.Reason == messenger.ReasonCrashed || result.Reason == messenger.ReasonTruncated:
+		o.options.Detector.ConnectionBroken(row.URL)
 	case result.Outcome == messenger.OutcomeDone || result.ResponseInfo.ID != "":
 		o.options.Server.ResponseReceived()
 	case !result.Sent && isConnectionRefused(result.Err):
@@ -272,9 +296,17 @@
 	}
 }
 
+// keyText returns a numeric key as text, or nothing for messenger.NoKey.
+func keyText(key int32) string {
+	if key == messenger.NoKey {
+		return ""
+	}
+	return strconv.Itoa(int(key))
+}
+
 func (o *Owner) logFailure(relay *messenger.Relay, response *messenger.RelayResponse, cause string, err error) {
 	o.options.Log.Emit(logger.RequestFailed, "id", relay.ID, "service", relay.Service, "key", relay.Key,
-		"version", relay.Version, "outcome", response.Outcome, "reason", response.Reason, "cause", cause, "error", err)
+		"version", relay.Version, "fingerprint", relay.Fingerprint, "outcome", response.Outcome, "reason", response.Reason, "cause", cause, "error", err)
 }
 
 func refusedResponse(reason messenger.Reason, retryAfter time.Duration) *messenger.RelayResponse {
--- a/router/relayer/owner_test.go
+++ b/router/relayer/owner_test.go
@@ -21,6 +21,7 @@
 	"marigoldhill/router/attendant"
 	"marigoldhill/router/courier"
 	"marigoldhill/router/inviter"
+	"marigoldhill/router/isolator"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
 )
@@ -58,6 +59,11 @@
 func (f *fakeSampler) Finished(took time.Duration) { f.finished = append(f.finished, took) }
 func (f *fakeSampler) Judged(failed bool)          { f.judged = append(f.judged, failed) }
 
+// fakeDetector is a Detector of a server that does not crash.
+type fakeDetector struct{}
+
+func (fakeDetector) ConnectionBroken(string) {}
+
 // testOwner is an Owner with fakes around it.
 type testOwner struct {
 	*relayer.Owner
@@ -86,6 +92,7 @@
 	o.server.Announce(timer.Now(), attendant.Announcement{Row: messenger.ServerRow{Name: "s1", Service: "findings", URL: serverAddress, Slots: 1, Born: 1}})
 	o.Owner = relayer.NewOwner(relayer.OwnerOptions{
 		Server: o.server, KeyChecker: o.keys, Admission: o.admission, Backend: backend, Sampler: o.sampler,
+		Isolator: isolator.New(), Detector: fakeDetector{},
 		Inbound:       inviter.New(0),
 		RequestUpdate: func() { o.updatesRequested++ },
 		Log:           logger.Discard(), Metrics: metrics.NewSet(),
--- a/router/relayer/routed_call.go
+++ b/router/relayer/routed_call.go
@@ -6,8 +6,11 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
+	"marigoldhill/kernel/hasher"
 	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
@@ -67,6 +70,8 @@
 	waited time.Duration
 	// mayHaveRun is true once the outcome of an attempt is unknown.
 	mayHaveRun bool
+	// fingerprint identifies requests for the same work; see [hasher.Fingerprint].
+	fingerprint string
 }
 
 // left returns the time left for the call.
@@ -81,6 +86,7 @@
 			return c.refuse(contextReason(ctx), 0)
 		}
 	}
+	c.fingerprint = c.computeFingerprint()
 	for {
 		routes := c.entry.options.Mapper.Load()
 		if c.left() <= 0 {
@@ -101,6 +107,20 @@
 	}
 }
 
+// computeFingerprint returns the fingerprint of the call. Of a body that is not sent with
+// the header, only the length counts.
+func (c *routedCall) computeFingerprint() string {
+	length := strconv.FormatInt(c.call.Length, 10)
+	body := hasher.Sum([]byte(length))
+	if c.body.isInline() {
+		// The body was read before.
+		data, _ := c.body.bytes()
+		body = hasher.Sum(data)
+	}
+	key := strconv.Itoa(int(c.key()))
+	return hasher.Fingerprint(c.service, key, c.call.Method+" "+strings.ToLower(c.call.Host)+c.call.Target, body)
+}
+
 // choose returns the server for the next attempt, or the reason why there is none.
 func (c *routedCall) choose(routes *mapper.Map) (*mapper.Server, messenger.Reason) {
 	if !c.keyless {
@@ -258,6 +278,8 @@
 		Left:    c.left(),
 		Grace:   answerGrace,
 		Version: c.version,
+
+		Fingerprint: c.fingerprint,
 	}
 }
 
