Count one death of a backend server once, and blame only what it ended

In sharded mode, connections that ended after the first refused dial started a second watch, which found the server dead again: five reports for one death in TestOneDeathIsCountedOnce, and the second one quarantined every request that had been in flight. A connection that ended alone, as after a garbled answer, started a watch of a second; a death within it was put down to the requests in flight at that time, and the one that had caused it went free (TestDeathDoesNotBlameEarlierBrokenConnections). Both tests failed before.

The detector keeps what was in flight at each broken connection, blames that of the last 250 ms before a death and takes breaks of the 250 ms after it for its own. It dials at most four times for a broken connection instead of fifty.

--- a/router/isolator/detector.go
+++ b/router/isolator/detector.go
@@ -10,15 +10,17 @@
 )
 
 const (
-	// watchTimeout is how long after a broken connection the backend server is
-	// checked for having died.
-	watchTimeout = time.Second
-	// dialInterval is the time between two connection attempts, dialTimeout the
-	// timeout of each.
-	dialInterval = 20 * time.Millisecond
-	dialTimeout  = 200 * time.Millisecond
+	// deathSpan is the maximum time between the ends of the connections to a server that
+	// has died. Those after its death was found belong to it too.
+	deathSpan = 250 * time.Millisecond
+	// dialTimeout limits one connection attempt.
+	dialTimeout = 200 * time.Millisecond
 )
 
+// dialDelays are the times to wait before each connection attempt after a connection was
+// broken. A server that accepts all of them has not died.
+var dialDelays = []time.Duration{5 * time.Millisecond, 20 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond}
+
 // Detector distinguishes the death of a backend server from the end of one connection:
 // a dead server refuses new connections. Its methods are safe for concurrent use.
 type Detector struct {
@@ -28,6 +30,17 @@
 
 	mu       sync.Mutex
 	watching bool
+	// dials counts the connection attempts since the last broken connection.
+	dials     int
+	breaks    []connectionBreak
+	lastDeath time.Time
+}
+
+// connectionBreak is the end of a connection while a request ran, with all requests that
+// were in flight then.
+type connectionBreak struct {
+	at   time.Time
+	rows []messenger.QuarantineRow
 }
 
 // NewDetector returns a Detector that calls onDeath with the requests that were in
@@ -37,40 +50,92 @@
 }
 
 // ConnectionBroken must be called when a connection to the server at address has ended
-// while a request ran, before that request leaves the Isolator. It starts a watch unless one is
-// running.
+// while a request ran, before that request leaves the Isolator. It starts a watch unless
+// one is running.
 func (d *Detector) ConnectionBroken(address string) {
+	now := time.Now()
+	rows := d.isolation.InFlight()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.watching {
+	if !d.lastDeath.IsZero() && now.Sub(d.lastDeath) < deathSpan {
 		return
 	}
-	d.watching = true
-	go d.watch(address, d.isolation.InFlight())
+	d.dropBreaks(now)
+	d.breaks = append(d.breaks, connectionBreak{at: now, rows: rows})
+	d.dials = 0
+	if !d.watching {
+		d.watching = true
+		go d.watch(address)
+	}
 }
 
-func (d *Detector) watch(address string, rows []messenger.QuarantineRow) {
-	ctx, cancel := context.WithTimeout(context.Background(), watchTimeout)
-	defer cancel()
-	for ctx.Err() == nil {
-		if d.refusesConnection(ctx, address) {
-			d.onDeath(rows)
-			break
+// dropBreaks drops the breaks that are too old to belong to a death at an instant. It
+// requires mu to be held.
+func (d *Detector) dropBreaks(now time.Time) {
+	kept := d.breaks[:0]
+	for _, b := range d.breaks {
+		if now.Sub(b.at) < deathSpan {
+			kept = append(kept, b)
 		}
-		select {
-		case <-time.After(dialInterval):
-		case <-ctx.Done():
+	}
+	clear(d.breaks[len(kept):])
+	d.breaks = kept
+}
+
+func (d *Detector) watch(address string) {
+	for {
+		delay, ok := d.nextDelay()
+		if !ok {
+			return
+		}
+		time.Sleep(delay)
+		if d.refusesConnection(address) {
+			d.onDeath(d.death())
+			return
 		}
 	}
+}
+
+// nextDelay returns the time to wait before the next connection attempt. It ends the watch
+// if there is none.
+func (d *Detector) nextDelay() (time.Duration, bool) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.dials == len(dialDelays) {
+		d.watching = false
+		return 0, false
+	}
+	d.dials++
+	return dialDelays[d.dials-1], true
+}
+
+// death ends the watch and returns the requests that were in flight at the death, each
+// fingerprint once.
+func (d *Detector) death() []messenger.QuarantineRow {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.watching = false
-	d.mu.Unlock()
+	d.lastDeath = time.Now()
+	last := d.breaks[len(d.breaks)-1].at
+	d.dropBreaks(last)
+	seen := make(map[string]struct{})
+	var rows []messenger.QuarantineRow
+	for _, b := range d.breaks {
+		for _, row := range b.rows {
+			if _, ok := seen[row.Fingerprint]; !ok {
+				seen[row.Fingerprint] = struct{}{}
+				rows = append(rows, row)
+			}
+		}
+	}
+	d.breaks = nil
+	return rows
 }
 
 // refusesConnection reports whether the server refuses a new connection. A timeout is
 // no refusal.
-func (d *Detector) refusesConnection(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+func (d *Detector) refusesConnection(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	conn, err := d.network.Dial(ctx, address)
 	if err == nil {
--- a/router/isolator/isolator_test.go
+++ b/router/isolator/isolator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,37 +63,98 @@
 	})
 }
 
+const serverAddress = "r1:9001"
+
+// detectorFixture is a Detector of a server that accepts connections until endServer.
+type detectorFixture struct {
+	t         *testing.T
+	listener  net.Listener
+	isolation *isolator.Isolator
+	detector  *isolator.Detector
+	deaths    [][]messenger.QuarantineRow
+}
+
+func newDetectorFixture(t *testing.T) *detectorFixture {
+	network := disrupter.New(time.Millisecond)
+	listener, err := network.Node("r1").Listen(serverAddress)
+	qt.Assert(t, err, qt.IsNil)
+	f := &detectorFixture{t: t, listener: listener, isolation: isolator.New()}
+	f.detector = isolator.NewDetector(network.Node("r1"), f.isolation, func(rows []messenger.QuarantineRow) {
+		f.deaths = append(f.deaths, rows)
+	})
+	t.Cleanup(f.endServer)
+	return f
+}
+
+func (f *detectorFixture) enter(print string) *isolator.Pass {
+	return <-enter(f.isolation, print, false)
+}
+
+func (f *detectorFixture) endServer() { _ = f.listener.Close() }
+
 // Guards against taking the end of one connection for the death of the server, and
 // against reporting one death more than once.
 func TestDetector(t *testing.T) {
 	for _, serverEnds := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
-			network := disrupter.New(time.Millisecond)
-			listener, err := network.Node("r1").Listen("r1:9001")
-			qt.Assert(t, err, qt.IsNil)
-			defer func() { _ = listener.Close() }()
+			f := newDetectorFixture(t)
 			if serverEnds {
-				_ = listener.Close()
+				f.endServer()
 			}
-			isolation := isolator.New()
-			<-enter(isolation, "a", false)
-			<-enter(isolation, "a", false)
-			<-enter(isolation, "b", false)
-			var deaths [][]messenger.QuarantineRow
-			detector := isolator.NewDetector(network.Node("r1"), isolation, func(rows []messenger.QuarantineRow) {
-				deaths = append(deaths, rows)
-			})
+			f.enter("a")
+			f.enter("a")
+			f.enter("b")
 			for range 3 {
-				detector.ConnectionBroken("r1:9001")
+				f.detector.ConnectionBroken(serverAddress)
 			}
 			time.Sleep(2 * time.Second)
 			synctest.Wait()
 			if !serverEnds {
-				qt.Assert(t, deaths, qt.HasLen, 0)
+				qt.Assert(t, f.deaths, qt.HasLen, 0)
 				return
 			}
-			qt.Assert(t, deaths, qt.HasLen, 1)
-			qt.Assert(t, deaths[0], qt.HasLen, 2)
+			qt.Assert(t, f.deaths, qt.HasLen, 1)
+			qt.Assert(t, f.deaths[0], qt.HasLen, 2)
 		})
 	}
 }
+
+// A connection that ended alone was taken for part of a crash up to a second later.
+func TestDeathDoesNotBlameEarlierBrokenConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newDetectorFixture(t)
+		first := f.enter("garbled")
+		f.detector.ConnectionBroken(serverAddress)
+		first.Leave()
+		time.Sleep(400 * time.Millisecond)
+		f.enter("poison")
+		f.endServer()
+		f.detector.ConnectionBroken(serverAddress)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		qt.Assert(t, f.deaths, qt.DeepEquals, [][]messenger.QuarantineRow{{row("poison")}})
+	})
+}
+
+// Connections that ended after the first refused dial were taken for a second death, which
+// quarantined all that was in flight.
+func TestOneDeathIsCountedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newDetectorFixture(t)
+		f.enter("a")
+		f.enter("b")
+		f.endServer()
+		for range 5 {
+			f.detector.ConnectionBroken(serverAddress)
+			time.Sleep(30 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		qt.Assert(t, f.deaths, qt.HasLen, 1)
+		// A server that was started again can end again.
+		f.detector.ConnectionBroken(serverAddress)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		qt.Assert(t, f.deaths, qt.HasLen, 2)
+	})
+}
