Quarantine requests that crash backend servers in routed mode

Callers saw servers of a service end one after the other, and again each time they were back, as a request that crashes them was sent on for as long as callers sent it: 6 to 9 times more, long after it had ended three servers. Sharded mode quarantines such a request at the second death; routed mode kept no memory of what was in flight.

The router beside the server reports what was in flight at its death, as in sharded mode, and the control group quarantines a fingerprint at the third death within ten minutes. Entry and owner refuse it with the reason quarantine, the owner also if it had waited. The count is three and not two because requests run beside a suspect here, and idempotent ones are sent on with it. What a server has completed in the last minute is no suspect, so a popular request is not blamed for being everywhere. The callers' platform gets 503, since the request has not run.

--- a/control/assigner/quarantine.go
+++ b/control/assigner/quarantine.go
@@ -8,8 +8,21 @@
 	"marigoldhill/kernel/messenger"
 )
 
+const (
+	// quarantineDeaths is the number of crashes with the same fingerprint in flight after
+	// which it is quarantined. In sharded mode a suspect runs alone, so it has caused the
+	// second one.
+	quarantineDeaths = 2
+	// routedQuarantineDeaths is the same in routed mode, where others run beside a suspect
+	// and may be sent on to the next server together with it.
+	routedQuarantineDeaths = 3
+	// routedSuspectLifetime is how long after its last crash a fingerprint is a suspect in
+	// routed mode, in milliseconds.
+	routedSuspectLifetime = 10 * 60 * 1000
+)
+
 // death records the fingerprints that were in flight when a backend server
-// crashed. A fingerprint that was also in flight at an earlier crash is
+// crashed. A fingerprint that was also in flight at earlier crashes is
 // quarantined.
 func (s *State) death(command *Death) Result {
 	session := s.sessions[command.Session]
@@ -27,7 +40,7 @@
 			continue
 		}
 		seen[row.Fingerprint] = true
-		if s.addSuspect(row) {
+		if s.addSuspect(session, row) {
 			total++
 		}
 	}
@@ -35,16 +48,16 @@
 	return applied(s.applied, total)
 }
 
-// addSuspect records that a fingerprint was in flight at a crash and reports
-// whether it has been quarantined as a result.
-func (s *State) addSuspect(row messenger.QuarantineRow) bool {
+// addSuspect records that a fingerprint was in flight at a crash of the server of a
+// session and reports whether it has been quarantined as a result.
+func (s *State) addSuspect(session *Session, row messenger.QuarantineRow) bool {
 	if _, known := s.quarantines[row.Fingerprint]; known {
 		return false
 	}
 	row.Since = s.time
 	row.Gone = false
 	s.revision = s.applied
-	if _, known := s.suspects[row.Fingerprint]; !known {
+	if row.Deaths = s.countDeaths(session, row.Fingerprint); row.Deaths < requiredDeaths(session) {
 		s.suspects[row.Fingerprint] = Versioned[messenger.QuarantineRow]{Value: row, Revision: s.applied}
 		s.limitSuspects()
 		return false
@@ -55,6 +68,23 @@
 	return true
 }
 
+// countDeaths returns the number of crashes with a fingerprint in flight, including one of
+// the server of a session now.
+func (s *State) countDeaths(session *Session, fingerprint string) int {
+	suspect, known := s.suspects[fingerprint]
+	if !known || (session.Routed && s.time-suspect.Value.Since > routedSuspectLifetime) {
+		return 1
+	}
+	return max(suspect.Value.Deaths, 1) + 1
+}
+
+func requiredDeaths(session *Session) int {
+	if session.Routed {
+		return routedQuarantineDeaths
+	}
+	return quarantineDeaths
+}
+
 func (s *State) removeSuspect(fingerprint string) {
 	delete(s.suspects, fingerprint)
 	s.addTombstone(tombstone{Kind: tombstoneSuspect, Name: fingerprint})
--- a/control/supervisor/policy_test.go
+++ b/control/supervisor/policy_test.go
@@ -254,3 +254,34 @@
 	qt.Assert(t, c.propose(assigner.Command{Lift: &assigner.Lift{Fingerprint: "0a"}}).Verdict, qt.Equals, assigner.VerdictApplied)
 	qt.Assert(t, quarantined(), qt.HasLen, 0)
 }
+
+// In routed mode other requests run beside a suspect, so two deaths do not show which of
+// them is the cause.
+func TestRoutedRequestIsQuarantinedAtTheThirdDeath(t *testing.T) {
+	h := rangedHarness(t)
+	first, second := newRanged(h, 1), newRanged(h, 2)
+	runRanged(h, time.Second, first, second)
+	number := uint64(0)
+	report := func(router *rangedRouter, prints ...string) {
+		number++
+		report := messenger.Report{Session: router.heartbeat.Session, Number: number}
+		for _, print := range prints {
+			report.Death = append(report.Death, messenger.QuarantineRow{Fingerprint: print, Service: "findings"})
+		}
+		h.apply(h.request(&report).(*supervisor.ReportProposal).Command)
+	}
+	isQuarantined := func(print string) bool {
+		second.send()
+		return second.maps.Load().IsQuarantined(print)
+	}
+	report(first, "poison", "other")
+	report(second, "poison", "other")
+	qt.Assert(t, isQuarantined("poison"), qt.IsFalse)
+	report(first, "poison")
+	qt.Assert(t, isQuarantined("poison"), qt.IsTrue)
+	// A third death long after the second is unrelated.
+	runRanged(h, 11*time.Minute, first, second)
+	report(first, "other")
+	qt.Assert(t, isQuarantined("other"), qt.IsFalse)
+	qt.Assert(t, isQuarantined("poison"), qt.IsTrue)
+}
--- a/kernel/messenger/table.go
+++ b/kernel/messenger/table.go
@@ -1,5 +1,7 @@
 package messenger
 
+import "maps"
+
 // Phase is the phase of the ownership of a shard or range.
 type Phase uint8
 
@@ -105,10 +107,31 @@
 	Route       string `json:"route"`
 	// Since is in milliseconds of the wall clock of the leader of the control group.
 	Since int64 `json:"since"`
+	// Deaths is the number of backend servers that ended while the request was in flight;
+	// 0 when not counted.
+	Deaths int `json:"deaths,omitempty" msgpack:",omitempty"`
 	// Gone means that the quarantine was lifted.
 	Gone bool `json:"-"`
 }
 
+// UpdateQuarantines returns a copy of rows, which are by fingerprint, with the changes
+// applied.
+func UpdateQuarantines(rows map[string]QuarantineRow, changes []QuarantineRow) map[string]QuarantineRow {
+	if len(changes) == 0 {
+		return rows
+	}
+	updated := make(map[string]QuarantineRow, len(rows)+len(changes))
+	maps.Copy(updated, rows)
+	for _, row := range changes {
+		if row.Gone {
+			delete(updated, row.Fingerprint)
+			continue
+		}
+		updated[row.Fingerprint] = row
+	}
+	return updated
+}
+
 // TableDelta changes a routing table from revision From to revision To. A full
 // delta replaces the table.
 type TableDelta struct {
--- a/router/assembler/assembler.go
+++ b/router/assembler/assembler.go
@@ -125,7 +125,7 @@
 		Metrics:     options.Metrics,
 	})
 	p.reporter = reporter.New(reporter.Options{
-		Control:     p.settings.Control,
+		Control:     func() []string { return p.settings.Control },
 		Opener:      p.pool,
 		LeaseSource: keeperLease{p},
 		Metrics:     options.Metrics,
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -30,6 +30,7 @@
 	"marigoldhill/router/mapper"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
+	"marigoldhill/router/reporter"
 	"marigoldhill/router/sampler"
 )
 
@@ -113,7 +114,9 @@
 	pool         *linker.Pool
 	peer         *linker.Server
 	keeper       *keeper.Keeper
-	members      []string
+	// members are the addresses of the control group.
+	members  atomic.Pointer[[]string]
+	reporter *reporter.Reporter
 
 	callerServer     *http.Server
 	callerGuard      *listener.Guard
@@ -159,22 +162,29 @@
 	p.outbound = pacer.NewBucket(p.settings.LinkMbits * bytesPerMegabit)
 	p.pacedNetwork = p.paced(options.Network)
 	p.pool = linker.NewPool(p.pacedNetwork, p.linkOptions())
-	p.members = p.settings.replicas()
+	members := p.settings.replicas()
+	p.members.Store(&members)
 	p.keeper = keeper.New(keeper.Settings{
 		Name:    p.settings.Name,
 		Address: p.settings.Peer,
 		Domain:  p.settings.Domain,
 		Region:  p.settings.Region,
-		Control: p.members,
+		Control: members,
 		Timing:  p.settings.Timing,
 	}, keeper.Options{
 		Opener:           p.pool,
 		HeartbeatHandler: p,
-		OnMembers:        func(members []string) { p.members = members },
+		OnMembers:        func(members []string) { p.members.Store(&members) },
 		Seeds:            p.seeds,
 		Log:              options.Log,
 		Metrics:          options.Metrics,
 	})
+	p.reporter = reporter.New(reporter.Options{
+		Control:     func() []string { return *p.members.Load() },
+		Opener:      p.pool,
+		LeaseSource: p.keeper,
+		Metrics:     options.Metrics,
+	})
 	p.holder = holder.New(holder.Options{
 		Caller:        rangeClient,
 		Lease:         p.keeper.Lease,
@@ -192,6 +202,7 @@
 		Sampler:       p.sampler,
 		Isolator:      isolation,
 		Detector:      isolator.NewDetector(options.Network, isolation, p.serverCrashed),
+		IsQuarantined: func(fingerprint string) bool { return p.mapper.Load().IsQuarantined(fingerprint) },
 		Inbound:       p.inbound,
 		RequestUpdate: p.keeper.RequestUpdate,
 		Log:           options.Log,
@@ -247,6 +258,7 @@
 		prints = append(prints, row.Fingerprint)
 	}
 	p.options.Log.Emit(logger.ServerTerminated, "requests", len(rows), "fingerprints", prints)
+	p.reporter.Send(messenger.Report{Death: rows})
 }
 
 // updateRanges passes the key ranges that the session of this router owns to the
@@ -275,6 +287,7 @@
 		&funcService{name: serviceLink, start: p.startLink, stop: p.stopLink},
 		loopService(serviceHolder, []string{serviceLink}, p.holder.Run),
 		loopService(serviceWatcher, nil, p.watch),
+		loopService(serviceReporter, []string{serviceLink}, p.reporter.Run),
 		&funcService{name: serviceKeeper, dependencies: []string{serviceLink, serviceHolder}, start: p.startKeeper, stop: p.stopKeeper},
 		&funcService{name: serviceAnnouncer, dependencies: []string{serviceKeeper}, start: p.startAnnounce, stop: p.stopAnnounce},
 		&funcService{name: serviceCallers, dependencies: []string{serviceKeeper}, start: p.startCallers, stop: p.stopCallers},
--- a/router/assembler/routed_heartbeat.go
+++ b/router/assembler/routed_heartbeat.go
@@ -25,7 +25,7 @@
 	if session != 0 {
 		heartbeat.Freed = p.holder.Freed()
 	}
-	heartbeat.Members = messenger.HashAddresses(p.members)
+	heartbeat.Members = messenger.HashAddresses(*p.members.Load())
 	heartbeat.Unreached = p.unreachableSessions()
 	if view.Row != nil {
 		heartbeat.Work = p.sampler.Report(now, routes.OwnedRanges(view.Row.Service, p.keeper.Session()))
--- a/router/isolator/isolator.go
+++ b/router/isolator/isolator.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/zeebo/errs"
 
@@ -34,6 +35,7 @@
 	inFlight  map[*Pass]struct{}
 	exclusive bool
 	waiting   []*waiter
+	completed *completions
 }
 
 // Pass is the admission of one request to the backend server.
@@ -51,7 +53,7 @@
 
 // New returns an Isolator with no requests in flight.
 func New() *Isolator {
-	return &Isolator{inFlight: make(map[*Pass]struct{})}
+	return &Isolator{inFlight: make(map[*Pass]struct{}), completed: newCompletions()}
 }
 
 // Enter waits until a request may be sent to the backend server. A suspect waits until
@@ -85,6 +87,16 @@
 	i.remove(p)
 }
 
+// Complete is like Leave, for a request that the backend server has completed. For some
+// time such requests are no suspects, since they can run without harm.
+func (p *Pass) Complete() {
+	i := p.isolation
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.completed.add(time.Now(), p.row.Fingerprint)
+	i.remove(p)
+}
+
 // remove requires mu to be held.
 func (i *Isolator) remove(pass *Pass) {
 	if _, ok := i.inFlight[pass]; !ok {
@@ -134,15 +146,16 @@
 	i.remove(canceled.pass)
 }
 
-// InFlight returns the requests in flight, each fingerprint once. When the backend server
-// has died, all of them are suspects.
+// InFlight returns the requests in flight, each fingerprint once, without those that have
+// none or were completed lately. When the backend server has died, all of them are suspects.
 func (i *Isolator) InFlight() []messenger.QuarantineRow {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	seen := make(map[string]struct{})
+	now := time.Now()
 	var rows []messenger.QuarantineRow
 	for pass := range i.inFlight {
-		if _, ok := seen[pass.row.Fingerprint]; ok {
+		if _, ok := seen[pass.row.Fingerprint]; ok || pass.row.Fingerprint == "" || i.completed.contains(now, pass.row.Fingerprint) {
 			continue
 		}
 		seen[pass.row.Fingerprint] = struct{}{}
--- a/router/isolator/isolator_test.go
+++ b/router/isolator/isolator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -158,3 +159,24 @@
 		qt.Assert(t, f.deaths, qt.HasLen, 2)
 	})
 }
+
+// A popular request is in flight at every death without being the cause.
+func TestCompletedRequestIsNoSuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		isolation := isolator.New()
+		popular := <-enter(isolation, "popular", false)
+		<-enter(isolation, "", false)
+		qt.Assert(t, isolation.InFlight(), qt.DeepEquals, []messenger.QuarantineRow{row("popular")})
+		popular.Complete()
+		<-enter(isolation, "popular", false)
+		qt.Assert(t, isolation.InFlight(), qt.HasLen, 0)
+		time.Sleep(2 * time.Minute)
+		qt.Assert(t, isolation.InFlight(), qt.HasLen, 1)
+		for n := range 3000 {
+			(<-enter(isolation, strconv.Itoa(n), false)).Complete()
+		}
+		<-enter(isolation, "2999", false)
+		<-enter(isolation, "0", false)
+		qt.Assert(t, isolation.InFlight(), qt.HasLen, 2, qt.Commentf("the oldest ones are forgotten"))
+	})
+}
--- a/router/locator/apply.go
+++ b/router/locator/apply.go
@@ -75,25 +75,8 @@
 }
 
 func (b *tableBuilder) quarantines(base *Table, delta *messenger.TableDelta) {
-	b.table.quarantines = updateQuarantines(base.quarantines, delta.Quarantines)
-	b.table.suspects = updateQuarantines(base.suspects, delta.Suspects)
-}
-
-// updateQuarantines returns a copy of the rows by fingerprint with the changes
-// applied.
-func updateQuarantines(old map[string]messenger.QuarantineRow, changes []messenger.QuarantineRow) map[string]messenger.QuarantineRow {
-	if len(changes) == 0 {
-		return old
-	}
-	rows := maps.Clone(old)
-	for _, row := range changes {
-		if row.Gone {
-			delete(rows, row.Fingerprint)
-			continue
-		}
-		rows[row.Fingerprint] = row
-	}
-	return rows
+	b.table.quarantines = messenger.UpdateQuarantines(base.quarantines, delta.Quarantines)
+	b.table.suspects = messenger.UpdateQuarantines(base.suspects, delta.Suspects)
 }
 
 func (b *tableBuilder) services(old map[string]*serviceTable, delta *messenger.TableDelta) {
--- a/router/mapper/mapper.go
+++ b/router/mapper/mapper.go
@@ -73,6 +73,7 @@
 	servers       map[string][]*Server
 	owners        map[uint64]*Server
 	ranges        map[string]*splitter.Map[KeyOwnership]
+	quarantines   map[string]messenger.QuarantineRow
 	// next is closed when a newer Map has replaced this one.
 	next chan struct{}
 }
@@ -151,6 +152,12 @@
 	return m.owners[ownership.Owner], ownership
 }
 
+// IsQuarantined reports whether a fingerprint of [hasher.Fingerprint] is quarantined.
+func (m *Map) IsQuarantined(fingerprint string) bool {
+	_, ok := m.quarantines[fingerprint]
+	return ok
+}
+
 // OwnedRanges returns the ranges that a session owns.
 func (m *Map) OwnedRanges(service string, session uint64) []messenger.RangeRow {
 	ranges := m.ranges[service]
@@ -200,6 +207,7 @@
 	if !delta.Full {
 		updated.sessions = previous.sessions
 		updated.ranges = previous.ranges
+		updated.quarantines = previous.quarantines
 	}
 	updated.configure(delta.Configuration)
 	updated.servers, updated.owners = previous.servers, previous.owners
@@ -207,6 +215,7 @@
 		updated.addSessions(delta.Sessions)
 	}
 	updated.addRanges(delta.Ranges)
+	updated.quarantines = messenger.UpdateQuarantines(updated.quarantines, delta.Quarantines)
 	m.current.Store(updated)
 	close(previous.next)
 	return nil
--- a/router/mapper/mapper_test.go
+++ b/router/mapper/mapper_test.go
@@ -79,3 +79,27 @@
 	qt.Assert(t, before.OwnedRanges("findings", 7), qt.HasLen, 1)
 	qt.Assert(t, routes.Apply(&messenger.TableDelta{From: 5, To: 6}), qt.ErrorMatches, ".*starts at revision 5.*")
 }
+
+func TestQuarantines(t *testing.T) {
+	routes := mapper.New()
+	deltas := []struct {
+		delta messenger.TableDelta
+		want  []string
+	}{
+		{delta: messenger.TableDelta{Full: true, To: 1, Quarantines: []messenger.QuarantineRow{{Fingerprint: "a"}, {Fingerprint: "b"}}}, want: []string{"a", "b"}},
+		{delta: messenger.TableDelta{From: 1, To: 2}, want: []string{"a", "b"}},
+		{delta: messenger.TableDelta{From: 2, To: 3, Quarantines: []messenger.QuarantineRow{{Fingerprint: "a", Gone: true}, {Fingerprint: "c"}}}, want: []string{"b", "c"}},
+		{delta: messenger.TableDelta{Full: true, To: 4, Quarantines: []messenger.QuarantineRow{{Fingerprint: "c"}}}, want: []string{"c"}},
+		{delta: messenger.TableDelta{Full: true, To: 5}},
+	}
+	for _, step := range deltas {
+		qt.Assert(t, routes.Apply(&step.delta), qt.IsNil)
+		var got []string
+		for _, fingerprint := range []string{"a", "b", "c", ""} {
+			if routes.Load().IsQuarantined(fingerprint) {
+				got = append(got, fingerprint)
+			}
+		}
+		qt.Check(t, got, qt.DeepEquals, step.want, qt.Commentf("revision %d", step.delta.To))
+	}
+}
--- a/router/relayer/entry_test.go
+++ b/router/relayer/entry_test.go
@@ -203,3 +203,71 @@
 		qt.Assert(t, time.Since(started), qt.Equals, time.Duration(0))
 	})
 }
+
+// A quarantined request is refused at its entry, and by the owner if it was waiting there
+// or its entry does not know of the quarantine yet.
+func TestQuarantinedRequestDoesNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		run := make(chan struct{})
+		o := newTestOwner(func(context.Context) courier.Result {
+			<-run
+			return doneResult(200, strings.NewReader("ok"), 2)
+		})
+		entry, routes := newEntry(t, o, true)
+		o.quarantined = func(print string) bool { return routes.Load().IsQuarantined(print) }
+		answers := make(chan relayer.Answer, 2)
+		serve := func(path string) {
+			answers <- entry.Serve(t.Context(), call(path, 7))
+		}
+		go serve("/find/x")
+		synctest.Wait()
+		print := o.isolation.InFlight()[0].Fingerprint
+		go serve("/find/x")
+		synctest.Wait()
+		qt.Assert(t, o.backend.sent, qt.Equals, 1)
+		qt.Assert(t, routes.Apply(&messenger.TableDelta{From: 1, To: 2, Quarantines: []messenger.QuarantineRow{{Fingerprint: print}}}), qt.IsNil)
+		close(run)
+		qt.Assert(t, (<-answers).Outcome, qt.Equals, messenger.OutcomeDone)
+		qt.Assert(t, (<-answers).Reason, qt.Equals, messenger.ReasonQuarantine)
+		answer := entry.Serve(t.Context(), call("/find/x", 7))
+		qt.Assert(t, answer.Outcome, qt.Equals, messenger.OutcomeRefused)
+		qt.Assert(t, answer.Reason, qt.Equals, messenger.ReasonQuarantine)
+		qt.Assert(t, answer.RetryAfter > 10*time.Second, qt.IsTrue)
+		qt.Assert(t, o.backend.sent, qt.Equals, 1)
+		other := relay(7)
+		other.Fingerprint = print
+		response, _ := o.Run(t.Context(), other, nil)
+		qt.Assert(t, response.Reason, qt.Equals, messenger.ReasonQuarantine)
+	})
+}
+
+// Copies of a request have one fingerprint whoever sends them, and other requests do not.
+func TestFingerprintsOfRequests(t *testing.T) {
+	o := newTestOwner(func(context.Context) courier.Result { return doneResult(200, strings.NewReader("ok"), 2) })
+	entry, _ := newEntry(t, o, true)
+	fingerprint := func(change func(call *relayer.Call)) string {
+		c := call("/find/x", 7)
+		change(c)
+		answer := entry.Serve(t.Context(), c)
+		qt.Assert(t, answer.Outcome, qt.Equals, messenger.OutcomeDone)
+		return o.backend.lastFingerprint
+	}
+	original := fingerprint(func(*relayer.Call) {})
+	tests := []struct {
+		name   string
+		change func(call *relayer.Call)
+		same   bool
+	}{
+		{name: "identifier, host in capitals, header", same: true, change: func(c *relayer.Call) {
+			c.ID, c.Host, c.Header = "2", "DESK", []messenger.Header{{Name: "A", Values: []string{"b"}}}
+		}},
+		{name: "method", change: func(c *relayer.Call) { c.Method = "PUT" }},
+		{name: "path", change: func(c *relayer.Call) { c.Target = "/find/y" }},
+		{name: "query", change: func(c *relayer.Call) { c.Target = "/find/x?page=2" }},
+		{name: "body", change: func(c *relayer.Call) { c.Body = strings.NewReader("BODY") }},
+		{name: "key", change: func(c *relayer.Call) { c.Key = 8 }},
+	}
+	for _, test := range tests {
+		qt.Check(t, fingerprint(test.change) == original, qt.Equals, test.same, qt.Commentf(test.name))
+	}
+}
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -72,6 +72,8 @@
 	// Isolator keeps the requests in flight, the suspects if the server crashes.
 	Isolator *isolator.Isolator
 	Detector Detector
+	// IsQuarantined reports whether requests with a fingerprint must not run.
+	IsQuarantined func(fingerprint string) bool
 	// Inbound is the account of the link that bodies arrive on.
 	Inbound *inviter.Link
 	// RequestUpdate requests an early update from the control group. It is called when
@@ -181,6 +183,8 @@
 	switch {
 	case view.Row == nil || view.Row.Service != relay.Service:
 		return nil, messenger.ReasonMisrouted
+	case o.options.IsQuarantined(relay.Fingerprint):
+		return nil, messenger.ReasonQuarantine
 	case view.State == messenger.ServerLeaving && !view.Accepts(now, ranged):
 		return nil, messenger.ReasonDraining
 	case !view.Accepts(now, ranged):
@@ -233,9 +237,12 @@
 		if readErr != nil && !left {
 			o.options.Detector.ConnectionBroken(row.URL)
 		}
-		pass.Leave()
 		duration := time.Since(sentAt)
 		succeeded := complete && result.Status < http.StatusInternalServerError
+		if succeeded {
+			pass.Complete()
+		}
+		pass.Leave()
 		slot.Release(succeeded)
 		if complete || (readErr != nil && !left) {
 			o.options.Sampler.Judged(!succeeded)
--- a/router/relayer/owner_test.go
+++ b/router/relayer/owner_test.go
@@ -31,11 +31,14 @@
 	run  func(ctx context.Context) courier.Result
 	mu   sync.Mutex
 	sent int
+	// lastFingerprint is that of the last request.
+	lastFingerprint string
 }
 
-func (f *fakeBackend) Send(ctx context.Context, _ string, _ *courier.ServerRequest, _ io.Reader) courier.Result {
+func (f *fakeBackend) Send(ctx context.Context, _ string, request *courier.ServerRequest, _ io.Reader) courier.Result {
 	f.mu.Lock()
 	f.sent++
+	f.lastFingerprint = request.Relay.Fingerprint
 	f.mu.Unlock()
 	return f.run(ctx)
 }
@@ -72,6 +75,9 @@
 	sampler   *fakeSampler
 	server    *attendant.Attendant
 	admission *queuer.Admission
+	isolation *isolator.Isolator
+	// quarantined is OwnerOptions.IsQuarantined, if it is set.
+	quarantined func(fingerprint string) bool
 	// updatesRequested counts the calls of OwnerOptions.RequestUpdate.
 	updatesRequested int
 }
@@ -87,12 +93,13 @@
 
 // newTestOwnerWith returns a testOwner with a backend of another kind.
 func newTestOwnerWith(backend relayer.Backend) *testOwner {
-	o := &testOwner{keys: &fakeKeys{}, sampler: &fakeSampler{}, admission: queuer.NewAdmission(1)}
+	o := &testOwner{keys: &fakeKeys{}, sampler: &fakeSampler{}, admission: queuer.NewAdmission(1), isolation: isolator.New()}
 	o.server = attendant.New(attendant.Options{Address: serverAddress, OnChange: func(*attendant.View) {}, IsConnected: func() bool { return false }, Log: logger.Discard()})
 	o.server.Announce(timer.Now(), attendant.Announcement{Row: messenger.ServerRow{Name: "s1", Service: "findings", URL: serverAddress, Slots: 1, Born: 1}})
 	o.Owner = relayer.NewOwner(relayer.OwnerOptions{
 		Server: o.server, KeyChecker: o.keys, Admission: o.admission, Backend: backend, Sampler: o.sampler,
-		Isolator: isolator.New(), Detector: fakeDetector{},
+		Isolator: o.isolation, Detector: fakeDetector{},
+		IsQuarantined: func(fingerprint string) bool { return o.quarantined != nil && o.quarantined(fingerprint) },
 		Inbound:       inviter.New(0),
 		RequestUpdate: func() { o.updatesRequested++ },
 		Log:           logger.Discard(), Metrics: metrics.NewSet(),
--- a/router/relayer/routed_call.go
+++ b/router/relayer/routed_call.go
@@ -42,6 +42,9 @@
 	// defaultRetryAfter is the delay after which a caller should retry if no
 	// server had capacity and none gave a delay.
 	defaultRetryAfter = 150 * time.Millisecond
+	// quarantineRetryAfter is the delay after which the caller of a quarantined request
+	// should retry. Only an operator lifts a quarantine.
+	quarantineRetryAfter = time.Minute
 )
 
 // routedCall is the routing of one call by an Entry, with all its attempts.
@@ -93,6 +96,9 @@
 			return c.giveUp(contextReason(ctx))
 		}
 		c.version = routes.Configuration.Version
+		if routes.IsQuarantined(c.fingerprint) {
+			return c.refuse(messenger.ReasonQuarantine, quarantineRetryAfter)
+		}
 		server, reason := c.choose(routes)
 		if server == nil {
 			if !c.waitForOwner(ctx, routes, reason) {
@@ -380,6 +386,8 @@
 	switch {
 	case requested > 0:
 		return jitter(requested)
+	case reason == messenger.ReasonQuarantine:
+		return quarantineRetryAfter
 	case reason == messenger.ReasonUnreachable || reason == messenger.ReasonDown || reason == messenger.ReasonUnowned:
 		return jitter(lostOwnerRetryAfter)
 	}
--- a/router/reporter/reporter.go
+++ b/router/reporter/reporter.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	reports := reporter.New(reporter.Options{Control: addresses, Opener: pool, LeaseSource: keeper, Metrics: set})
+//	reports := reporter.New(reporter.Options{Control: members, Opener: pool, LeaseSource: keeper, Metrics: set})
 //	go reports.Run(ctx)
 //	reports.Send(messenger.Report{Stalled: "archives: a key waits"})
 package reporter
@@ -41,8 +41,8 @@
 
 // Options are the dependencies of a Reporter.
 type Options struct {
-	// Control lists the addresses of the members of the control group.
-	Control     []string
+	// Control returns the addresses of the members of the control group.
+	Control     func() []string
 	Opener      linker.Opener
 	LeaseSource LeaseSource
 	Metrics     *metrics.Set
@@ -112,7 +112,11 @@
 	defer cancel()
 	address := r.leaderAddress
 	if address == "" {
-		address = r.options.Control[r.nextMember%len(r.options.Control)]
+		members := r.options.Control()
+		if len(members) == 0 {
+			return false
+		}
+		address = members[r.nextMember%len(members)]
 	}
 	response, err := linker.Call[messenger.Report, messenger.ReportResponse](
 		ctx, r.options.Opener, address, messenger.KindReport, report)
