Refuse requests that were quarantined while they waited, in sharded mode

The quarantine was looked up before a request waited for a slot and, as a suspect, for the server to be idle. Copies that waited when the quarantine came were sent to the server all the same, one after the other. It is looked up again right before the request is sent. TestWaitingRequestIsNotSentOnceQuarantined failed before: the request ran and its outcome was unknown.

--- a/router/executor/dispatch.go
+++ b/router/executor/dispatch.go
@@ -71,7 +71,11 @@
 	if lease.Session != r.lease.Session || !lease.IsLeaseValid(now) {
 		return messenger.ReasonLease
 	}
-	place, _ := r.options.Locator.Load().Locate(r.request.Service, r.request.Key)
+	table := r.options.Locator.Load()
+	if table.IsQuarantined(r.print) {
+		return messenger.ReasonQuarantine
+	}
+	place, _ := table.Locate(r.request.Service, r.request.Key)
 	if drainer.RefOf(place.Row) != r.ref || place.Row.Owner != lease.Session {
 		return messenger.ReasonMisrouted
 	}
--- a/router/executor/executor_test.go
+++ b/router/executor/executor_test.go
@@ -310,6 +310,27 @@
 	})
 }
 
+// Requests that had been admitted before their quarantine, and waited, were sent on.
+func TestWaitingRequestIsNotSentOnceQuarantined(t *testing.T) {
+	withSetup(t, func(t *testing.T, s *setup) {
+		s.backend.run = answerAfter(time.Second)
+		print := s.fingerprintOf(t, requestNumbered("n0"))
+		s.delta.Suspects = []messenger.QuarantineRow{{Fingerprint: print}}
+		s.publish(t)
+		s.leaseSource.renew(timer.Now())
+		other := messenger.Request{Number: "n1", Key: "gate"}
+		first := s.start(other)
+		suspect := s.start(requestNumbered("n2"))
+		qt.Assert(t, s.backend.runs(), qt.Equals, 2)
+		s.delta.Suspects = nil
+		s.delta.Quarantines = []messenger.QuarantineRow{{Fingerprint: print}}
+		s.publish(t)
+		<-first
+		assertOutcome(t, <-suspect, messenger.OutcomeRefused, messenger.ReasonQuarantine)
+		qt.Assert(t, s.backend.runs(), qt.Equals, 2)
+	})
+}
+
 // fingerprintOf runs a request and returns its fingerprint.
 func (s *setup) fingerprintOf(t *testing.T, request messenger.Request) string {
 	answer := s.start(request)
