See the death of a backend server that is started again at once

A death was seen only while the port of the server refused connections. A server that a supervisor starts again within milliseconds accepts them before the first dial, so the requests that crash it were never suspects. An announcement with a later start time, while broken connections are looked into, is a death as well. TestDeathOfServerThatStartsAgainAtOnce failed to see one before (there was no way to tell the detector).

--- a/router/assembler/assembler.go
+++ b/router/assembler/assembler.go
@@ -76,6 +76,7 @@
 	admitter         *admitter.Admitter
 	granter          *granter.Granter
 	reporter         *reporter.Reporter
+	detector         *isolator.Detector
 	executor         *executor.Executor
 	dispatcher       *dispatcher.Dispatcher
 	forwarder        *forwarder.Forwarder
@@ -132,6 +133,7 @@
 	})
 	tally := tallier.New()
 	isolation := isolator.New()
+	p.detector = isolator.NewDetector(options.Network, isolation, p.serverCrashed)
 	p.heartbeatHandler = &heartbeatHandler{
 		locator:  p.locator,
 		prober:   p.prober,
@@ -154,7 +156,7 @@
 		OutcomeStore: recorder.NewOutcomeStore(),
 		Admitter:     p.admitter,
 		Isolator:     isolation,
-		Detector:     isolator.NewDetector(options.Network, isolation, p.serverCrashed),
+		Detector:     p.detector,
 		Tally:        tally,
 		Metrics:      options.Metrics,
 	})
@@ -259,6 +261,7 @@
 	switch view.State {
 	case messenger.ServerReady:
 		p.admitter.SetServer(*view.Row)
+		p.detector.ServerStarted(view.Row.Born)
 	case messenger.ServerLeaving:
 		p.granter.NotifyDrain()
 	default:
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -117,6 +117,7 @@
 	// members are the addresses of the control group.
 	members  atomic.Pointer[[]string]
 	reporter *reporter.Reporter
+	detector *isolator.Detector
 
 	callerServer     *http.Server
 	callerGuard      *listener.Guard
@@ -194,6 +195,7 @@
 		Metrics:       options.Metrics,
 	})
 	isolation := isolator.New()
+	p.detector = isolator.NewDetector(options.Network, isolation, p.serverCrashed)
 	p.owner = relayer.NewOwner(relayer.OwnerOptions{
 		Server:        p.server,
 		KeyChecker:    p.holder,
@@ -201,7 +203,7 @@
 		Backend:       p.backend,
 		Sampler:       p.sampler,
 		Isolator:      isolation,
-		Detector:      isolator.NewDetector(options.Network, isolation, p.serverCrashed),
+		Detector:      p.detector,
 		IsQuarantined: func(fingerprint string) bool { return p.mapper.Load().IsQuarantined(fingerprint) },
 		Inbound:       p.inbound,
 		RequestUpdate: p.keeper.RequestUpdate,
@@ -247,6 +249,7 @@
 	if view.Row.Slots > 0 {
 		p.admission.SetSlots(view.Row.Slots)
 	}
+	p.detector.ServerStarted(view.Row.Born)
 	p.updateRanges()
 	p.keeper.RequestHeartbeat()
 }
--- a/router/isolator/detector.go
+++ b/router/isolator/detector.go
@@ -22,7 +22,7 @@
 var dialDelays = []time.Duration{5 * time.Millisecond, 20 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond}
 
 // Detector distinguishes the death of a backend server from the end of one connection:
-// a dead server refuses new connections. Its methods are safe for concurrent use.
+// a dead server refuses new connections, or is started again. Its methods are safe for concurrent use.
 type Detector struct {
 	network   networker.Network
 	isolation *Isolator
@@ -30,6 +30,10 @@
 
 	mu       sync.Mutex
 	watching bool
+	// born is the start time of the server in milliseconds; 0 when unknown.
+	born int64
+	// restarted is set when the server was started again since the watch began.
+	restarted bool
 	// dials counts the connection attempts since the last broken connection.
 	dials     int
 	breaks    []connectionBreak
@@ -64,11 +68,26 @@
 	d.breaks = append(d.breaks, connectionBreak{at: now, rows: rows})
 	d.dials = 0
 	if !d.watching {
-		d.watching = true
+		d.watching, d.restarted = true, false
 		go d.watch(address)
 	}
 }
 
+// ServerStarted must be called with the start time of the server whenever it announces
+// itself, in milliseconds.
+func (d *Detector) ServerStarted(born int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.restarted = d.restarted || (d.born != 0 && born > d.born)
+	d.born = max(d.born, born)
+}
+
+func (d *Detector) isRestarted() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.restarted
+}
+
 // dropBreaks drops the breaks that are too old to belong to a death at an instant. It
 // requires mu to be held.
 func (d *Detector) dropBreaks(now time.Time) {
@@ -89,7 +108,7 @@
 			return
 		}
 		time.Sleep(delay)
-		if d.refusesConnection(address) {
+		if d.isRestarted() || d.refusesConnection(address) {
 			d.onDeath(d.death())
 			return
 		}
--- a/router/isolator/isolator_test.go
+++ b/router/isolator/isolator_test.go
@@ -180,3 +180,27 @@
 		qt.Assert(t, isolation.InFlight(), qt.HasLen, 2, qt.Commentf("the oldest ones are forgotten"))
 	})
 }
+
+// The death of a server that was started again at once, as by a supervisor, was not seen:
+// it accepted connections again before the first dial.
+func TestDeathOfServerThatStartsAgainAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newDetectorFixture(t)
+		f.enter("poison")
+		f.detector.ServerStarted(1)
+		f.detector.ServerStarted(1)
+		f.detector.ConnectionBroken(serverAddress)
+		f.detector.ServerStarted(2)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		qt.Assert(t, f.deaths, qt.DeepEquals, [][]messenger.QuarantineRow{{row("poison")}})
+		// A start without a broken connection is no death, nor the reverse.
+		f.detector.ServerStarted(3)
+		time.Sleep(2 * time.Second)
+		f.detector.ConnectionBroken(serverAddress)
+		f.detector.ServerStarted(3)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		qt.Assert(t, f.deaths, qt.HasLen, 1)
+	})
+}
