Keep the limit that a backend server names in its answers

Servers in need that named how many requests a second they take got as many as before: 90 to 111 in 4 s where 54 to 59 were allowed. The field was not read.

The codec of the server's protocol reads it, and the router beside the server, through which all requests for it pass, starts requests at that rate with a token bucket. The limit is in force until an answer to a later request names none, or another server starts.

--- a/kernel/logger/router.go
+++ b/kernel/logger/router.go
@@ -19,12 +19,13 @@
 	RangeCallCompleted  = Event{322, hclog.Info, "backend server called to grant or release a key range"}
 	RangesFreed         = Event{323, hclog.Info, "key range is free: the backend server no longer holds it"}
 	RequestStalled      = Event{330, hclog.Warn, "background request stalled"}
+	ServerLimitChanged  = Event{315, hclog.Info, "backend server named another limit"}
 	ResponseOversized   = Event{331, hclog.Warn, "backend server sent more than a response may contain"}
 )
 
 func routerEvents() []Event {
 	return []Event{
-		LeaseAcquired, LeaseLost, LeaseReleased, ControlUnreachable, ControlReachable, ServerAnnounced, AnnouncementIgnored, ServerStateChanged, ServerLoad, ServerTerminated,
+		LeaseAcquired, LeaseLost, LeaseReleased, ControlUnreachable, ControlReachable, ServerAnnounced, AnnouncementIgnored, ServerStateChanged, ServerLoad, ServerTerminated, ServerLimitChanged,
 		RecordsRecovered, RecordsCopied, RangeCallCompleted, RangesFreed, RequestStalled, ResponseOversized,
 	}
 }
--- a/kernel/messenger/reason.go
+++ b/kernel/messenger/reason.go
@@ -18,6 +18,7 @@
 	ReasonQueue       Reason = "queue"       // the queue of the owner is full
 	ReasonDeadline    Reason = "deadline"    // the deadline would pass before the request runs
 	ReasonShed        Reason = "shed"        // the backend server was overloaded and did not run the request
+	ReasonLimit       Reason = "limit"       // the backend server has named a limit that leaves no room in time
 	ReasonShare       Reason = "share"       // background requests already use their share of the slots
 	ReasonFair        Reason = "fair"        // the caller or key already uses its fair share
 	ReasonBudget      Reason = "budget"      // the retry budget is exhausted
@@ -53,7 +54,7 @@
 	return []Reason{
 		ReasonMalformed, ReasonOversize, ReasonService, ReasonUnowned, ReasonMoving,
 		ReasonMisrouted, ReasonLease, ReasonUnreachable, ReasonQueue, ReasonDeadline,
-		ReasonShed, ReasonShare, ReasonFair, ReasonBudget, ReasonDraining, ReasonDown,
+		ReasonShed, ReasonLimit, ReasonShare, ReasonFair, ReasonBudget, ReasonDraining, ReasonDown,
 		ReasonQuarantine, ReasonRecorders, ReasonRecovering, ReasonMismatch, ReasonFence,
 		ReasonCanceled, ReasonStopping, ReasonStale, ReasonUnready, ReasonRoute,
 	}
--- a/kernel/messenger/relay.go
+++ b/kernel/messenger/relay.go
@@ -87,4 +87,8 @@
 	// of its route. Because all routers use the same targets, servers can be compared
 	// by it regardless of the mix of requests that they receive. It is 0 when unknown.
 	Slowness float32
+	// Limit is the limit that the server has named, in requests per second; 0 means none.
+	// LimitWait is the time until one more request could start under it.
+	Limit     float32
+	LimitWait time.Duration
 }
--- a/kernel/messenger/request.go
+++ b/kernel/messenger/request.go
@@ -38,6 +38,9 @@
 	HeaderCaller = "Marigold-Caller"
 	// HeaderHandover is the data that a holder of keys leaves for the next one.
 	HeaderHandover = "Marigold-Handover"
+	// HeaderLimit is set by a backend server of a configuration: how many requests per
+	// second it takes from all routers together, a decimal number, as long as it is set.
+	HeaderLimit = "Marigold-Limit"
 	// HeaderRefused is set by a backend server on the response to a request that
 	// it did not run; its value is a Refusal.
 	HeaderRefused = "Marigold-Refused"
--- a/router/acceptor/status.go
+++ b/router/acceptor/status.go
@@ -26,7 +26,7 @@
 		return http.StatusConflict
 	case messenger.ReasonQuarantine:
 		return http.StatusUnprocessableEntity
-	case messenger.ReasonQueue, messenger.ReasonShare, messenger.ReasonFair:
+	case messenger.ReasonQueue, messenger.ReasonLimit, messenger.ReasonShare, messenger.ReasonFair:
 		return http.StatusTooManyRequests
 	}
 	return http.StatusServiceUnavailable
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"net"
 	"net/http"
@@ -118,6 +119,8 @@
 	members  atomic.Pointer[[]string]
 	reporter *reporter.Reporter
 	detector *isolator.Detector
+	// lastStart is the name and the start time of the backend server.
+	lastStart atomic.Value
 
 	callerServer     *http.Server
 	callerGuard      *listener.Guard
@@ -250,6 +253,9 @@
 		p.admission.SetSlots(view.Row.Slots)
 	}
 	p.detector.ServerStarted(view.Row.Born)
+	if start := fmt.Sprintf("%s %d", view.Row.Name, view.Row.Born); start != p.lastStart.Swap(start) {
+		p.admission.ClearLimit()
+	}
 	p.updateRanges()
 	p.keeper.RequestHeartbeat()
 }
--- a/router/chooser/chooser.go
+++ b/router/chooser/chooser.go
@@ -195,12 +195,24 @@
 		pace := max(known.work.Pace, time.Duration(slowness*float64(aim)))
 		cost += pace * time.Duration(load+1-slots) / time.Duration(slots)
 	}
+	cost += known.limitWait(now)
 	if candidate.Domain != requirements.Domain {
 		cost += min(time.Duration(requirements.Bytes)*crossDomainDelayPerByte, requirements.MaxLocalDelay)
 	}
 	return cost
 }
 
+// limitWait returns the time until the server could start one more request under the limit
+// that it has named.
+func (s *serverStats) limitWait(now time.Duration) time.Duration {
+	if !s.known || s.work.Limit <= 0 {
+		return 0
+	}
+	sentSince := float64(max(s.inFlight-s.inFlightAtReport, 0))
+	wait := s.work.LimitWait + time.Duration(sentSince/float64(s.work.Limit)*float64(time.Second))
+	return max(wait-(now-s.reported), 0)
+}
+
 // load returns the estimated number of requests at a server.
 func (s *serverStats) load(now time.Duration) int {
 	if !s.known || now-s.reported > staleTime {
--- a/router/chooser/chooser_test.go
+++ b/router/chooser/chooser_test.go
@@ -39,6 +39,17 @@
 		check        func(counts map[uint64]int) bool
 	}{
 		{name: "even", count: 18, check: func(counts map[uint64]int) bool { return counts[1] >= 5 && counts[2] >= 5 && counts[3] >= 5 }},
+		{
+			// 18 requests at once: the limit leaves the server one at first and one more for
+			// each half second that the others would take.
+			name: "a server that named a limit receives few requests", count: 18,
+			prepare: func(lb *chooser.Balancer) {
+				for session, limit := range map[uint64]float32{1: 0, 2: 0, 3: 2} {
+					report(lb, session, messenger.ServerWork{Slots: 6, Slowness: 0.25, Limit: limit})
+				}
+			},
+			check: func(counts map[uint64]int) bool { return counts[3] >= 1 && counts[3] <= 2 },
+		},
 		{
 			name: "a slow server receives fewer requests", count: 18,
 			prepare: func(lb *chooser.Balancer) {
--- a/router/courier/courier.go
+++ b/router/courier/courier.go
@@ -74,6 +74,9 @@
 	// Misdirected is set when the server does not hold the key or is not the server that
 	// the request was meant for.
 	Misdirected bool
+	// Limit is how many requests per second the server takes from all routers together;
+	// nil when it names no limit.
+	Limit *float64
 }
 
 // ServerRequest is a request to the backend server.
--- a/router/dispatcher/header_codec.go
+++ b/router/dispatcher/header_codec.go
@@ -34,5 +34,6 @@
 		ID:          header.Get(messenger.HeaderRequestNumber),
 		NotExecuted: refusal != "",
 		Misdirected: refusal == messenger.RefusalFence,
+		Limit:       courier.ParseLimit(header.Get(messenger.HeaderLimit)),
 	}
 }
--- a/router/queuer/admission.go
+++ b/router/queuer/admission.go
@@ -18,6 +18,10 @@
 	waiters map[*Entry]chan outcome
 	totals  Totals
 	updated time.Duration
+	// limitNamed is when the backend server first named the limit that is in force.
+	limitNamed time.Time
+	// startTimer runs when a job can start that waits for the limit.
+	startTimer *time.Timer
 }
 
 // Totals are cumulative counters of an Admission, from its creation.
@@ -89,7 +93,76 @@
 	defer a.mu.Unlock()
 	a.accumulate(a.Now())
 	a.queue.SetSlots(slots)
-	a.notifyStarted(a.queue.StartWaiting(a.Now()))
+	a.startWaiting(a.Now())
+}
+
+// SetLimit sets the limit that the backend server named, in requests per second, in the
+// response to a request that was sent at an instant; nil means that the response names
+// none. It reports whether that changed the limit. A response to a request that was sent
+// before the limit was first named does not end it, since the server may have sent it
+// before.
+func (a *Admission) SetLimit(limit *float64, sentAt time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before := a.queue.Limit()
+	switch {
+	case limit == nil && (before == 0 || !sentAt.After(a.limitNamed)):
+		return false
+	case limit == nil:
+		a.queue.SetLimit(a.Now(), 0)
+	default:
+		if before == 0 {
+			a.limitNamed = time.Now()
+		}
+		a.queue.SetLimit(a.Now(), max(*limit, minLimit))
+	}
+	a.startWaiting(a.Now())
+	return a.queue.Limit() != before
+}
+
+// ClearLimit ends the limit, as when another server has started.
+func (a *Admission) ClearLimit() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.SetLimit(a.Now(), 0)
+	a.startWaiting(a.Now())
+}
+
+// Limit returns the limit in requests per second, or 0 if there is none.
+func (a *Admission) Limit() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.Limit()
+}
+
+// startWaiting starts the jobs that can start and sets the timer for the next one. The
+// caller holds mu.
+func (a *Admission) startWaiting(now time.Duration) {
+	a.notifyStarted(a.queue.StartWaiting(now))
+	a.setStartTimer(now)
+}
+
+// setStartTimer sets the timer for the next job that waits for the limit. The caller holds
+// mu.
+func (a *Admission) setStartTimer(now time.Duration) {
+	delay, waits := a.queue.NextStart(now)
+	if !waits {
+		return
+	}
+	if a.startTimer == nil {
+		a.startTimer = time.AfterFunc(delay, a.onStartTimer)
+		return
+	}
+	a.startTimer.Reset(delay)
+}
+
+func (a *Admission) onStartTimer() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Now()
+	a.accumulate(now)
+	a.refuseLate(now)
+	a.startWaiting(now)
 }
 
 // Work returns the current load of the backend server.
@@ -97,7 +170,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	running, waiting, slots := a.queue.Load()
-	return messenger.ServerWork{Running: running, Waiting: waiting, Slots: slots, Pace: a.queue.Pace(), Slowness: float32(a.queue.Slowness())}
+	return messenger.ServerWork{Running: running, Waiting: waiting, Slots: slots, Pace: a.queue.Pace(), Slowness: float32(a.queue.Slowness()),
+		Limit: float32(a.queue.Limit()), LimitWait: a.queue.LimitWait(a.Now())}
 }
 
 // Check returns the refusal that a job would get now, or nil.
@@ -135,6 +209,7 @@
 	}
 	wake := make(chan outcome, 1)
 	a.waiters[entry] = wake
+	a.setStartTimer(now)
 	a.mu.Unlock()
 	expiry := time.NewTimer(job.Deadline - entry.cost - now)
 	defer expiry.Stop()
@@ -200,5 +275,6 @@
 		}
 		s.admission.refuseLate(now)
 		s.admission.notifyStarted(s.admission.queue.Done(now, s.entry, served))
+		s.admission.setStartTimer(now)
 	})
 }
--- a/router/queuer/queue.go
+++ b/router/queuer/queue.go
@@ -12,6 +12,9 @@
 // runs first. A request that has missed its aim runs only after those that can still
 // meet theirs, as it would make them late as well.
 //
+// A server may name a limit of requests per second. Jobs then start at that rate, even if
+// slots are free, and the excess is refused in the same way.
+//
 // # Usage
 //
 //	admission := queuer.NewAdmission(6)
@@ -78,12 +81,14 @@
 	// requests arrive with less time left.
 	aims    map[string]time.Duration
 	offered map[int]*offeredLoad
+	limiter limiter
 }
 
 // offeredLoad is the exponentially decayed load that jobs of one rank have offered.
 type offeredLoad struct {
-	// slots is the load at updated, in slots.
+	// slots is the load at updated, in slots, and jobs the number of jobs.
 	slots   float64
+	jobs    float64
 	updated time.Duration
 }
 
@@ -96,12 +101,23 @@
 const maxUrgentShare = 0.8
 
 func (l *offeredLoad) add(now, cost time.Duration) {
+	l.jobs = l.rate(now) + 1/offeredLoadTime.Seconds()
 	l.slots = l.mean(now) + cost.Seconds()/offeredLoadTime.Seconds()
 	l.updated = now
 }
 
 func (l *offeredLoad) mean(now time.Duration) float64 {
-	return l.slots * math.Exp(-(now-l.updated).Seconds()/offeredLoadTime.Seconds())
+	return l.slots * l.remaining(now)
+}
+
+// rate returns the jobs per second.
+func (l *offeredLoad) rate(now time.Duration) float64 {
+	return l.jobs * l.remaining(now)
+}
+
+// remaining returns the share of the load that has not decayed since the last job.
+func (l *offeredLoad) remaining(now time.Duration) float64 {
+	return math.Exp(-(now - l.updated).Seconds() / offeredLoadTime.Seconds())
 }
 
 // urgentShare returns the share of the slots that jobs of lower ranks are expected to
@@ -116,6 +132,18 @@
 	return min(busy/float64(max(q.slots, 1)), maxUrgentShare)
 }
 
+// urgentRateShare returns the share of the limit that jobs of lower ranks are expected to
+// take.
+func (q *Queue) urgentRateShare(now time.Duration, rank int) float64 {
+	rate := 0.0
+	for other, load := range q.offered {
+		if other < rank {
+			rate += load.rate(now)
+		}
+	}
+	return min(rate/q.limiter.rate, maxUrgentShare)
+}
+
 // NewQueue returns a Queue for a backend server with the given number of slots.
 func NewQueue(slots int) *Queue {
 	return &Queue{slots: slots, running: make(map[*Entry]struct{}), costs: make(map[string]time.Duration), aims: make(map[string]time.Duration), offered: make(map[int]*offeredLoad)}
@@ -132,6 +160,36 @@
 	q.slots = slots
 }
 
+// SetLimit sets the limit that the backend server has named, in requests per second; 0
+// means none. It starts no jobs; see [Queue.StartWaiting].
+func (q *Queue) SetLimit(now time.Duration, limit float64) {
+	q.limiter.set(now, limit)
+}
+
+// Limit returns the limit in requests per second, or 0 if there is none.
+func (q *Queue) Limit() float64 {
+	return q.limiter.rate
+}
+
+// LimitWait returns the time until one more job could start under the limit.
+func (q *Queue) LimitWait(now time.Duration) time.Duration {
+	return q.limiter.wait(now, float64(len(q.waiting)))
+}
+
+// NextStart returns the time until a waiting job can start under the limit. It reports
+// false if no job waits for that.
+func (q *Queue) NextStart(now time.Duration) (time.Duration, bool) {
+	if q.limiter.rate == 0 || len(q.waiting) == 0 || len(q.running) >= q.slots {
+		return 0, false
+	}
+	return q.limiter.wait(now, 0), true
+}
+
+// canStart reports whether a slot is free and the limit allows a start.
+func (q *Queue) canStart(now time.Duration) bool {
+	return len(q.running) < q.slots && q.limiter.wait(now, 0) == 0
+}
+
 // Load returns the numbers of running jobs, waiting jobs and slots.
 func (q *Queue) Load() (running, waiting, slots int) {
 	return len(q.running), len(q.waiting), q.slots
@@ -197,7 +255,7 @@
 	if refusal := q.check(now, entry); refusal != nil {
 		return nil, refusal
 	}
-	if len(q.running) < q.slots && len(q.waiting) == 0 {
+	if q.canStart(now) && len(q.waiting) == 0 {
 		q.start(now, entry)
 		return entry, nil
 	}
@@ -216,12 +274,15 @@
 	if now+entry.cost > entry.Deadline {
 		return &Refusal{Reason: messenger.ReasonDeadline}
 	}
-	if len(q.running) < q.slots && len(q.waiting) == 0 {
+	if q.canStart(now) && len(q.waiting) == 0 {
 		return nil
 	}
-	expectedWait := q.expectedWait(now, entry)
+	reason, expectedWait := messenger.ReasonQueue, q.expectedWait(now, entry)
+	if limitWait := q.expectedLimitWait(now, entry); limitWait > expectedWait {
+		reason, expectedWait = messenger.ReasonLimit, limitWait
+	}
 	if len(q.waiting) >= maxWaitingPerSlot*q.slots || now+expectedWait+entry.cost > entry.Aim {
-		return &Refusal{Reason: messenger.ReasonQueue, RetryAfter: q.retryAfter(now, entry.Job, expectedWait+entry.cost)}
+		return &Refusal{Reason: reason, RetryAfter: q.retryAfter(now, entry.Job, expectedWait+entry.cost)}
 	}
 	return nil
 }
@@ -239,9 +300,12 @@
 			nextFree = remaining
 		}
 	}
+	if len(q.running) < q.slots {
+		nextFree = 0
+	}
 	ahead := time.Duration(0)
 	for _, other := range q.waiting {
-		if other.Rank < entry.Rank || (other.Rank == entry.Rank && other.Aim <= entry.Aim) {
+		if other.isAheadOf(entry) {
 			ahead += other.cost
 		}
 	}
@@ -250,6 +314,27 @@
 	return time.Duration(expectedWait / (1 - q.urgentShare(now, entry.Rank)))
 }
 
+// expectedLimitWait predicts how long a job would wait for the limit, with the jobs ahead
+// of it and those of lower ranks that arrive in the meantime.
+func (q *Queue) expectedLimitWait(now time.Duration, entry *Entry) time.Duration {
+	if q.limiter.rate == 0 {
+		return 0
+	}
+	ahead := 0
+	for _, other := range q.waiting {
+		if other.isAheadOf(entry) {
+			ahead++
+		}
+	}
+	wait := q.limiter.wait(now, float64(ahead))
+	return time.Duration(float64(wait) / (1 - q.urgentRateShare(now, entry.Rank)))
+}
+
+// isAheadOf reports whether a waiting job runs before another one that arrives.
+func (e *Entry) isAheadOf(other *Entry) bool {
+	return e.Rank < other.Rank || (e.Rank == other.Rank && e.Aim <= other.Aim)
+}
+
 // retryAfter estimates when the queue will be short enough for a job like the refused
 // one to meet its aim.
 func (q *Queue) retryAfter(now time.Duration, job Job, needed time.Duration) time.Duration {
@@ -259,6 +344,7 @@
 func (q *Queue) start(now time.Duration, entry *Entry) {
 	entry.started = now
 	entry.running = true
+	q.limiter.take(now)
 	q.running[entry] = struct{}{}
 }
 
@@ -293,10 +379,11 @@
 	return true
 }
 
-// StartWaiting starts waiting jobs while slots are free and returns them.
+// StartWaiting starts waiting jobs while slots are free and the limit allows it, and
+// returns them.
 func (q *Queue) StartWaiting(now time.Duration) []*Entry {
 	var started []*Entry
-	for len(q.running) < q.slots && len(q.waiting) > 0 {
+	for len(q.waiting) > 0 && q.canStart(now) {
 		best := 0
 		for i := range q.waiting {
 			if q.runsBefore(now, q.waiting[i], q.waiting[best]) {
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -212,6 +212,7 @@
 		Server:   row.Name,
 	}, body)
 	o.reportServer(row, result)
+	o.updateLimit(row, sentAt, result)
 	if errors.Is(result.Err, courier.ErrExcess) {
 		o.options.Log.Emit(logger.ResponseOversized, "id", relay.ID, "service", relay.Service, "server", row.Name, "address", row.URL, "error", result.Err)
 	}
@@ -290,6 +291,16 @@
 	return result.Outcome == messenger.OutcomeUnknown && result.Reason == messenger.ReasonExpired
 }
 
+// updateLimit applies the limit that the server named in its response.
+func (o *Owner) updateLimit(row *messenger.ServerRow, sentAt time.Time, result courier.Result) {
+	if result.ResponseInfo.ID == "" || o.options.Server.View().Row != row {
+		return
+	}
+	if o.options.Admission.SetLimit(result.ResponseInfo.Limit, sentAt) {
+		o.options.Log.Emit(logger.ServerLimitChanged, "server", row.Name, "service", row.Service, "limit", o.options.Admission.Limit())
+	}
+}
+
 // reportServer reports whether the server answered, refused the connection or ended it
 // while the request ran.
 func (o *Owner) reportServer(row *messenger.ServerRow, result courier.Result) {
--- a/router/relayer/routed_call.go
+++ b/router/relayer/routed_call.go
@@ -325,7 +325,7 @@
 		if c.waitForOwner(ctx, routes, c.waitReason(routes)) {
 			return Answer{}, true
 		}
-	case messenger.ReasonQueue, messenger.ReasonDeadline:
+	case messenger.ReasonQueue, messenger.ReasonLimit, messenger.ReasonDeadline:
 		c.fullServers++
 		if c.keyless && c.fullServers < maxFullServers && c.body.canResend() {
 			return Answer{}, true
