Send no new requests to a server that says in its answers that it leaves

A server may say in its answers that it leaves. The field was not read, so such a server got new requests for as long as it did not announce it as well, and a router that was restarted beside it knew nothing.

The router beside the server treats such an answer like an announcement: no new requests after the usual grace, keys handed over. It says in its responses that its server leaves, and entry routers remember that by the start of the server, as the router beside it may be restarted.

--- a/kernel/messenger/relay.go
+++ b/kernel/messenger/relay.go
@@ -71,6 +71,8 @@
 	// unknown.
 	RetryAfter time.Duration
 	Load       ServerWork
+	// Leaving means that the backend server has said that it leaves.
+	Leaving bool
 }
 
 // ServerWork is the load of a backend server, as measured by its router.
--- a/kernel/messenger/request.go
+++ b/kernel/messenger/request.go
@@ -41,6 +41,8 @@
 	// HeaderLimit is set by a backend server of a configuration: how many requests per
 	// second it takes from all routers together, a decimal number, as long as it is set.
 	HeaderLimit = "Marigold-Limit"
+	// HeaderLeaving is set to 1 by a backend server of a configuration that is leaving.
+	HeaderLeaving = "Marigold-Leaving"
 	// HeaderRefused is set by a backend server on the response to a request that
 	// it did not run; its value is a Refusal.
 	HeaderRefused = "Marigold-Refused"
--- a/router/attendant/attendant.go
+++ b/router/attendant/attendant.go
@@ -188,6 +188,21 @@
 	a.publish(before, &after)
 }
 
+// Leave marks a start of a server as leaving, as it said in a response. Unlike after
+// Withdraw, its announcements still count.
+func (a *Attendant) Leave(now timer.Instant, row *messenger.ServerRow) {
+	a.mu.Lock()
+	before := a.view.Load()
+	if before.Row == nil || before.Row.Name != row.Name || before.Row.Born != row.Born || before.State != messenger.ServerReady {
+		a.mu.Unlock()
+		return
+	}
+	after := *before
+	after.State = messenger.ServerLeaving
+	after.LeavingSince = now
+	a.publish(before, &after)
+}
+
 // DialRefused records a dial that the port of the server refused.
 func (a *Attendant) DialRefused(now timer.Instant) {
 	a.mu.Lock()
--- a/router/attendant/attendant_test.go
+++ b/router/attendant/attendant_test.go
@@ -162,3 +162,22 @@
 	qt.Assert(t, f.View().State, qt.Equals, messenger.ServerFrozen)
 	qt.Assert(t, f.downCalls, qt.Equals, 0)
 }
+
+// A server that says in a response that it leaves stays so, whatever it announces, until
+// it is started again.
+func TestLeaveByResponse(t *testing.T) {
+	f := newFixture()
+	f.Announce(at(0), announcement("a", 1000, 1))
+	row := f.View().Row
+	f.Leave(at(time.Second), &messenger.ServerRow{Name: "a", Born: 900})
+	qt.Assert(t, f.View().State, qt.Equals, messenger.ServerReady)
+	f.Leave(at(time.Second), row)
+	f.Leave(at(2*time.Second), row)
+	qt.Assert(t, f.View().State, qt.Equals, messenger.ServerLeaving)
+	qt.Assert(t, f.View().LeavingSince, qt.Equals, at(time.Second))
+	f.Announce(at(2*time.Second), announcement("a", 1000, 2))
+	qt.Assert(t, f.View().State, qt.Equals, messenger.ServerLeaving)
+	qt.Assert(t, f.View().Accepts(at(4*time.Second), true), qt.IsFalse)
+	f.Announce(at(4*time.Second), announcement("a", 1100, 1))
+	qt.Assert(t, f.View().State, qt.Equals, messenger.ServerReady)
+}
--- a/router/courier/courier.go
+++ b/router/courier/courier.go
@@ -77,6 +77,8 @@
 	// Limit is how many requests per second the server takes from all routers together;
 	// nil when it names no limit.
 	Limit *float64
+	// Leaving means that the server leaves and must get no new requests.
+	Leaving bool
 }
 
 // ServerRequest is a request to the backend server.
--- a/router/dispatcher/header_codec.go
+++ b/router/dispatcher/header_codec.go
@@ -34,6 +34,7 @@
 		ID:          header.Get(messenger.HeaderRequestNumber),
 		NotExecuted: refusal != "",
 		Misdirected: refusal == messenger.RefusalFence,
+		Leaving:     header.Get(messenger.HeaderLeaving) == "1",
 		Limit:       courier.ParseLimit(header.Get(messenger.HeaderLimit)),
 	}
 }
--- a/router/relayer/entry.go
+++ b/router/relayer/entry.go
@@ -135,6 +135,7 @@
 type Entry struct {
 	options  EntryOptions
 	balancer *chooser.Balancer
+	leavers  *leavers
 	started  time.Time
 	duration *metrics.Histogram
 
@@ -149,6 +150,7 @@
 	return &Entry{
 		options:   options,
 		balancer:  chooser.New(),
+		leavers:   newLeavers(),
 		started:   time.Now(),
 		duration:  options.Metrics.GetOrCreateHistogram("marigold_request_seconds"),
 		meanBytes: make(map[string]float64),
--- a/router/relayer/entry_test.go
+++ b/router/relayer/entry_test.go
@@ -13,6 +13,8 @@
 
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/timer"
+	"marigoldhill/router/attendant"
 	"marigoldhill/router/budgeter"
 	"marigoldhill/router/courier"
 	"marigoldhill/router/mapper"
@@ -271,3 +273,35 @@
 		qt.Check(t, fingerprint(test.change) == original, qt.Equals, test.same, qt.Commentf(test.name))
 	}
 }
+
+// The router beside a server that had said that it leaves forgot it when it was restarted,
+// and entries sent it requests again.
+func TestEntryRemembersServersThatLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newTestOwner(func(context.Context) courier.Result {
+			result := doneResult(200, strings.NewReader("ok"), 2)
+			result.ResponseInfo = courier.ResponseInfo{ID: "1", Leaving: true}
+			return result
+		})
+		entry, routes := newEntry(t, o, true)
+		serve := func() messenger.Reason { return entry.Serve(t.Context(), call("/find/x", 7)).Reason }
+		qt.Assert(t, serve(), qt.Equals, messenger.ReasonNone)
+		// The announcement of a server that has just started stands for a router that has.
+		announce := func(born int64) {
+			row := messenger.ServerRow{Name: "s1", Service: "findings", URL: serverAddress, Slots: 1, Born: born}
+			o.server.Announce(timer.Now(), attendant.Announcement{Row: row, Sequence: 1})
+		}
+		announce(2)
+		time.Sleep(time.Second)
+		qt.Assert(t, serve(), qt.Equals, messenger.ReasonNone, qt.Commentf("its keys have no other owner yet"))
+		announce(3)
+		time.Sleep(500 * time.Millisecond)
+		qt.Assert(t, serve(), qt.Equals, messenger.ReasonDraining)
+		qt.Assert(t, o.backend.sent, qt.Equals, 2)
+		// A later start of the server has not said that it leaves.
+		qt.Assert(t, routes.Apply(&messenger.TableDelta{From: 1, To: 2, Sessions: []messenger.SessionRow{
+			{Session: ownSession, Router: "r1", Server: &messenger.ServerRow{Name: "s1", Service: "findings", Slots: 1, Born: 4}},
+		}}), qt.IsNil)
+		qt.Assert(t, serve(), qt.Equals, messenger.ReasonNone)
+	})
+}
--- /dev/null
+++ b/router/relayer/leavers.go
@@ -0,0 +1,66 @@
+package relayer
+
+import (
+	"sync"
+	"time"
+
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/router/mapper"
+)
+
+// leaveGrace is how long a key's owner that has said that it leaves still gets requests
+// for the key. Moving keys takes two heartbeats.
+const leaveGrace = 1200 * time.Millisecond
+
+// leaver identifies a start of a backend server.
+type leaver struct {
+	name string
+	born int64
+}
+
+// leavers remembers which backend servers have said in a response that they leave. The
+// router beside such a server refuses requests for it, but forgets when it is restarted.
+type leavers struct {
+	mu sync.Mutex
+	// since is when this router first passed such a response on.
+	since map[leaver]time.Time
+}
+
+func newLeavers() *leavers {
+	return &leavers{since: make(map[leaver]time.Time)}
+}
+
+func leaverOf(row *messenger.ServerRow) leaver {
+	return leaver{name: row.Name, born: row.Born}
+}
+
+// add records that a server has said that it leaves. It forgets servers that are no longer
+// in routes.
+func (l *leavers) add(routes *mapper.Map, row *messenger.ServerRow) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, known := l.since[leaverOf(row)]; known {
+		return
+	}
+	present := make(map[leaver]bool)
+	for _, server := range routes.AllServers() {
+		present[leaverOf(&server.Row)] = true
+	}
+	for other := range l.since {
+		if !present[other] {
+			delete(l.since, other)
+		}
+	}
+	l.since[leaverOf(row)] = time.Now()
+}
+
+// leftFor returns how long ago a server first said that it leaves, and false if it has not.
+func (l *leavers) leftFor(row *messenger.ServerRow) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	since, known := l.since[leaverOf(row)]
+	if !known {
+		return 0, false
+	}
+	return time.Since(since), true
+}
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -134,6 +134,7 @@
 	response, responseBody := o.run(ctx, started, relay, body)
 	response.ID = relay.ID
 	response.Load = o.options.Admission.Work()
+	response.Leaving = o.options.Server.View().State == messenger.ServerLeaving
 	return response, responseBody
 }
 
@@ -213,6 +214,9 @@
 	}, body)
 	o.reportServer(row, result)
 	o.updateLimit(row, sentAt, result)
+	if result.ResponseInfo.Leaving {
+		o.options.Server.Leave(timer.Now(), row)
+	}
 	if errors.Is(result.Err, courier.ErrExcess) {
 		o.options.Log.Emit(logger.ResponseOversized, "id", relay.ID, "service", relay.Service, "server", row.Name, "address", row.URL, "error", result.Err)
 	}
--- a/router/relayer/routed_call.go
+++ b/router/relayer/routed_call.go
@@ -135,7 +135,7 @@
 	servers := routes.Servers(c.service)
 	candidates := make([]chooser.Candidate, 0, len(servers))
 	for _, server := range servers {
-		if server.Leaving {
+		if _, leaves := c.entry.leavers.leftFor(&server.Row); server.Leaving || leaves {
 			continue
 		}
 		candidates = append(candidates, chooser.Candidate{
@@ -170,6 +170,9 @@
 	case server == nil:
 		return nil, messenger.ReasonUnowned
 	case !slices.Contains(c.tried, server.Session):
+		if left, leaves := c.entry.leavers.leftFor(&server.Row); leaves && left > leaveGrace {
+			return nil, messenger.ReasonDraining
+		}
 		// The owner of a moving key serves it until it has released it.
 		return server, messenger.ReasonNone
 	case holding.Phase == messenger.PhaseMoving:
@@ -191,7 +194,7 @@
 // the request cannot be served by waiting, or the time for it has passed.
 func (c *routedCall) waitForOwner(ctx context.Context, routes *mapper.Map, reason messenger.Reason) bool {
 	switch reason {
-	case messenger.ReasonUnowned, messenger.ReasonMoving, messenger.ReasonMisrouted:
+	case messenger.ReasonUnowned, messenger.ReasonMoving, messenger.ReasonMisrouted, messenger.ReasonDraining:
 	default:
 		return false
 	}
@@ -243,6 +246,9 @@
 	if response.Ran {
 		c.sends++
 	}
+	if response.Leaving {
+		c.entry.leavers.add(c.entry.options.Mapper.Load(), &server.Row)
+	}
 	switch response.Outcome {
 	case messenger.OutcomeDone:
 		c.entry.updateMeanBytes(c.route.Name, response.Length)
