Keep the fields of messages that are encoded as arrays

The router of the server computes the fingerprint itself, the limit goes with the heartbeat, which is a map, and routers that both say so in their hello send a map around the response. TestArrayMessagesKeepTheirFields counts the fields of each such message.

--- a/control/supervisor/ranges.go
+++ b/control/supervisor/ranges.go
@@ -58,7 +58,7 @@
 		router.requestTime, router.failureRate, router.born = requestTime{}, failureRate{}, heartbeat.Server.Born
 	}
 	router.requestTime.add(report)
-	router.limit = report.Limit
+	router.limit = heartbeat.Limit
 	router.failureRate.add(now, report)
 	demand := s.demandOf(heartbeat.Server.Service)
 	weight := min(report.Span.Seconds()/demandWindow.Seconds(), 1)
--- a/control/supervisor/ranges_test.go
+++ b/control/supervisor/ranges_test.go
@@ -422,7 +422,7 @@
 		for n, router := range routers {
 			router.heartbeat.Work = &messenger.RangeLoadReport{Span: time.Second, Finished: 20, Busy: 20 * 100 * time.Millisecond}
 			if n == 0 {
-				router.heartbeat.Work.Limit = 4
+				router.heartbeat.Limit = 4
 			}
 			for _, row := range router.rows() {
 				arrivals := uint64(row.To-row.From+1) * 60 / allKeys
--- a/kernel/linker/stream.go
+++ b/kernel/linker/stream.go
@@ -83,6 +83,11 @@
 	return s.kind
 }
 
+// Hellos returns the hello messages of this process and of the peer.
+func (s *Stream) Hellos() (local, peer messenger.Hello) {
+	return s.link.options.Hello, s.link.peer
+}
+
 // Context returns a context that is canceled when the stream is aborted by either
 // side.
 func (s *Stream) Context() context.Context {
--- a/kernel/messenger/messenger.go
+++ b/kernel/messenger/messenger.go
@@ -72,4 +72,7 @@
 	Name string
 	// Invites reports whether the sender accepts streams of KindInvitedRelay.
 	Invites bool
+	// Replies reports whether the sender reads and sends a [RelayReply] in place of a
+	// [RelayResponse].
+	Replies bool
 }
--- a/kernel/messenger/messenger_test.go
+++ b/kernel/messenger/messenger_test.go
@@ -1,6 +1,7 @@
 package messenger_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"testing"
 	"time"
@@ -87,3 +88,39 @@
 		qt.Check(t, msgpack.Unmarshal(data[:length], &got), qt.IsNotNil, qt.Commentf("truncated to %d bytes", length))
 	}
 }
+
+// Older processes refuse a message that is encoded as an array if the number of its fields
+// has changed, so new fields of these messages must not be sent.
+func TestArrayMessagesKeepTheirFields(t *testing.T) {
+	tests := []struct {
+		message any
+		fields  int
+	}{
+		{message: messenger.Relay{Fingerprint: "a"}, fields: 15},
+		{message: messenger.RelayInvitation{}, fields: 1},
+		{message: messenger.RelayResponse{Leaving: true}, fields: 9},
+		{message: messenger.ServerWork{Limit: 1}, fields: 5},
+		{message: messenger.RangeRow{}, fields: 9},
+		{message: messenger.RangeLoad{}, fields: 3},
+	}
+	for _, test := range tests {
+		data, err := msgpack.Marshal(test.message)
+		qt.Assert(t, err, qt.IsNil)
+		count, err := msgpack.NewDecoder(bytes.NewReader(data)).DecodeArrayLen()
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("%T", test.message))
+		qt.Check(t, count, qt.Equals, test.fields, qt.Commentf("%T", test.message))
+	}
+}
+
+func TestRelayReplyCarriesAll(t *testing.T) {
+	response := messenger.RelayResponse{ID: "7", Outcome: messenger.OutcomeDone, Leaving: true, Load: messenger.ServerWork{Slots: 6, Limit: 8.5, LimitWait: time.Second}}
+	data, err := msgpack.Marshal(messenger.NewRelayReply(&response))
+	qt.Assert(t, err, qt.IsNil)
+	var reply messenger.RelayReply
+	qt.Assert(t, msgpack.Unmarshal(data, &reply), qt.IsNil)
+	got := reply.Unpack()
+	qt.Assert(t, got.ID, qt.Equals, "7")
+	qt.Assert(t, got.Leaving, qt.IsTrue)
+	qt.Assert(t, got.Load, qt.Equals, response.Load)
+	qt.Assert(t, new(messenger.RelayReply).Unpack(), qt.IsNil)
+}
--- a/kernel/messenger/ranges.go
+++ b/kernel/messenger/ranges.go
@@ -62,7 +62,4 @@
 	// server works, Failed the number of those that it failed.
 	Judged uint64
 	Failed uint64
-	// Limit is the limit that the backend server has named, in requests per second; 0
-	// means none.
-	Limit float64
 }
--- a/kernel/messenger/relay.go
+++ b/kernel/messenger/relay.go
@@ -38,8 +38,8 @@
 	// Version is the version of the configuration that the entry router used.
 	Version uint64
 	// Fingerprint identifies requests for the same work, whoever sends them; see
-	// [hasher.Fingerprint]. It is empty if the entry router sends none.
-	Fingerprint string
+	// [hasher.Fingerprint]. It is not sent: the router of the server computes it again.
+	Fingerprint string `msgpack:"-"`
 }
 
 // RelayInvitation tells the entry router whether to send the body of a request. A request
@@ -71,8 +71,9 @@
 	// unknown.
 	RetryAfter time.Duration
 	Load       ServerWork
-	// Leaving means that the backend server has said that it leaves.
-	Leaving bool
+	// Leaving means that the backend server has said that it leaves. Only a RelayReply
+	// carries it.
+	Leaving bool `msgpack:"-"`
 }
 
 // ServerWork is the load of a backend server, as measured by its router.
@@ -90,7 +91,31 @@
 	// by it regardless of the mix of requests that they receive. It is 0 when unknown.
 	Slowness float32
 	// Limit is the limit that the server has named, in requests per second; 0 means none.
-	// LimitWait is the time until one more request could start under it.
-	Limit     float32
-	LimitWait time.Duration
+	// LimitWait is the time until one more request could start under it. Only a RelayReply
+	// carries both.
+	Limit     float32       `msgpack:"-"`
+	LimitWait time.Duration `msgpack:"-"`
+}
+
+// RelayReply is sent instead of a RelayResponse between routers that both set
+// [Hello.Replies]. Messages that are encoded as arrays must keep their fields, as a process
+// refuses one with another number of them; here fields can be added.
+type RelayReply struct {
+	Response  *RelayResponse `msgpack:"response"`
+	Leaving   bool           `msgpack:"leaving,omitempty"`
+	Limit     float32        `msgpack:"limit,omitempty"`
+	LimitWait time.Duration  `msgpack:"wait,omitempty"`
+}
+
+// NewRelayReply returns the message that carries all of a response.
+func NewRelayReply(response *RelayResponse) *RelayReply {
+	return &RelayReply{Response: response, Leaving: response.Leaving, Limit: response.Load.Limit, LimitWait: response.Load.LimitWait}
+}
+
+// Unpack returns the response, nil if the message has none.
+func (r *RelayReply) Unpack() *RelayResponse {
+	if r.Response != nil {
+		r.Response.Leaving, r.Response.Load.Limit, r.Response.Load.LimitWait = r.Leaving, r.Limit, r.LimitWait
+	}
+	return r.Response
 }
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -242,6 +242,7 @@
 			Role:    messenger.RoleRouter,
 			Name:    p.settings.Name,
 			Invites: true,
+			Replies: true,
 		},
 		Metrics: p.options.Metrics,
 	}
--- a/router/assembler/routed_heartbeat.go
+++ b/router/assembler/routed_heartbeat.go
@@ -29,9 +29,7 @@
 	heartbeat.Unreached = p.unreachableSessions()
 	if view.Row != nil {
 		heartbeat.Work = p.sampler.Report(now, routes.OwnedRanges(view.Row.Service, p.keeper.Session()))
-		if heartbeat.Work != nil {
-			heartbeat.Work.Limit = p.admission.Limit()
-		}
+		heartbeat.Limit = p.admission.Limit()
 	}
 }
 
--- a/router/relayer/exchange.go
+++ b/router/relayer/exchange.go
@@ -12,6 +12,7 @@
 var (
 	errUnsent     = errors.New("request was not sent")
 	errIDMismatch = errors.New("answer carries the ID of another request")
+	errEmptyReply = errors.New("reply without a response")
 )
 
 // exchange sends a request over a stream and receives the header of its answer. An error
@@ -68,8 +69,8 @@
 }
 
 func receiveResponse(stream *linker.Stream, relay *messenger.Relay) (*messenger.RelayResponse, error) {
-	response := new(messenger.RelayResponse)
-	if err := stream.Receive(response); err != nil {
+	response, err := receiveReply(stream)
+	if err != nil {
 		return nil, Error.New("receiving the answer: %w", err)
 	}
 	if response.ID != relay.ID {
@@ -78,6 +79,36 @@
 	return response, nil
 }
 
+// usesReplies reports whether both ends of a stream use messenger.RelayReply.
+func usesReplies(stream *linker.Stream) bool {
+	local, peer := stream.Hellos()
+	return local.Replies && peer.Replies
+}
+
+// sendReply sends a response in the form that the entry router reads.
+func sendReply(stream *linker.Stream, response *messenger.RelayResponse) error {
+	if usesReplies(stream) {
+		return stream.Send(messenger.NewRelayReply(response))
+	}
+	return stream.Send(response)
+}
+
+// receiveReply receives a response in the form that the owner sends.
+func receiveReply(stream *linker.Stream) (*messenger.RelayResponse, error) {
+	if !usesReplies(stream) {
+		response := new(messenger.RelayResponse)
+		return response, stream.Receive(response)
+	}
+	var reply messenger.RelayReply
+	if err := stream.Receive(&reply); err != nil {
+		return nil, err
+	}
+	if reply.Response == nil {
+		return nil, errEmptyReply
+	}
+	return reply.Unpack(), nil
+}
+
 // sendBody sends a body in the background.
 func sendBody(stream *linker.Stream, body io.Reader) {
 	if _, err := io.Copy(stream, body); err != nil {
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -111,7 +111,7 @@
 	if err := body.decline(); err != nil {
 		return
 	}
-	if err := stream.Send(response); err != nil || responseBody == nil {
+	if err := sendReply(stream, response); err != nil || responseBody == nil {
 		if err == nil {
 			_ = stream.CloseWrite()
 		}
@@ -149,6 +149,19 @@
 		Aim:      now + min(relay.Aim, relay.Left),
 		Deadline: now + relay.Left,
 	}
+	if isInline(relay.Length) && relay.Fingerprint == "" {
+		data := make([]byte, relay.Length)
+		if _, err := io.ReadFull(body, data); err != nil {
+			return refusedResponse(messenger.ReasonCanceled, 0), nil
+		}
+		body = bytes.NewReader(data)
+		relay.Fingerprint = fingerprint(relay, data)
+	} else if relay.Fingerprint == "" {
+		relay.Fingerprint = fingerprint(relay, nil)
+	}
+	if _, reason := o.check(started, relay); reason != messenger.ReasonNone {
+		return refusedResponse(reason, 0), nil
+	}
 	if !isInline(relay.Length) {
 		received, response := o.receive(ctx, relay, job, body)
 		if response != nil {
--- a/router/relayer/routed_call.go
+++ b/router/relayer/routed_call.go
@@ -6,11 +6,8 @@
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
-	"marigoldhill/kernel/hasher"
 	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
@@ -89,7 +86,8 @@
 			return c.refuse(contextReason(ctx), 0)
 		}
 	}
-	c.fingerprint = c.computeFingerprint()
+	// An inline body was read before.
+	c.fingerprint = fingerprint(c.relay(), c.body.data)
 	for {
 		routes := c.entry.options.Mapper.Load()
 		if c.left() <= 0 {
@@ -113,20 +111,6 @@
 	}
 }
 
-// computeFingerprint returns the fingerprint of the call. Of a body that is not sent with
-// the header, only the length counts.
-func (c *routedCall) computeFingerprint() string {
-	length := strconv.FormatInt(c.call.Length, 10)
-	body := hasher.Sum([]byte(length))
-	if c.body.isInline() {
-		// The body was read before.
-		data, _ := c.body.bytes()
-		body = hasher.Sum(data)
-	}
-	key := strconv.Itoa(int(c.key()))
-	return hasher.Fingerprint(c.service, key, c.call.Method+" "+strings.ToLower(c.call.Host)+c.call.Target, body)
-}
-
 // choose returns the server for the next attempt, or the reason why there is none.
 func (c *routedCall) choose(routes *mapper.Map) (*mapper.Server, messenger.Reason) {
 	if !c.keyless {
--- a/router/relayer/upload_test.go
+++ b/router/relayer/upload_test.go
@@ -64,16 +64,16 @@
 	backend *bodyBackend
 }
 
-// newRemoteFixture starts both routers. invites is the capability that the router of the
-// server announces; a router of an earlier version does not have it.
+// newRemoteFixture starts both routers. invites is whether the router of the server has the
+// capabilities of this version; a router of an earlier version does not have them.
 func newRemoteFixture(t *testing.T, invites bool, bodyLimit int64) *remoteFixture {
 	backend := &bodyBackend{}
 	o := newTestOwnerWith(backend)
-	hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleRouter, Name: "r2", Invites: invites}
+	hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleRouter, Name: "r2", Invites: invites, Replies: invites}
 	server, err := linker.Listen(networker.TCP{}, "127.0.0.1:0", linker.Options{Hello: hello, Handler: o.Handle})
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = server.Close() })
-	pool := linker.NewPool(networker.TCP{}, linker.Options{Hello: messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleRouter, Name: "r1", Invites: true}})
+	pool := linker.NewPool(networker.TCP{}, linker.Options{Hello: messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleRouter, Name: "r1", Invites: true, Replies: true}})
 	t.Cleanup(pool.Close)
 	routes := mapper.New()
 	qt.Assert(t, routes.Apply(&messenger.TableDelta{
