Send no message with more fields than the last version knows

The message layer sends every struct as an array, also without a tag, and refuses one with another number of fields.

--- a/control/assigner/assigner.go
+++ b/control/assigner/assigner.go
@@ -80,6 +80,8 @@
 
 	quarantines map[string]Versioned[messenger.QuarantineRow]
 	suspects    map[string]Versioned[messenger.QuarantineRow]
+	// deaths is the number of crashes that each suspect was in flight at.
+	deaths map[string]int
 
 	results    ring[storedResult]
 	events     ring[messenger.ClusterEvent]
@@ -103,6 +105,7 @@
 		ranges:      make(map[string]*Ranges),
 		quarantines: make(map[string]Versioned[messenger.QuarantineRow]),
 		suspects:    make(map[string]Versioned[messenger.QuarantineRow]),
+		deaths:      make(map[string]int),
 		results:     ring[storedResult]{limit: MaxStoredResults},
 		events:      ring[messenger.ClusterEvent]{limit: MaxEvents},
 		history:     ring[OwnerChange]{limit: MaxHistory},
--- a/control/assigner/quarantine.go
+++ b/control/assigner/quarantine.go
@@ -57,7 +57,8 @@
 	row.Since = s.time
 	row.Gone = false
 	s.revision = s.applied
-	if row.Deaths = s.countDeaths(session, row.Fingerprint); row.Deaths < requiredDeaths(session) {
+	if deaths := s.countDeaths(session, row.Fingerprint); deaths < requiredDeaths(session) {
+		s.deaths[row.Fingerprint] = deaths
 		s.suspects[row.Fingerprint] = Versioned[messenger.QuarantineRow]{Value: row, Revision: s.applied}
 		s.limitSuspects()
 		return false
@@ -75,7 +76,7 @@
 	if !known || (session.Routed && s.time-suspect.Value.Since > routedSuspectLifetime) {
 		return 1
 	}
-	return max(suspect.Value.Deaths, 1) + 1
+	return max(s.deaths[fingerprint], 1) + 1
 }
 
 func requiredDeaths(session *Session) int {
@@ -87,6 +88,7 @@
 
 func (s *State) removeSuspect(fingerprint string) {
 	delete(s.suspects, fingerprint)
+	delete(s.deaths, fingerprint)
 	s.addTombstone(tombstone{Kind: tombstoneSuspect, Name: fingerprint})
 }
 
--- a/control/assigner/ranges_test.go
+++ b/control/assigner/ranges_test.go
@@ -203,3 +203,28 @@
 		}
 	}
 }
+
+// The number of crashes of a suspect is part of a snapshot; else a replica that was
+// restarted would quarantine another request than the others.
+func TestCrashesOfSuspectsSurviveASnapshot(t *testing.T) {
+	g := newRangeHarness(t)
+	session := g.open("r1", 1)
+	number := uint64(0)
+	crash := func() {
+		number++
+		g.apply(assigner.Command{Death: &assigner.Death{Session: session, Number: number, Rows: []messenger.QuarantineRow{{Fingerprint: "a"}, {Fingerprint: "b"}}}})
+	}
+	restart := func() {
+		image, err := g.state.Snapshot()
+		qt.Assert(t, err, qt.IsNil)
+		g.state = assigner.New()
+		qt.Assert(t, g.state.Restore(image), qt.IsNil)
+	}
+	crash()
+	restart()
+	crash()
+	restart()
+	qt.Assert(t, g.state.Quarantines(), qt.HasLen, 0)
+	crash()
+	qt.Assert(t, g.state.Quarantines(), qt.HasLen, 2)
+}
--- a/control/assigner/snapshot.go
+++ b/control/assigner/snapshot.go
@@ -35,6 +35,8 @@
 	Source        []byte
 	Configured    uint64
 	Ranges        []rangesSnapshot
+	// Deaths has the suspects in the order of Suspects.
+	Deaths []int
 }
 
 // tableSnapshot is the encoded form of a Table.
@@ -76,6 +78,9 @@
 		Source:        s.source,
 		Configured:    s.configured,
 	}
+	for _, suspect := range image.Suspects {
+		image.Deaths = append(image.Deaths, s.deaths[suspect.Value.Fingerprint])
+	}
 	for _, r := range s.AllRanges() {
 		image.Ranges = append(image.Ranges, r.snapshot())
 	}
@@ -184,8 +189,11 @@
 	for _, row := range image.Quarantines {
 		s.quarantines[row.Value.Fingerprint] = row
 	}
-	for _, row := range image.Suspects {
+	for n, row := range image.Suspects {
 		s.suspects[row.Value.Fingerprint] = row
+		if n < len(image.Deaths) && image.Deaths[n] > 0 {
+			s.deaths[row.Value.Fingerprint] = image.Deaths[n]
+		}
 	}
 	for n := range image.Tables {
 		if err := s.loadTable(&image.Tables[n]); err != nil {
--- a/control/supervisor/ranges.go
+++ b/control/supervisor/ranges.go
@@ -58,7 +58,6 @@
 		router.requestTime, router.failureRate, router.born = requestTime{}, failureRate{}, heartbeat.Server.Born
 	}
 	router.requestTime.add(report)
-	router.limit = heartbeat.Limit
 	router.failureRate.add(now, report)
 	demand := s.demandOf(heartbeat.Server.Service)
 	weight := min(report.Span.Seconds()/demandWindow.Seconds(), 1)
@@ -235,7 +234,7 @@
 			Draining: session.Row.Leaving,
 		}
 		if router != nil {
-			server.RequestSeconds = router.requestSeconds(server.Slots)
+			server.RequestSeconds = router.requestTime.seconds
 			server.FailureRate = router.failureRate.current(now)
 		}
 		rangeServers = append(rangeServers, server)
@@ -243,15 +242,6 @@
 	return rangeServers
 }
 
-// requestSeconds returns the mean time that a request takes a slot of the backend server,
-// so that all slots together serve no more than its limit.
-func (r *routerState) requestSeconds(slots int) float64 {
-	if r.limit <= 0 {
-		return r.requestTime.seconds
-	}
-	return max(r.requestTime.seconds, float64(slots)/r.limit)
-}
-
 func (s *Supervisor) grantRanges(r *assigner.Ranges, placed []balancer.PlacedRange, reason, subject string, batch *batch) {
 	batch.add(subject, assigner.Command{GrantRanges: &assigner.GrantRanges{
 		Service: r.Service, Placements: placementsOf(placed), Why: reason,
--- a/control/supervisor/router.go
+++ b/control/supervisor/router.go
@@ -39,9 +39,6 @@
 	// requestTime is the mean request time of its backend server, for services with
 	// ranges.
 	requestTime requestTime
-	// limit is the limit that its backend server has named, in requests per second; 0 means
-	// none.
-	limit float64
 	// failureRate is the failure rate of its backend server, born the start time of
 	// that server.
 	failureRate failureRate
--- a/kernel/messenger/relay.go
+++ b/kernel/messenger/relay.go
@@ -1,6 +1,11 @@
 package messenger
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
 
 // NoKey is the key of requests without a key.
 const NoKey = -1
@@ -98,8 +103,8 @@
 }
 
 // RelayReply is sent instead of a RelayResponse between routers that both set
-// [Hello.Replies]. Messages that are encoded as arrays must keep their fields, as a process
-// refuses one with another number of them; here fields can be added.
+// [Hello.Replies]. Other messages are sent as arrays and must keep their fields, as a process
+// refuses one with another number of them; this one is sent as a map.
 type RelayReply struct {
 	Response  *RelayResponse `msgpack:"response"`
 	Leaving   bool           `msgpack:"leaving,omitempty"`
@@ -107,6 +112,19 @@
 	LimitWait time.Duration  `msgpack:"wait,omitempty"`
 }
 
+var _ msgpack.CustomEncoder = (*RelayReply)(nil)
+
+// EncodeMsgpack implements [msgpack.CustomEncoder].
+func (r *RelayReply) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	type fields RelayReply
+	encoder.UseArrayEncodedStructs(false)
+	defer encoder.UseArrayEncodedStructs(true)
+	if err := encoder.Encode((*fields)(r)); err != nil {
+		return fmt.Errorf("encoding a reply: %w", err)
+	}
+	return nil
+}
+
 // NewRelayReply returns the message that carries all of a response.
 func NewRelayReply(response *RelayResponse) *RelayReply {
 	return &RelayReply{Response: response, Leaving: response.Leaving, Limit: response.Load.Limit, LimitWait: response.Load.LimitWait}
--- a/kernel/messenger/session.go
+++ b/kernel/messenger/session.go
@@ -161,9 +161,6 @@
 	// Work is sent with some heartbeats, by routers whose service has ranges; nil
 	// otherwise.
 	Work *RangeLoadReport
-	// Limit is the limit that the backend server has named, in requests per second; 0 means
-	// none. It goes with Work.
-	Limit float64
 	// Members is the [HashAddresses] value of the addresses of the control group that
 	// the router has; see HeartbeatResponse.Members.
 	Members uint64
--- a/kernel/messenger/table.go
+++ b/kernel/messenger/table.go
@@ -107,9 +107,6 @@
 	Route       string `json:"route"`
 	// Since is in milliseconds of the wall clock of the leader of the control group.
 	Since int64 `json:"since"`
-	// Deaths is the number of backend servers that ended while the request was in flight;
-	// 0 when not counted.
-	Deaths int `json:"deaths,omitempty" msgpack:",omitempty"`
 	// Gone means that the quarantine was lifted.
 	Gone bool `json:"-"`
 }
--- a/router/assembler/routed_heartbeat.go
+++ b/router/assembler/routed_heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
@@ -29,10 +30,20 @@
 	heartbeat.Unreached = p.unreachableSessions()
 	if view.Row != nil {
 		heartbeat.Work = p.sampler.Report(now, routes.OwnedRanges(view.Row.Service, p.keeper.Session()))
-		heartbeat.Limit = p.admission.Limit()
+		applyLimit(heartbeat.Work, view.Row.Slots, p.admission.Limit())
 	}
 }
 
+// applyLimit makes a report show a backend server that has named a limit as so slow that all
+// its slots together serve no more than that, so that keys move to other servers.
+func applyLimit(report *messenger.RangeLoadReport, slots int, limit float64) {
+	if report == nil || limit <= 0 {
+		return
+	}
+	slotTime := time.Duration(float64(slots) / limit * float64(time.Second))
+	report.Busy = max(report.Busy, time.Duration(report.Finished)*slotTime)
+}
+
 // unreachableSessions returns the sessions of routers that cannot be reached.
 func (p *Routed) unreachableSessions() []uint64 {
 	failing := p.pool.UnreachableAddresses()
--- a/router/assembler/routed_heartbeat_test.go
+++ b/router/assembler/routed_heartbeat_test.go
@@ -36,3 +36,26 @@
 		qt.Check(t, heartbeat.Freed, qt.HasLen, test.freed, qt.Commentf(test.name))
 	}
 }
+
+// A server that has named a limit kept its keys, most requests for which it did not take.
+// The leader takes all slots together to serve slots / mean time requests a second.
+func TestReportShowsLimitOfServer(t *testing.T) {
+	tests := []struct {
+		name     string
+		limit    float64
+		finished uint64
+		busy     time.Duration
+		want     time.Duration
+	}{
+		{name: "no limit", finished: 20, busy: 2 * time.Second, want: 2 * time.Second},
+		{name: "limit below what it can serve", limit: 4, finished: 20, busy: 2 * time.Second, want: 30 * time.Second},
+		{name: "limit above", limit: 120, finished: 20, busy: 2 * time.Second, want: 2 * time.Second},
+		{name: "nothing finished", limit: 4},
+	}
+	for _, test := range tests {
+		report := &messenger.RangeLoadReport{Finished: test.finished, Busy: test.busy}
+		applyLimit(report, 6, test.limit)
+		qt.Check(t, report.Busy, qt.Equals, test.want, qt.Commentf(test.name))
+	}
+	applyLimit(nil, 6, 4)
+}
