--- a/kernel/logger/router.go
+++ b/kernel/logger/router.go
@@ -13,13 +13,13 @@
 	ServerStateChanged  = Event{311, hclog.Warn, "backend server state changed"}
 	AnnouncementIgnored = Event{313, hclog.Info, "backend server announcement ignored"}
 	ServerLoad          = Event{314, hclog.Info, "backend server load"}
+	ServerLimitChanged  = Event{315, hclog.Info, "backend server named another limit"}
 	ServerTerminated    = Event{312, hclog.Warn, "backend server terminated with requests in flight"}
 	RecordsRecovered    = Event{320, hclog.Info, "records of the previous owner recovered"}
 	RecordsCopied       = Event{321, hclog.Info, "records copied to a joining recorder"}
 	RangeCallCompleted  = Event{322, hclog.Info, "backend server called to grant or release a key range"}
 	RangesFreed         = Event{323, hclog.Info, "key range is free: the backend server no longer holds it"}
 	RequestStalled      = Event{330, hclog.Warn, "background request stalled"}
-	ServerLimitChanged  = Event{315, hclog.Info, "backend server named another limit"}
 	ResponseOversized   = Event{331, hclog.Warn, "backend server sent more than a response may contain"}
 )
 
--- a/router/isolator/detector.go
+++ b/router/isolator/detector.go
@@ -22,7 +22,8 @@
 var dialDelays = []time.Duration{5 * time.Millisecond, 20 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond}
 
 // Detector distinguishes the death of a backend server from the end of one connection:
-// a dead server refuses new connections, or is started again. Its methods are safe for concurrent use.
+// a dead server refuses new connections, or is started again. Its methods are safe for
+// concurrent use.
 type Detector struct {
 	network   networker.Network
 	isolation *Isolator
--- a/router/isolator/isolator.go
+++ b/router/isolator/isolator.go
@@ -7,6 +7,10 @@
 // ends. If the server dies again, the suspect is the only possible cause, and the
 // control group quarantines it.
 //
+// In routed mode nothing runs exclusively: the control group quarantines a request that
+// was in flight at three deaths. What the server has completed lately is no suspect; see
+// [Pass.Complete].
+//
 // # Usage
 //
 //	isolation := isolator.New()
--- a/router/relayer/leavers.go
+++ b/router/relayer/leavers.go
@@ -12,8 +12,8 @@
 // for the key. Moving keys takes two heartbeats.
 const leaveGrace = 1200 * time.Millisecond
 
-// leaver identifies a start of a backend server.
-type leaver struct {
+// serverStart identifies a start of a backend server.
+type serverStart struct {
 	name string
 	born int64
 }
@@ -23,15 +23,15 @@
 type leavers struct {
 	mu sync.Mutex
 	// since is when this router first passed such a response on.
-	since map[leaver]time.Time
+	since map[serverStart]time.Time
 }
 
 func newLeavers() *leavers {
-	return &leavers{since: make(map[leaver]time.Time)}
+	return &leavers{since: make(map[serverStart]time.Time)}
 }
 
-func leaverOf(row *messenger.ServerRow) leaver {
-	return leaver{name: row.Name, born: row.Born}
+func startOf(row *messenger.ServerRow) serverStart {
+	return serverStart{name: row.Name, born: row.Born}
 }
 
 // add records that a server has said that it leaves. It forgets servers that are no longer
@@ -39,26 +39,26 @@
 func (l *leavers) add(routes *mapper.Map, row *messenger.ServerRow) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, known := l.since[leaverOf(row)]; known {
+	if _, known := l.since[startOf(row)]; known {
 		return
 	}
-	present := make(map[leaver]bool)
+	present := make(map[serverStart]bool)
 	for _, server := range routes.AllServers() {
-		present[leaverOf(&server.Row)] = true
+		present[startOf(&server.Row)] = true
 	}
 	for other := range l.since {
 		if !present[other] {
 			delete(l.since, other)
 		}
 	}
-	l.since[leaverOf(row)] = time.Now()
+	l.since[startOf(row)] = time.Now()
 }
 
 // leftFor returns how long ago a server first said that it leaves, and false if it has not.
 func (l *leavers) leftFor(row *messenger.ServerRow) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	since, known := l.since[leaverOf(row)]
+	since, known := l.since[startOf(row)]
 	if !known {
 		return 0, false
 	}
