Count the reports of a router process that goes on with a session

The control group drops a report whose number the session has seen, so that a resent one counts once. A router process that goes on with the session of its predecessor numbers its reports from 1 again, so its first reports were taken for resent ones: deaths beside a restarted router did not count toward a quarantine. Adopting a session resets the number. TestReportsOfSuccessorCount failed before. Found by reading, while looking for other ways in which a death gets lost.

--- a/control/assigner/configure.go
+++ b/control/assigner/configure.go
@@ -60,6 +60,8 @@
 		return void()
 	}
 	session.Instance = command.Instance
+	// The successor numbers its reports from 1 again.
+	session.Report = 0
 	s.event(logger.SessionResumed, session.Row.Router, fmt.Sprintf("session %d", command.Session))
 	return applied(s.applied, 1)
 }
--- a/control/assigner/ranges_test.go
+++ b/control/assigner/ranges_test.go
@@ -228,3 +228,20 @@
 	crash()
 	qt.Assert(t, g.state.Quarantines(), qt.HasLen, 2)
 }
+
+// Reports of a process that went on with the session of its predecessor were taken for
+// resent ones, since their numbers start again.
+func TestReportsOfSuccessorCount(t *testing.T) {
+	g := newRangeHarness(t)
+	session := g.open("r1", 1)
+	report := func(number uint64) {
+		g.apply(assigner.Command{Death: &assigner.Death{Session: session, Number: number, Rows: []messenger.QuarantineRow{{Fingerprint: "a"}}}})
+	}
+	report(1)
+	report(2)
+	report(2)
+	qt.Assert(t, g.state.Quarantines(), qt.HasLen, 0)
+	g.apply(assigner.Command{Adopt: &assigner.Adopt{Session: session, Instance: 2}})
+	report(1)
+	qt.Assert(t, g.state.Quarantines(), qt.HasLen, 1)
+}
