Split the queue, the routed call and the routed process by concept

Change: predictions and offered load of the queue, choice and delivery of a routed call, and listeners, stop and backend server of the routed process are in files of their own. Declarations were moved, none was changed.

--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"math"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -248,44 +245,6 @@
 	}
 }
 
-// serverChanged handles a change of the backend server.
-func (p *Routed) serverChanged(view *attendant.View) {
-	if view.Row.Slots > 0 {
-		p.admission.SetSlots(view.Row.Slots)
-	}
-	p.detector.ServerStarted(view.Row.Born)
-	if start := fmt.Sprintf("%s %d", view.Row.Name, view.Row.Born); start != p.lastStart.Swap(start) {
-		p.admission.ClearLimit()
-	}
-	p.updateRanges()
-	p.keeper.RequestHeartbeat()
-}
-
-// serverCrashed handles a crash of the backend server with requests in flight.
-func (p *Routed) serverCrashed(rows []messenger.QuarantineRow) {
-	prints := make([]string, 0, len(rows))
-	for _, row := range rows {
-		prints = append(prints, row.Fingerprint)
-	}
-	p.options.Log.Emit(logger.ServerTerminated, "requests", len(rows), "fingerprints", prints)
-	p.reporter.Send(messenger.Report{Death: rows})
-}
-
-// updateRanges passes the key ranges that the session of this router owns to the
-// holder.
-func (p *Routed) updateRanges() {
-	p.rangesMu.Lock()
-	defer p.rangesMu.Unlock()
-	view := p.server.View()
-	service := p.settings.Service
-	if view.Row != nil {
-		service = view.Row.Service
-	}
-	routes, session := p.mapper.Load(), p.keeper.Session()
-	p.holder.SetRecordedServer(routes.ServerOf(session))
-	p.holder.SetRows(routes.OwnedRanges(service, session), view.Row, view.State)
-}
-
 // isReady reports whether the router accepts requests of callers.
 func (p *Routed) isReady() bool {
 	return p.entry.IsReady() && !p.leaving.Load()
@@ -334,38 +293,6 @@
 	return nil
 }
 
-// watch checks periodically whether the announcements of the backend server have
-// stopped, and logs summaries of its load.
-func (p *Routed) watch(ctx context.Context) {
-	ticker := time.NewTicker(announcementCheckInterval)
-	defer ticker.Stop()
-	summary := time.NewTicker(summaryInterval)
-	defer summary.Stop()
-	totals := p.admission.Totals()
-	for {
-		select {
-		case <-ticker.C:
-			p.server.Tick(timer.Now())
-		case <-summary.C:
-			totals = p.summarize(totals)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// summarize logs the load of the backend server since earlier totals, unless there was
-// none. It returns the current totals.
-func (p *Routed) summarize(earlier queuer.Totals) queuer.Totals {
-	totals := p.admission.Totals()
-	work := totals.Sub(earlier)
-	if work.Offered > 0 && work.SlotTime > 0 {
-		p.options.Log.Emit(logger.ServerLoad, "busy", math.Round(100*work.BusySlotTime.Seconds()/work.SlotTime.Seconds())/100,
-			"offered", work.Offered, "refused", work.Refused, "served", work.Served, "ranges", p.holder.RangeCount())
-	}
-	return totals
-}
-
 func (p *Routed) startKeeper(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancelKeeper = cancel
@@ -386,118 +313,6 @@
 	return nil
 }
 
-func (p *Routed) startAnnounce(context.Context) error {
-	var err error
-	p.announceListener, err = listener.Listen(p.options.Network, p.settings.Backend, p.options.Backend(p.server))
-	if err != nil {
-		return Error.New("listening for the backend server: %w", err)
-	}
-	return nil
-}
-
-func (p *Routed) stopAnnounce(ctx context.Context) error {
-	return p.announceListener.Stop(ctx)
-}
-
-func (p *Routed) startCallers(context.Context) error {
-	guarded := &listener.GuardNetwork{Network: p.options.Network}
-	socket, err := p.paced(guarded).Listen(p.settings.Callers)
-	if err != nil {
-		return Error.New("listening for callers: %w", err)
-	}
-	p.callerGuard = guarded.Guard
-	p.callerServer = &http.Server{
-		Handler:           p.callerGuard.Handler(p.closeWhenLeaving(p.options.Callers(p.entry))),
-		ReadHeaderTimeout: callerHeaderTimeout,
-		IdleTimeout:       callerIdleTimeout,
-		ConnState:         p.callerGuard.ConnState,
-	}
-	go p.serveCallers(socket)
-	return nil
-}
-
-// closeWhenLeaving makes responses close the connection once the process is leaving.
-// SetKeepAlivesEnabled would close idle connections at once, and with them requests
-// that are still being read.
-func (p *Routed) closeWhenLeaving(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if p.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
-	})
-}
-
-func (p *Routed) serveCallers(socket net.Listener) {
-	// Serve always returns an error; after a stop it is expected.
-	if err := p.callerServer.Serve(socket); err != nil && !p.leaving.Load() {
-		p.options.Log.Emit(logger.ProcessFailed, "error", err)
-	}
-}
-
-func (p *Routed) stopCallers(ctx context.Context) error {
-	if err := p.callerGuard.Stop(ctx, p.callerServer); err != nil {
-		return Error.New("waiting for the requests of callers: %w", err)
-	}
-	return nil
-}
-
-func (p *Routed) startReady(context.Context) error {
-	var err error
-	p.readyListener, err = listener.Listen(p.options.Network, p.settings.Ready, p.readyHandler())
-	if err != nil {
-		return Error.New("listening for readiness checks: %w", err)
-	}
-	if p.settings.Metrics == "" {
-		return nil
-	}
-	serve := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { p.options.Metrics.WritePrometheus(w) })
-	p.metricsListener, err = listener.Listen(p.options.Network, p.settings.Metrics, serve)
-	if err != nil {
-		return Error.New("listening for metrics: %w", err)
-	}
-	return nil
-}
-
-func (p *Routed) stopReady(ctx context.Context) error {
-	if p.metricsListener != nil {
-		if err := p.metricsListener.Stop(ctx); err != nil {
-			return err
-		}
-	}
-	return p.readyListener.Stop(ctx)
-}
-
-// drain waits until callers have switched to other routers and hands the keys over.
-// Requests are served as before in the meantime.
-func (p *Routed) drain(ctx context.Context) error {
-	started := time.Now()
-	p.leaving.Store(true)
-	limit := time.Duration((1 - stopReserveFraction) * float64(p.settings.Grace))
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	handOverDelay := time.Duration(handOverFraction * float64(p.settings.Grace))
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for time.Since(started) < callerDrainTime || !p.holder.IsEmpty() || !p.isIdle() {
-		if time.Since(started) >= handOverDelay && !p.handingOver.Swap(true) {
-			p.keeper.RequestHeartbeat()
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return nil
-		}
-	}
-	return nil
-}
-
-// isIdle reports whether no request is running on the backend server or waiting for it.
-func (p *Routed) isIdle() bool {
-	work := p.admission.Work()
-	return work.Running+work.Waiting == 0
-}
-
 // Start starts all services.
 func (p *Routed) Start(ctx context.Context) error {
 	if err := p.registry.Start(ctx); err != nil {
@@ -506,16 +321,3 @@
 	p.options.Log.Emit(logger.ProcessStarted, "callers", p.settings.Callers, "peer", p.settings.Peer, "service", p.settings.Service)
 	return nil
 }
-
-// Stop hands the keys over, waits for the requests in flight, closes the session and
-// stops all services.
-func (p *Routed) Stop(ctx context.Context) error {
-	p.options.Log.Emit(logger.ProcessStopping)
-	ctx, cancel := context.WithTimeout(ctx, p.settings.Grace-stopMargin)
-	defer cancel()
-	if err := p.registry.Stop(ctx); err != nil {
-		return Error.New("stopping: %w", err)
-	}
-	p.options.Log.Emit(logger.ProcessStopped)
-	return nil
-}
--- /dev/null
+++ b/router/assembler/routed_server.go
@@ -0,0 +1,84 @@
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	"marigoldhill/kernel/logger"
+	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/timer"
+	"marigoldhill/router/attendant"
+	"marigoldhill/router/queuer"
+)
+
+// serverChanged handles a change of the backend server.
+func (p *Routed) serverChanged(view *attendant.View) {
+	if view.Row.Slots > 0 {
+		p.admission.SetSlots(view.Row.Slots)
+	}
+	p.detector.ServerStarted(view.Row.Born)
+	if start := fmt.Sprintf("%s %d", view.Row.Name, view.Row.Born); start != p.lastStart.Swap(start) {
+		p.admission.ClearLimit()
+	}
+	p.updateRanges()
+	p.keeper.RequestHeartbeat()
+}
+
+// serverCrashed handles a crash of the backend server with requests in flight.
+func (p *Routed) serverCrashed(rows []messenger.QuarantineRow) {
+	prints := make([]string, 0, len(rows))
+	for _, row := range rows {
+		prints = append(prints, row.Fingerprint)
+	}
+	p.options.Log.Emit(logger.ServerTerminated, "requests", len(rows), "fingerprints", prints)
+	p.reporter.Send(messenger.Report{Death: rows})
+}
+
+// updateRanges passes the key ranges that the session of this router owns to the
+// holder.
+func (p *Routed) updateRanges() {
+	p.rangesMu.Lock()
+	defer p.rangesMu.Unlock()
+	view := p.server.View()
+	service := p.settings.Service
+	if view.Row != nil {
+		service = view.Row.Service
+	}
+	routes, session := p.mapper.Load(), p.keeper.Session()
+	p.holder.SetRecordedServer(routes.ServerOf(session))
+	p.holder.SetRows(routes.OwnedRanges(service, session), view.Row, view.State)
+}
+
+// watch checks periodically whether the announcements of the backend server have
+// stopped, and logs summaries of its load.
+func (p *Routed) watch(ctx context.Context) {
+	ticker := time.NewTicker(announcementCheckInterval)
+	defer ticker.Stop()
+	summary := time.NewTicker(summaryInterval)
+	defer summary.Stop()
+	totals := p.admission.Totals()
+	for {
+		select {
+		case <-ticker.C:
+			p.server.Tick(timer.Now())
+		case <-summary.C:
+			totals = p.summarize(totals)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// summarize logs the load of the backend server since earlier totals, unless there was
+// none. It returns the current totals.
+func (p *Routed) summarize(earlier queuer.Totals) queuer.Totals {
+	totals := p.admission.Totals()
+	work := totals.Sub(earlier)
+	if work.Offered > 0 && work.SlotTime > 0 {
+		p.options.Log.Emit(logger.ServerLoad, "busy", math.Round(100*work.BusySlotTime.Seconds()/work.SlotTime.Seconds())/100,
+			"offered", work.Offered, "refused", work.Refused, "served", work.Served, "ranges", p.holder.RangeCount())
+	}
+	return totals
+}
--- /dev/null
+++ b/router/queuer/prediction.go
@@ -0,0 +1,79 @@
+package queuer
+
+import (
+	"time"
+
+	"marigoldhill/kernel/messenger"
+)
+
+// check returns the refusal of an entry, or nil if it can run or wait.
+func (q *Queue) check(now time.Duration, entry *Entry) *Refusal {
+	if now+entry.cost > entry.Deadline {
+		return &Refusal{Reason: messenger.ReasonDeadline}
+	}
+	if q.canStart(now) && len(q.waiting) == 0 {
+		return nil
+	}
+	reason, expectedWait := messenger.ReasonQueue, q.expectedWait(now, entry)
+	if limitWait := q.expectedLimitWait(now, entry); limitWait > expectedWait {
+		reason, expectedWait = messenger.ReasonLimit, limitWait
+	}
+	if len(q.waiting) >= maxWaitingPerSlot*q.slots || now+expectedWait+entry.cost > entry.Aim {
+		return &Refusal{Reason: reason, RetryAfter: q.retryAfter(now, entry.Job, expectedWait+entry.cost)}
+	}
+	return nil
+}
+
+// expectedWait predicts how long a job would wait: until the next slot is free, plus
+// the time for the work ahead of it.
+func (q *Queue) expectedWait(now time.Duration, entry *Entry) time.Duration {
+	if q.slots == 0 {
+		return entry.Deadline
+	}
+	nextFree := time.Duration(-1)
+	for running := range q.running {
+		remaining := max(running.started+running.cost-now, running.cost/overrunDivisor)
+		if nextFree < 0 || remaining < nextFree {
+			nextFree = remaining
+		}
+	}
+	if len(q.running) < q.slots {
+		nextFree = 0
+	}
+	ahead := time.Duration(0)
+	for _, other := range q.waiting {
+		if other.isAheadOf(entry) {
+			ahead += other.cost
+		}
+	}
+	// Jobs of lower ranks that arrive in the meantime run first as well.
+	expectedWait := float64(max(nextFree, 0)) + float64(ahead)/float64(q.slots)
+	return time.Duration(expectedWait / (1 - q.urgentShare(now, entry.Rank)))
+}
+
+// expectedLimitWait predicts how long a job would wait for the limit, with the jobs ahead
+// of it and those of lower ranks that arrive in the meantime.
+func (q *Queue) expectedLimitWait(now time.Duration, entry *Entry) time.Duration {
+	if q.limiter.rate == 0 {
+		return 0
+	}
+	ahead := 0
+	for _, other := range q.waiting {
+		if other.isAheadOf(entry) {
+			ahead++
+		}
+	}
+	wait := q.limiter.wait(now, float64(ahead))
+	return time.Duration(float64(wait) / (1 - q.urgentRateShare(now, entry.Rank)))
+}
+
+// isAheadOf reports whether a waiting job runs before another one that arrives.
+func (e *Entry) isAheadOf(other *Entry) bool {
+	return e.Rank < other.Rank || (e.Rank == other.Rank && e.Aim <= other.Aim)
+}
+
+// retryAfter estimates when the queue will be short enough for a job like the refused
+// one to meet its aim.
+func (q *Queue) retryAfter(now time.Duration, job Job, needed time.Duration) time.Duration {
+	return min(max(now+needed-job.Aim, minRetryAfter), maxRetryAfter)
+}
--- a/router/queuer/queue.go
+++ b/router/queuer/queue.go
@@ -26,7 +26,6 @@
 package queuer
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -84,66 +83,6 @@
 	limiter limiter
 }
 
-// offeredLoad is the exponentially decayed load that jobs of one rank have offered.
-type offeredLoad struct {
-	// slots is the load at updated, in slots, and jobs the number of jobs.
-	slots   float64
-	jobs    float64
-	updated time.Duration
-}
-
-// offeredLoadTime is the time constant of the decay. It spans several requests per
-// slot.
-const offeredLoadTime = time.Second
-
-// maxUrgentShare bounds the share of the slots that lower ranks are expected to
-// take.
-const maxUrgentShare = 0.8
-
-func (l *offeredLoad) add(now, cost time.Duration) {
-	l.jobs = l.rate(now) + 1/offeredLoadTime.Seconds()
-	l.slots = l.mean(now) + cost.Seconds()/offeredLoadTime.Seconds()
-	l.updated = now
-}
-
-func (l *offeredLoad) mean(now time.Duration) float64 {
-	return l.slots * l.remaining(now)
-}
-
-// rate returns the jobs per second.
-func (l *offeredLoad) rate(now time.Duration) float64 {
-	return l.jobs * l.remaining(now)
-}
-
-// remaining returns the share of the load that has not decayed since the last job.
-func (l *offeredLoad) remaining(now time.Duration) float64 {
-	return math.Exp(-(now - l.updated).Seconds() / offeredLoadTime.Seconds())
-}
-
-// urgentShare returns the share of the slots that jobs of lower ranks are expected to
-// take.
-func (q *Queue) urgentShare(now time.Duration, rank int) float64 {
-	busy := 0.0
-	for other, load := range q.offered {
-		if other < rank {
-			busy += load.mean(now)
-		}
-	}
-	return min(busy/float64(max(q.slots, 1)), maxUrgentShare)
-}
-
-// urgentRateShare returns the share of the limit that jobs of lower ranks are expected to
-// take.
-func (q *Queue) urgentRateShare(now time.Duration, rank int) float64 {
-	rate := 0.0
-	for other, load := range q.offered {
-		if other < rank {
-			rate += load.rate(now)
-		}
-	}
-	return min(rate/q.limiter.rate, maxUrgentShare)
-}
-
 // NewQueue returns a Queue for a backend server with the given number of slots.
 func NewQueue(slots int) *Queue {
 	return &Queue{slots: slots, running: make(map[*Entry]struct{}), costs: make(map[string]time.Duration), aims: make(map[string]time.Duration), offered: make(map[int]*offeredLoad)}
@@ -269,78 +208,6 @@
 	return q.check(now, &Entry{Job: job, cost: q.Cost(job.Kind)})
 }
 
-// check returns the refusal of an entry, or nil if it can run or wait.
-func (q *Queue) check(now time.Duration, entry *Entry) *Refusal {
-	if now+entry.cost > entry.Deadline {
-		return &Refusal{Reason: messenger.ReasonDeadline}
-	}
-	if q.canStart(now) && len(q.waiting) == 0 {
-		return nil
-	}
-	reason, expectedWait := messenger.ReasonQueue, q.expectedWait(now, entry)
-	if limitWait := q.expectedLimitWait(now, entry); limitWait > expectedWait {
-		reason, expectedWait = messenger.ReasonLimit, limitWait
-	}
-	if len(q.waiting) >= maxWaitingPerSlot*q.slots || now+expectedWait+entry.cost > entry.Aim {
-		return &Refusal{Reason: reason, RetryAfter: q.retryAfter(now, entry.Job, expectedWait+entry.cost)}
-	}
-	return nil
-}
-
-// expectedWait predicts how long a job would wait: until the next slot is free, plus
-// the time for the work ahead of it.
-func (q *Queue) expectedWait(now time.Duration, entry *Entry) time.Duration {
-	if q.slots == 0 {
-		return entry.Deadline
-	}
-	nextFree := time.Duration(-1)
-	for running := range q.running {
-		remaining := max(running.started+running.cost-now, running.cost/overrunDivisor)
-		if nextFree < 0 || remaining < nextFree {
-			nextFree = remaining
-		}
-	}
-	if len(q.running) < q.slots {
-		nextFree = 0
-	}
-	ahead := time.Duration(0)
-	for _, other := range q.waiting {
-		if other.isAheadOf(entry) {
-			ahead += other.cost
-		}
-	}
-	// Jobs of lower ranks that arrive in the meantime run first as well.
-	expectedWait := float64(max(nextFree, 0)) + float64(ahead)/float64(q.slots)
-	return time.Duration(expectedWait / (1 - q.urgentShare(now, entry.Rank)))
-}
-
-// expectedLimitWait predicts how long a job would wait for the limit, with the jobs ahead
-// of it and those of lower ranks that arrive in the meantime.
-func (q *Queue) expectedLimitWait(now time.Duration, entry *Entry) time.Duration {
-	if q.limiter.rate == 0 {
-		return 0
-	}
-	ahead := 0
-	for _, other := range q.waiting {
-		if other.isAheadOf(entry) {
-			ahead++
-		}
-	}
-	wait := q.limiter.wait(now, float64(ahead))
-	return time.Duration(float64(wait) / (1 - q.urgentRateShare(now, entry.Rank)))
-}
-
-// isAheadOf reports whether a waiting job runs before another one that arrives.
-func (e *Entry) isAheadOf(other *Entry) bool {
-	return e.Rank < other.Rank || (e.Rank == other.Rank && e.Aim <= other.Aim)
-}
-
-// retryAfter estimates when the queue will be short enough for a job like the refused
-// one to meet its aim.
-func (q *Queue) retryAfter(now time.Duration, job Job, needed time.Duration) time.Duration {
-	return min(max(now+needed-job.Aim, minRetryAfter), maxRetryAfter)
-}
-
 func (q *Queue) start(now time.Duration, entry *Entry) {
 	entry.started = now
 	entry.running = true
