Add the row of an evacuated failure domain to deltas

Cause: the control group and the routers are extended side by side and need the same type. Change: EvacuationRow, and a list of them in TableDelta, which is encoded as a map, so that routers of the previous version skip it. Result: tests of messenger pass; nothing sends the field yet.

--- a/kernel/messenger/table.go
+++ b/kernel/messenger/table.go
@@ -151,4 +151,18 @@
 	// GoneProfiles and GoneServices are the names of removed profiles and services.
 	GoneProfiles []string
 	GoneServices []string
+	// Evacuations are the failure domains that were evacuated, and those whose
+	// evacuation has ended.
+	Evacuations []EvacuationRow
+}
+
+// EvacuationRow is an evacuated failure domain: its backend servers get no new requests.
+type EvacuationRow struct {
+	Domain string `json:"domain"`
+	// By identifies the operator who gave the order.
+	By string `json:"by"`
+	// Since is in milliseconds of the wall clock of the leader of the control group.
+	Since int64 `json:"since"`
+	// Gone means that the evacuation has ended.
+	Gone bool `json:"-"`
 }
