Don't append commands whose proposer has given up

Cause: a proposal that waited in the queue of the control goroutine until its context ended was appended all the same. The operator may have sent it again and then withdrawn it, and the late copy would take effect last. Change: the input carries the context, which is checked before the command is appended.

--- a/control/replicator/input.go
+++ b/control/replicator/input.go
@@ -19,8 +19,9 @@
 	message elector.Message
 }
 
-// proposeInput is a command whose proposer waits for the outcome.
+// proposeInput is a command whose proposer waits for the outcome until ctx ends.
 type proposeInput struct {
+	ctx     context.Context
 	command []byte
 	reply   chan outcome
 }
@@ -65,6 +66,12 @@
 // pending batch is flushed, so that inputs take effect in order.
 func (r *Replica) handleInput(next input) {
 	if propose, ok := next.(proposeInput); ok {
+		if propose.ctx.Err() != nil {
+			// The proposer has given up and may have sent the command again: applied
+			// late, this copy could undo a newer one.
+			propose.reply <- outcome{err: Error.New("nothing was proposed: %w", context.Cause(propose.ctx))}
+			return
+		}
 		id := r.waiters.add(propose.reply)
 		r.commands = append(r.commands, elector.Command{ID: id, Data: propose.command})
 		return
@@ -130,7 +137,7 @@
 // ErrUnknownResult it may still be committed.
 func (r *Replica) Propose(ctx context.Context, command []byte) (Proposal, error) {
 	reply := make(chan outcome, 1)
-	return r.await(ctx, proposeInput{command: command, reply: reply}, reply)
+	return r.await(ctx, proposeInput{ctx: ctx, command: command, reply: reply}, reply)
 }
 
 // Query passes a query to the machine and returns its response.
