Share the checks before a change is committed

Cause: evacuations need the checks that configurer makes before it proposes a configuration. Result: the tests of configurer pass unchanged.

--- a/control/configurer/configurer.go
+++ b/control/configurer/configurer.go
@@ -17,13 +17,11 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/zeebo/errs"
 
 	"marigoldhill/control/assigner"
-	"marigoldhill/control/enroller"
-	"marigoldhill/control/replicator"
+	"marigoldhill/control/proposer"
 	"marigoldhill/control/supervisor"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
@@ -32,39 +30,21 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("configurer")
 
-// ErrUnavailable means that the group has no confirmed leader, has too few members,
-// or failed to complete the operation. It leaves open whether a change was applied.
-// It is safe to retry the change.
-var ErrUnavailable = errs.New("control group is not available")
+// ErrUnavailable is [proposer.ErrUnavailable].
+var ErrUnavailable = proposer.ErrUnavailable
 
 // InvalidError is returned for a configuration that was rejected because of an
 // invalid field.
-type InvalidError struct {
-	Field  string
-	Reason string
-}
-
-// Error implements error.
-func (e *InvalidError) Error() string {
-	return e.Field + ": " + e.Reason
-}
+type InvalidError = proposer.InvalidError
 
 // NotLeaderError is returned when another replica is the leader.
-type NotLeaderError struct {
-	Leader messenger.Member
-}
-
-// Error implements error.
-func (e *NotLeaderError) Error() string {
-	return "replica " + e.Leader.Name + " leads"
-}
+type NotLeaderError = proposer.NotLeaderError
 
 // Replica is the subset of the methods of [replicator.Replica] that a Configurer
 // needs.
 type Replica interface {
-	Propose(ctx context.Context, command []byte) (replicator.Proposal, error)
+	proposer.Replica
 	Query(ctx context.Context, query any) (any, error)
-	RaftStatus() replicator.RaftStatus
 }
 
 // Options configure a Configurer.
@@ -79,12 +59,17 @@
 // concurrent use.
 type Configurer struct {
 	replica Replica
+	changes *proposer.Proposer
 	options Options
 }
 
 // New returns a Configurer that reads from and proposes changes to replica.
 func New(replica Replica, options Options) *Configurer {
-	return &Configurer{replica: replica, options: options}
+	return &Configurer{
+		replica: replica,
+		changes: proposer.New(replica, proposer.Options{ToleratedLosses: options.ToleratedLosses}),
+		options: options,
+	}
 }
 
 // Put replaces the configuration, unless the current one has the same or a higher
@@ -95,33 +80,22 @@
 	if err != nil {
 		return 0, c.logRefusal(0, &InvalidError{Field: "body", Reason: err.Error()})
 	}
-	if err := c.checkLeader(); err != nil {
-		return 0, err
-	}
-	data, err := assigner.Encode(&assigner.Command{
-		Time:      time.Now().UnixMilli(),
+	committed, err := c.changes.Commit(ctx, &assigner.Command{
 		Configure: &assigner.Configure{Configuration: *configuration, Source: source},
 	})
-	if err != nil {
-		return 0, Error.New("encoding version %d: %w", configuration.Version, err)
-	}
-	proposal, err := c.replica.Propose(ctx, data)
-	if err != nil {
-		if errors.Is(err, replicator.ErrNotLeader) {
-			return 0, c.notLeaderError()
-		}
-		return 0, Error.New("committing version %d: %w: %w", configuration.Version, ErrUnavailable, err)
-	}
-	result, ok := proposal.Result.(assigner.Result)
-	if !ok {
-		return 0, Error.New("result of a change is a %T", proposal.Result)
-	}
-	if result.Verdict != assigner.VerdictApplied {
-		return 0, c.logRefusal(configuration.Version, &InvalidError{Field: result.Field, Reason: result.Reason})
+	var invalid *InvalidError
+	var moved *NotLeaderError
+	switch {
+	case errors.As(err, &invalid):
+		return 0, c.logRefusal(configuration.Version, invalid)
+	case errors.As(err, &moved):
+		return 0, moved
+	case err != nil:
+		return 0, Error.New("committing version %d: %w", configuration.Version, err)
 	}
 	c.options.Log.Emit(logger.ConfigurationCommitted, "version", configuration.Version,
-		"changed", result.Count > 0, "index", proposal.Index)
-	return proposal.Index, nil
+		"changed", committed.Result.Count > 0, "index", committed.Index)
+	return committed.Index, nil
 }
 
 // logRefusal logs a rejected configuration and returns invalid.
@@ -130,29 +104,6 @@
 	return invalid
 }
 
-// checkLeader returns an error unless this replica is a confirmed leader of a group
-// that is large enough for [Options.ToleratedLosses].
-func (c *Configurer) checkLeader() error {
-	raftStatus := c.replica.RaftStatus()
-	if !raftStatus.Leading {
-		return c.notLeaderError()
-	}
-	if !raftStatus.Confirmed || !enroller.ToleratesLosses(len(raftStatus.Members), c.options.ToleratedLosses) {
-		return Error.New("%w: %d members, confirmed %t", ErrUnavailable, len(raftStatus.Members), raftStatus.Confirmed)
-	}
-	return nil
-}
-
-// notLeaderError returns a [NotLeaderError], or [ErrUnavailable] if no other replica
-// is known to be the leader.
-func (c *Configurer) notLeaderError() error {
-	raftStatus := c.replica.RaftStatus()
-	if raftStatus.Leader.Name == "" || raftStatus.Leader.Name == raftStatus.Name {
-		return Error.New("%w: no leader is known", ErrUnavailable)
-	}
-	return &NotLeaderError{Leader: raftStatus.Leader}
-}
-
 // Current returns the source text of the current configuration, and nil if there is
 // none yet.
 func (c *Configurer) Current(ctx context.Context) ([]byte, error) {
@@ -164,7 +115,7 @@
 	case *supervisor.ConfigurationResponse:
 		return response.Source, nil
 	case *supervisor.NotLeader:
-		return nil, c.notLeaderError()
+		return nil, c.changes.NotLeaderError()
 	}
 	return nil, Error.New("answer about the configuration is a %T", result)
 }
