Keep evacuated failure domains in the replicated state

Cause: operators need to evacuate a failure domain. Who gave the order is not part of the hash under an Idempotency-Key, as it may be an address. Events 275 to 277.

--- a/control/assigner/apply.go
+++ b/control/assigner/apply.go
@@ -71,6 +71,8 @@
 		return s.drain(command.Drain)
 	case command.Lift != nil:
 		return s.lift(command.Lift)
+	case command.Evacuate != nil:
+		return s.evacuate(command.Evacuate)
 	}
 	return void()
 }
@@ -89,6 +91,8 @@
 		return command.Drain.Condition, true
 	case command.Lift != nil:
 		return command.Lift.Condition, true
+	case command.Evacuate != nil:
+		return command.Evacuate.Condition, true
 	}
 	return Condition{}, false
 }
--- a/control/assigner/assigner.go
+++ b/control/assigner/assigner.go
@@ -1,6 +1,6 @@
 // Package assigner holds the state that the control group replicates: sessions
 // of routers, ownership of shards, promoted keys, recorder sets, profiles,
-// services, quarantines, drains and events.
+// services, quarantines, drains, evacuations and events.
 //
 // [State.Apply] is deterministic: it depends only on the state, the log index
 // and the command, so all replicas that have applied the same log have the same
@@ -44,6 +44,9 @@
 	MaxSuspects = 4096
 	// MaxHistory is the number of owner changes kept for explanations.
 	MaxHistory = 256
+	// MaxEvacuations is the number of failure domains that can be evacuated at once.
+	// It bounds the rows in full deltas and far exceeds the domains of a deployment.
+	MaxEvacuations = 64
 	// MaxDeltaRows is the number of shard rows after which a delta is truncated.
 	MaxDeltaRows = 16384
 )
@@ -70,6 +73,8 @@
 	tables   map[string]*Table
 	profiles map[string]Versioned[messenger.Profile]
 	drains   map[string]bool
+	// evacuations are the evacuated failure domains.
+	evacuations map[string]Versioned[messenger.EvacuationRow]
 
 	// configuration is the active configuration and source its text as the
 	// operator sent it; configured is the revision of both.
@@ -102,6 +107,7 @@
 		tables:      make(map[string]*Table),
 		profiles:    make(map[string]Versioned[messenger.Profile]),
 		drains:      make(map[string]bool),
+		evacuations: make(map[string]Versioned[messenger.EvacuationRow]),
 		ranges:      make(map[string]*Ranges),
 		quarantines: make(map[string]Versioned[messenger.QuarantineRow]),
 		suspects:    make(map[string]Versioned[messenger.QuarantineRow]),
--- a/control/assigner/command.go
+++ b/control/assigner/command.go
@@ -38,6 +38,7 @@
 	Drain         *Drain         `msgpack:"drain,omitempty"`
 	Lift          *Lift          `msgpack:"lift,omitempty"`
 	Configure     *Configure     `msgpack:"configure,omitempty"`
+	Evacuate      *Evacuate      `msgpack:"evacuate,omitempty"`
 }
 
 // Open opens a session for one instance of a router.
--- a/control/assigner/delta.go
+++ b/control/assigner/delta.go
@@ -15,6 +15,7 @@
 	tombstoneProfile
 	tombstoneQuarantine
 	tombstoneSuspect
+	tombstoneEvacuation
 )
 
 // tombstone records a removal for deltas.
@@ -145,6 +146,7 @@
 		delta.Configuration = s.configuration
 	}
 	s.addRanges(delta)
+	s.addEvacuations(delta)
 	delta.Quarantines = rowsAfter(s.quarantines, from)
 	delta.Suspects = rowsAfter(s.suspects, from)
 }
@@ -192,5 +194,9 @@
 		if _, back := s.suspects[removal.Name]; !back {
 			delta.Suspects = append(delta.Suspects, messenger.QuarantineRow{Fingerprint: removal.Name, Gone: true})
 		}
+	case tombstoneEvacuation:
+		if _, back := s.evacuations[removal.Name]; !back {
+			delta.Evacuations = append(delta.Evacuations, messenger.EvacuationRow{Domain: removal.Name, Gone: true})
+		}
 	}
 }
--- a/control/assigner/session.go
+++ b/control/assigner/session.go
@@ -127,7 +127,7 @@
 // refreshSession updates the state derived from the attributes that a session
 // reported, such as Leaving.
 func (s *State) refreshSession(session *Session) {
-	session.Row.Leaving = session.Stopping || s.isDrained(session)
+	session.Row.Leaving = s.IsDraining(session) || s.IsEvacuated(session.Row.Domain)
 	if !session.Routed {
 		s.ensureService(session)
 	}
@@ -135,8 +135,10 @@
 	s.markSessionChanged(session)
 }
 
-func (s *State) isDrained(session *Session) bool {
-	return session.Row.Server != nil && s.drains[session.Row.Server.Name]
+// IsDraining reports whether a session leaves for a reason of its own: its router
+// stops, or its backend server is drained.
+func (s *State) IsDraining(session *Session) bool {
+	return session.Stopping || session.Row.Server != nil && s.drains[session.Row.Server.Name]
 }
 
 func (s *State) markSessionChanged(session *Session) {
--- a/control/assigner/snapshot.go
+++ b/control/assigner/snapshot.go
@@ -37,6 +37,8 @@
 	Ranges        []rangesSnapshot
 	// Deaths has the suspects in the order of Suspects.
 	Deaths []int
+	// Evacuations is absent in snapshots of versions that accepted no evacuations.
+	Evacuations []Versioned[messenger.EvacuationRow]
 }
 
 // tableSnapshot is the encoded form of a Table.
@@ -77,6 +79,7 @@
 		Configuration: s.configuration,
 		Source:        s.source,
 		Configured:    s.configured,
+		Evacuations:   s.Evacuations(),
 	}
 	for _, suspect := range image.Suspects {
 		image.Deaths = append(image.Deaths, s.deaths[suspect.Value.Fingerprint])
@@ -186,6 +189,9 @@
 	for _, server := range image.Drains {
 		s.drains[server] = true
 	}
+	for _, row := range image.Evacuations {
+		s.evacuations[row.Value.Domain] = row
+	}
 	for _, row := range image.Quarantines {
 		s.quarantines[row.Value.Fingerprint] = row
 	}
--- a/control/assigner/stored_result.go
+++ b/control/assigner/stored_result.go
@@ -32,10 +32,16 @@
 	return result
 }
 
-// hashOf hashes a change without its time, which differs between retries.
+// hashOf hashes a change without what may differ between retries: its time, and who
+// ordered an evacuation, which may be the address that the client has now.
 func hashOf(command *Command) uint64 {
 	change := *command
 	change.Time = 0
+	if change.Evacuate != nil {
+		evacuate := *change.Evacuate
+		evacuate.By = ""
+		change.Evacuate = &evacuate
+	}
 	data, err := Encode(&change)
 	if err != nil {
 		return 0
--- a/kernel/logger/control.go
+++ b/kernel/logger/control.go
@@ -36,6 +36,9 @@
 	QuarantineLifted         = Event{272, hclog.Info, "quarantine lifted"}
 	BackgroundRequestStalled = Event{273, hclog.Warn, "router reported a stalled background request"}
 	RouterUnreachable        = Event{274, hclog.Warn, "router unreachable from most other routers; moving its shards"}
+	EvacuationStarted        = Event{275, hclog.Warn, "evacuation of a failure domain started"}
+	EvacuationEnded          = Event{276, hclog.Info, "evacuation of a failure domain ended"}
+	DomainEmpty              = Event{277, hclog.Info, "evacuated failure domain is empty"}
 )
 
 func controlEvents() []Event {
@@ -47,5 +50,6 @@
 		KeyPromoted, KeyDemoted,
 		ProfileChanged, ProfileRemoved, ServiceChanged, DrainStarted, DrainEnded,
 		ServerDeathReported, RequestQuarantined, QuarantineLifted, BackgroundRequestStalled, RouterUnreachable,
+		EvacuationStarted, EvacuationEnded, DomainEmpty,
 	}
 }
