Serve POST and DELETE /evacuate/{domain} on the platform

Change: the operator interface commits evacuations through proposer. Ranges still leave all at once.

--- a/control/assembler/assembler.go
+++ b/control/assembler/assembler.go
@@ -20,6 +20,7 @@
 
 	"marigoldhill/control/configurer"
 	"marigoldhill/control/journaler"
+	"marigoldhill/control/proposer"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/networker"
 	"marigoldhill/kernel/registrar"
@@ -44,9 +45,9 @@
 	// set.
 	Metrics *metrics.Set
 	// OperatorHandler returns an HTTP handler through which operators replace whole
-	// configurations. It serves all paths except /v1, /metrics and /health. If
+	// configurations and commit other changes. It serves all paths except /v1, /metrics and /health. If
 	// nil, the handler of /v1 serves these paths too.
-	OperatorHandler func(configurations *configurer.Configurer) http.Handler
+	OperatorHandler func(configurations *configurer.Configurer, changes *proposer.Proposer) http.Handler
 }
 
 // Process is a control process.
--- a/control/assembler/operator.go
+++ b/control/assembler/operator.go
@@ -12,6 +12,7 @@
 
 	"marigoldhill/control/administrator"
 	"marigoldhill/control/configurer"
+	"marigoldhill/control/proposer"
 	"marigoldhill/control/replicator"
 	"marigoldhill/kernel/registrar"
 )
@@ -77,7 +78,8 @@
 		return mux
 	}
 	configurations := configurer.New(s.replica, configurer.Options{ToleratedLosses: s.settings.ToleratedLosses, Log: s.options.Log})
-	mux.Handle("/", s.options.OperatorHandler(configurations))
+	changes := proposer.New(s.replica, proposer.Options{ToleratedLosses: s.settings.ToleratedLosses})
+	mux.Handle("/", s.options.OperatorHandler(configurations, changes))
 	return mux
 }
 
