Move the ranges of an evacuated failure domain out in steps

Cause: the sessions of an evacuated domain are leaving, so all its ranges moved at once, and a quarter of all requests waited for handovers at the same time. Change: balancer.Evacuate plans one step, about a fifth of the domain's load, with the hottest ranges in different steps and large ones split. The supervisor takes five steps of 400 ms for each service. Servers that are drained or stop still hand over at once. Status, explanations, gauges by domain and event 277 show the progress.

--- a/control/balancer/range.go
+++ b/control/balancer/range.go
@@ -122,18 +122,27 @@
 // leader calls it at each tick and mostly nothing matches; the load on all keys is
 // summed up only when something does.
 func placeMatching(ranges []Range, servers []RangeServer, arrivals []float64, match func(Range) bool) []PlacedRange {
+	matching := selectRanges(ranges, match)
+	if len(matching) == 0 {
+		return nil
+	}
+	return newRangeLoads(ranges, servers, arrivals).place(matching)
+}
+
+func selectRanges(ranges []Range, match func(Range) bool) []Range {
 	var matching []Range
 	for _, r := range ranges {
 		if match(r) {
 			matching = append(matching, r)
 		}
 	}
-	if len(matching) == 0 {
-		return nil
-	}
-	l := newRangeLoads(ranges, servers, arrivals)
+	return matching
+}
+
+// place assigns ranges to the least loaded servers, one after the other.
+func (l *rangeLoads) place(ranges []Range) []PlacedRange {
 	var placed []PlacedRange
-	for _, r := range matching {
+	for _, r := range ranges {
 		for _, part := range l.splitByLoad(r) {
 			target := l.leastLoaded(r.Owner)
 			if target == 0 {
@@ -154,7 +163,11 @@
 // two servers, so that a large range does not go to a single server.
 func (l *rangeLoads) splitByLoad(r Range) []Range {
 	const keysPerPart = 512
-	count := min(int(r.To-r.From+1)/keysPerPart+1, max(len(l.servers)/2, 1))
+	return l.split(r, min(int(r.To-r.From+1)/keysPerPart+1, max(len(l.servers)/2, 1)))
+}
+
+// split splits a range into at most count parts of equal load.
+func (l *rangeLoads) split(r Range, count int) []Range {
 	total := l.rate(r.From, r.To)
 	if count < 2 || total == 0 {
 		return []Range{r}
@@ -164,7 +177,7 @@
 	for key := r.From; key <= r.To; key++ {
 		sum += l.arrivals[key]
 		if key == r.To || (sum >= total/float64(count) && len(parts) < count-1) {
-			parts = append(parts, Range{From: from, To: key})
+			parts = append(parts, Range{From: from, To: key, Owner: r.Owner})
 			from, sum = key+1, 0
 		}
 	}
--- a/control/supervisor/counters.go
+++ b/control/supervisor/counters.go
@@ -15,6 +15,8 @@
 	// reported as free, by the state of the backend server in that report.
 	rangesGranted *metrics.Counter
 	rangesFreed   map[messenger.ServerState]*metrics.Counter
+	// evacuations are the names of the gauges of evacuated failure domains.
+	evacuations map[string]bool
 }
 
 func newCounters(set *metrics.Set) *counters {
--- a/control/supervisor/explain.go
+++ b/control/supervisor/explain.go
@@ -44,6 +44,7 @@
 	if owner := s.state.Session(row.Owner); owner != nil {
 		explanation.Router = owner.Row.Router
 		explanation.Domain = owner.Row.Domain
+		explanation.Evacuation = s.evacuationOf(owner.Row.Domain)
 		explanation.Recorders = s.routerNames(owner.Row.Recorders)
 		if owner.Row.Server != nil {
 			explanation.Server = owner.Row.Server.Name
--- a/control/supervisor/explain_range.go
+++ b/control/supervisor/explain_range.go
@@ -48,6 +48,7 @@
 	}
 	explanation.Router = owner.Row.Router
 	explanation.Domain = owner.Row.Domain
+	explanation.Evacuation = s.evacuationOf(owner.Row.Domain)
 	if owner.Row.Server != nil {
 		explanation.Server = owner.Row.Server.Name
 	}
--- a/control/supervisor/publish.go
+++ b/control/supervisor/publish.go
@@ -21,6 +21,7 @@
 		s.counters.setGauge("shards_free", name, float64(t.Free()))
 		s.counters.setGauge("shards_moving", name, float64(t.Moving()))
 	}
+	s.publishEvacuations()
 	s.counters.sessions.Set(float64(len(s.state.Sessions())))
 }
 
--- a/control/supervisor/query.go
+++ b/control/supervisor/query.go
@@ -37,6 +37,8 @@
 	}
 	// ConfigurationQuery is answered with *ConfigurationResponse.
 	ConfigurationQuery struct{}
+	// EvacuationsQuery is answered with []messenger.EvacuationStatus.
+	EvacuationsQuery struct{}
 	// QuarantinesQuery is answered with []messenger.QuarantineRow.
 	QuarantinesQuery struct{}
 )
@@ -66,6 +68,8 @@
 		return s.progress(request)
 	case ConfigurationQuery:
 		return &ConfigurationResponse{Configuration: s.state.Configuration(), Source: s.state.Source()}
+	case EvacuationsQuery:
+		return s.evacuationStatuses()
 	case QuarantinesQuery:
 		return s.state.Quarantines()
 	}
--- a/control/supervisor/ranges.go
+++ b/control/supervisor/ranges.go
@@ -35,13 +35,18 @@
 	servers     int
 	lastChecked timer.Instant
 	lastMoved   timer.Instant
+	// evacuations is the progress of evacuations, by failure domain.
+	evacuations map[string]evacuationProgress
 }
 
 // demandOf returns the demand of a service, which it creates if necessary.
 func (s *Supervisor) demandOf(service string) *rangeDemand {
 	demand := s.demands[service]
 	if demand == nil {
-		demand = &rangeDemand{arrivals: make([]float64, messenger.LastKey+1)}
+		demand = &rangeDemand{
+			arrivals:    make([]float64, messenger.LastKey+1),
+			evacuations: make(map[string]evacuationProgress),
+		}
 		s.demands[service] = demand
 	}
 	return demand
@@ -129,7 +134,8 @@
 	return f.rate * max(1-now.Since(f.updated).Seconds()/failureRateDecay.Seconds(), 0)
 }
 
-// placeRanges grants free ranges, drains leaving servers and balances the load.
+// placeRanges grants free ranges, drains leaving servers and evacuated failure domains,
+// and balances the load.
 func (s *Supervisor) placeRanges(now timer.Instant, batch *batch) {
 	if !s.hasRouterReports(now) {
 		return
@@ -171,6 +177,9 @@
 		s.moveRanges(r, moves, "server leaves", subject, batch)
 		return
 	}
+	if s.evacuateRanges(now, r, ranges, rangeServers, subject, batch) {
+		return
+	}
 	if moves := balancer.EjectFailing(ranges, rangeServers, demand.arrivals); len(moves) > 0 {
 		s.moveRanges(r, moves, "server fails its requests", subject, batch)
 		return
@@ -231,7 +240,7 @@
 			Domain:   session.Row.Domain,
 			Slots:    session.Row.Server.Slots,
 			Accepts:  !session.Row.Leaving && s.isReady(number),
-			Draining: session.Row.Leaving,
+			Draining: s.state.IsDraining(session),
 		}
 		if router != nil {
 			server.RequestSeconds = router.requestTime.seconds
--- a/control/supervisor/status.go
+++ b/control/supervisor/status.go
@@ -19,6 +19,7 @@
 		Sessions:    []messenger.SessionStatus{},
 		Services:    []messenger.ServiceStatus{},
 		Quarantines: len(s.state.Quarantines()),
+		Evacuations: s.evacuationStatuses(),
 	}
 	for _, session := range s.state.Sessions() {
 		status.Sessions = append(status.Sessions, s.sessionStatus(now, session))
--- a/control/supervisor/supervisor.go
+++ b/control/supervisor/supervisor.go
@@ -63,6 +63,8 @@
 	services map[string]*serviceState
 	// demands is the measured load on ranges, by service.
 	demands map[string]*rangeDemand
+	// emptied are the revisions of the evacuations whose domains have no keys left.
+	emptied map[string]uint64
 	// lastMeasured is when the mean loads were last updated.
 	lastMeasured timer.Instant
 }
@@ -89,7 +91,9 @@
 	s.pending = newPending()
 	s.services = make(map[string]*serviceState)
 	s.demands = make(map[string]*rangeDemand)
+	s.emptied = make(map[string]uint64)
 	s.lastMeasured = timer.Instant{}
+	s.counters.removeEvacuations(nil)
 }
 
 // Apply implements [replicator.Machine]. The result is an assigner.Result.
@@ -129,6 +133,7 @@
 		s.drainLeaving(now, batch)
 		s.balance(now, batch)
 		s.placeRanges(now, batch)
+		s.announceEmptyDomains(now, batch)
 	}
 	return batch.commands
 }
--- a/kernel/messenger/operator.go
+++ b/kernel/messenger/operator.go
@@ -27,6 +27,25 @@
 	Services []ServiceStatus `json:"services"`
 	// Quarantines is the number of quarantined fingerprints.
 	Quarantines int `json:"quarantines"`
+	// Evacuations are the evacuated failure domains.
+	Evacuations []EvacuationStatus `json:"evacuations,omitempty"`
+}
+
+// EvacuationStatus is the progress of the evacuation of a failure domain.
+type EvacuationStatus struct {
+	Domain string `json:"domain"`
+	// By identifies the operator who gave the order.
+	By string `json:"by"`
+	// Since is the time of the order, in milliseconds of the wall clock.
+	Since int64 `json:"since"`
+	// Servers is the number of backend servers in the domain, Ranges and Shards the
+	// number of key ranges and shards that are still there or moving there.
+	Servers int `json:"servers"`
+	Ranges  int `json:"ranges"`
+	Shards  int `json:"shards"`
+	// Behind is the number of routers of all domains that have not yet applied the
+	// order.
+	Behind int `json:"behind"`
 }
 
 // MemberStatus is the status of one replica of the control group.
@@ -102,7 +121,9 @@
 	Router string `json:"router"`
 	Server string `json:"server"`
 	Domain string `json:"domain"`
-	Fence  uint64 `json:"fence"`
+	// Evacuation is set if the failure domain of the owner is evacuated.
+	Evacuation *EvacuationRow `json:"evacuation,omitempty"`
+	Fence      uint64         `json:"fence"`
 	// Since is when the owner or phase of the shard last changed, or when the range
 	// was granted, in milliseconds of the wall clock.
 	Since int64 `json:"since"`
--- a/kernel/messenger/request.go
+++ b/kernel/messenger/request.go
@@ -30,6 +30,9 @@
 	HeaderShard          = "Marigold-Shard"
 	HeaderDeadline       = "Marigold-Deadline"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderOperator identifies the operator who sends a call of the operator interface,
+	// in at most MaxOperatorBytes.
+	HeaderOperator = "Marigold-Operator"
 	// HeaderRequestNumber is the number of a request, which also appears in the logs.
 	HeaderRequestNumber = "Marigold-Request"
 	// HeaderKey is a numeric key, from 0 to LastKey.
@@ -48,6 +51,9 @@
 	HeaderRefused = "Marigold-Refused"
 )
 
+// MaxOperatorBytes is the maximum length of [HeaderOperator].
+const MaxOperatorBytes = 64
+
 // Header is one HTTP header field of a request or a response.
 type Header struct {
 	Name   string
