Add evacuations to the operator interface and the command line

Change: PUT and DELETE /v1/evacuations/{domain}, GET /v1/evacuations, commands evacuate and unevacuate, a table in the status and a note in explanations. Unlike drains, the calls need a confirmed leader and a group that is large enough.

--- a/control/administrator/administrator.go
+++ b/control/administrator/administrator.go
@@ -21,6 +21,7 @@
 	"github.com/zeebo/errs"
 
 	"marigoldhill/control/configurer"
+	"marigoldhill/control/proposer"
 	"marigoldhill/control/replicator"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
@@ -63,7 +64,7 @@
 // Options configure an Administrator.
 type Options struct {
 	// ToleratedLosses is the number of disks that may fail at once without the loss
-	// of an acknowledged configuration.
+	// of an acknowledged configuration or evacuation.
 	ToleratedLosses int
 	// Log discards all events if nil.
 	Log *logger.Log
@@ -76,6 +77,7 @@
 	replica        Replica
 	options        Options
 	configurations *configurer.Configurer
+	changes        *proposer.Proposer
 }
 
 // New returns an Administrator that reads from and proposes changes to replica.
@@ -90,6 +92,7 @@
 		replica:        replica,
 		options:        options,
 		configurations: configurer.New(replica, configurer.Options{ToleratedLosses: options.ToleratedLosses, Log: options.Log}),
+		changes:        proposer.New(replica, proposer.Options{ToleratedLosses: options.ToleratedLosses}),
 	}
 }
 
@@ -113,6 +116,9 @@
 	api.GET("/progress", a.getProgress)
 	api.PUT("/drains/:server", a.putDrain)
 	api.DELETE("/drains/:server", a.deleteDrain)
+	api.GET("/evacuations", a.listEvacuations)
+	api.PUT("/evacuations/:domain", a.putEvacuation)
+	api.DELETE("/evacuations/:domain", a.deleteEvacuation)
 	api.GET("/members", a.listMembers)
 	api.POST("/members", a.addMember)
 	api.DELETE("/members/:name", a.removeMember)
--- a/operator/cmd_explain.go
+++ b/operator/cmd_explain.go
@@ -53,7 +53,7 @@
 		[2]string{"phase", explanation.Phase},
 		[2]string{"server", explanation.Server},
 		[2]string{"router", explanation.Router},
-		[2]string{"domain", explanation.Domain},
+		[2]string{"domain", formatDomain(explanation)},
 		[2]string{"fence", strconv.FormatUint(explanation.Fence, 10)},
 		[2]string{"since", printer.Time(explanation.Since)},
 		[2]string{"why", explanation.Why},
@@ -76,7 +76,7 @@
 		[2]string{"server", explanation.Server},
 		[2]string{"router", explanation.Router},
 		[2]string{"next", r.Next},
-		[2]string{"domain", explanation.Domain},
+		[2]string{"domain", formatDomain(explanation)},
 		[2]string{"fence", strconv.FormatUint(explanation.Fence, 10)},
 		[2]string{"since", printer.Time(explanation.Since)},
 		[2]string{"why", explanation.Why},
@@ -89,3 +89,12 @@
 	}
 	return text + "\n" + printer.Table(eventColumns(), explanation.History)
 }
+
+// formatDomain formats the failure domain of the owner, and who evacuated it.
+func formatDomain(explanation messenger.Explanation) string {
+	evacuation := explanation.Evacuation
+	if evacuation == nil {
+		return explanation.Domain
+	}
+	return fmt.Sprintf("%s, evacuated by %s since %s", explanation.Domain, evacuation.By, printer.Time(evacuation.Since))
+}
--- a/operator/cmd_status.go
+++ b/operator/cmd_status.go
@@ -38,7 +38,7 @@
 // formatStatus formats the status as tables.
 func formatStatus(status messenger.Status) string {
 	slices.SortFunc(status.Sessions, compareSessions)
-	return printer.FormatPairs(
+	text := printer.FormatPairs(
 		[2]string{"cluster", status.Cluster},
 		[2]string{"leader", fmt.Sprintf("%s, term %d", orNone(status.Leader), status.Term)},
 		[2]string{"revision", strconv.FormatUint(status.Revision, 10)},
@@ -46,6 +46,10 @@
 	) + "\n" + printer.Table(memberColumns(), status.Members) +
 		"\n" + printer.Table(sessionColumns(), status.Sessions) +
 		"\n" + printer.Table(serviceStatusColumns(), status.Services)
+	if len(status.Evacuations) > 0 {
+		text += "\n" + printer.Table(evacuationColumns(), status.Evacuations)
+	}
+	return text
 }
 
 func orNone(name string) string {
--- a/operator/main.go
+++ b/operator/main.go
@@ -34,7 +34,7 @@
 	return []command{
 		cmdStatus(), cmdExplain(), cmdEvents(), cmdWatch(),
 		cmdProfile(), cmdService(), cmdConfiguration(),
-		cmdDrain(), cmdUndrain(), cmdMember(), cmdQuarantine(),
+		cmdDrain(), cmdUndrain(), cmdEvacuate(), cmdUnevacuate(), cmdMember(), cmdQuarantine(),
 		cmdCompletion(),
 	}
 }
--- a/operator/requester/requester.go
+++ b/operator/requester/requester.go
@@ -106,13 +106,15 @@
 	// IfMatch is the ETag on which the change is based, sent as If-Match unless it is
 	// empty.
 	IfMatch string
+	// Operator identifies who sends the change, unless it is empty.
+	Operator string
 }
 
 // Change sends a change with a new Idempotency-Key and returns the revision of the
 // change.
 func (r *Requester) Change(ctx context.Context, change Change) (messenger.Accepted, error) {
 	var accepted messenger.Accepted
-	request := request{method: change.Method, path: change.Path, ifMatch: change.IfMatch, idempotencyKey: rand.Text(), contentType: contentTypeJSON}
+	request := request{method: change.Method, path: change.Path, ifMatch: change.IfMatch, operator: change.Operator, idempotencyKey: rand.Text(), contentType: contentTypeJSON}
 	if change.YAML != nil {
 		request.body, request.contentType = change.YAML, contentTypeYAML
 	} else if change.Body != nil {
@@ -140,6 +142,7 @@
 	method         string
 	path           string
 	ifMatch        string
+	operator       string
 	idempotencyKey string
 	body           []byte
 	contentType    string
@@ -187,6 +190,9 @@
 	if request.ifMatch != "" {
 		httpRequest.Header.Set("If-Match", request.ifMatch)
 	}
+	if request.operator != "" {
+		httpRequest.Header.Set(messenger.HeaderOperator, request.operator)
+	}
 	if request.idempotencyKey != "" {
 		httpRequest.Header.Set(messenger.HeaderIdempotencyKey, request.idempotencyKey)
 	}
