Refuse evacuations while a member runs an older version

Cause: a replica of the previous version ignores the command, and its state would differ from then on. Change: replicas say in Hello, which is encoded as a map, that they apply evacuations. The leader remembers it for each member that it has heard of, and an order is refused with 503 while one is known not to. Members that were not heard of don't block an order, and withdrawals are not checked.

--- a/control/assembler/replica.go
+++ b/control/assembler/replica.go
@@ -83,5 +83,7 @@
 		Version: messenger.Version,
 		Role:    messenger.RoleControl,
 		Name:    b.settings.Name,
+
+		Evacuates: true,
 	}
 }
--- a/control/proposer/proposer.go
+++ b/control/proposer/proposer.go
@@ -93,6 +93,11 @@
 	if err := p.CheckLeader(); err != nil {
 		return Committed{}, err
 	}
+	if command.Evacuate != nil && command.Evacuate.On {
+		if err := p.checkVersions(); err != nil {
+			return Committed{}, err
+		}
+	}
 	command.Time = time.Now().UnixMilli()
 	data, err := assigner.Encode(command)
 	if err != nil {
@@ -131,6 +136,20 @@
 	return nil
 }
 
+// checkVersions returns an error if a member is known to run a version that does not
+// apply evacuations: its state would differ from then on. A member that was not heard of
+// does not block an order. Withdrawals are not checked, as a domain that stays evacuated
+// does more harm.
+func (p *Proposer) checkVersions() error {
+	raftStatus := p.replica.RaftStatus()
+	for _, member := range raftStatus.Members {
+		if raftStatus.Progress[member.Name].Outdated {
+			return Error.New("%w: replica %s runs a version without evacuations", ErrUnavailable, member.Name)
+		}
+	}
+	return nil
+}
+
 // NotLeaderError returns a [NotLeaderError], or [ErrUnavailable] if no other replica
 // is known to be the leader.
 func (p *Proposer) NotLeaderError() error {
--- a/control/proposer/proposer_test.go
+++ b/control/proposer/proposer_test.go
@@ -52,6 +52,14 @@
 		{name: "not confirmed", domain: "d1", change: func(f *fakeReplica) { f.raftStatus.Confirmed = false }, want: ".*not available.*"},
 		{name: "another replica leads", domain: "d1", change: func(f *fakeReplica) { f.raftStatus.Leading, f.raftStatus.Leader = false, other }, want: "replica c2 leads"},
 		{name: "no leader", domain: "d1", change: func(f *fakeReplica) { f.raftStatus.Leading = false }, want: ".*no leader is known"},
+		{name: "a member runs a version without evacuations", domain: "d1", change: func(f *fakeReplica) {
+			f.raftStatus.Members = []messenger.Member{{Name: "c1"}, {Name: "c2"}, {Name: "c3"}, {Name: "c4"}}
+			f.raftStatus.Progress = map[string]replicator.Progress{"c1": {}, "c3": {Outdated: true}}
+		}, want: ".*not available: replica c3 runs a version without evacuations"},
+		{name: "a former member ran another version", domain: "d1", change: func(f *fakeReplica) {
+			f.raftStatus.Members = []messenger.Member{{Name: "c1"}, {Name: "c2"}, {Name: "c3"}, {Name: "c4"}}
+			f.raftStatus.Progress = map[string]replicator.Progress{"c9": {Outdated: true}}
+		}, applied: true},
 		{name: "invalid", domain: "D 1", want: "domain: must be.*"},
 		{name: "client has gone", domain: "d1", gone: true, want: ".*client has gone.*"},
 		{name: "leadership lost", domain: "d1", change: func(f *fakeReplica) { f.failure = replicator.ErrNotLeader }, want: ".*no leader is known"},
--- a/control/replicator/input.go
+++ b/control/replicator/input.go
@@ -13,10 +13,12 @@
 	input()
 }
 
-// messageInput is a message from another replica that listens at address.
+// messageInput is a message from another replica that listens at address. evacuates
+// reports whether that replica applies evacuations.
 type messageInput struct {
-	address string
-	message elector.Message
+	address   string
+	evacuates bool
+	message   elector.Message
 }
 
 // proposeInput is a command whose proposer waits for the outcome until ctx ends.
@@ -80,6 +82,7 @@
 	switch next := next.(type) {
 	case messageInput:
 		r.addresses[next.message.From] = next.address
+		r.outdated[next.message.From] = !next.evacuates
 		r.step(elector.Received{Message: next.message})
 	case queryInput:
 		r.query(next)
--- a/control/replicator/machine.go
+++ b/control/replicator/machine.go
@@ -54,6 +54,9 @@
 	Match uint64
 	// LastContact is the time of its last response.
 	LastContact timer.Instant
+	// Outdated is set if the member is known to run a version that does not apply
+	// evacuations.
+	Outdated bool
 }
 
 // Machine is the replicated state machine, with the decisions that a leader makes
--- a/control/replicator/replica.go
+++ b/control/replicator/replica.go
@@ -75,6 +75,9 @@
 	commands  []elector.Command
 	senders   map[string]*sender
 	addresses map[string]string
+	// outdated are the replicas whose last message came from a version that does not
+	// apply evacuations.
+	outdated map[string]bool
 	// entries and bytes count what was applied since the last snapshot.
 	entries int
 	bytes   int
@@ -106,6 +109,7 @@
 		waiters:   newWaiters(),
 		senders:   make(map[string]*sender),
 		addresses: make(map[string]string),
+		outdated:  make(map[string]bool),
 	}
 	if err := r.restore(options.Stored); err != nil {
 		return nil, err
--- a/control/replicator/replica_test.go
+++ b/control/replicator/replica_test.go
@@ -70,6 +70,8 @@
 	hosts           map[string]*host
 	members         []messenger.Member
 	snapshotEntries int
+	// evacuates are the replicas that report that they apply evacuations.
+	evacuates map[string]bool
 }
 
 func member(name string) messenger.Member {
@@ -105,7 +107,7 @@
 	var err error
 	h.journal, stored, err = journaler.Open(h.disk, h.directory, identity)
 	qt.Assert(g.t, err, qt.IsNil)
-	hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleControl, Name: name}
+	hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleControl, Name: name, Evacuates: g.evacuates[name]}
 	h.pool = linker.NewPool(g.network.Node(name), linker.Options{Hello: hello})
 	h.replica, err = replicator.New(replicator.Options{
 		Member:          member(name),
--- a/control/replicator/sender.go
+++ b/control/replicator/sender.go
@@ -190,7 +190,7 @@
 				r.counters.countRefusal("address")
 				return
 			}
-			if err := r.submit(ctx, messageInput{address: batch.Address, message: message}); err != nil {
+			if err := r.submit(ctx, messageInput{address: batch.Address, evacuates: peer.Evacuates, message: message}); err != nil {
 				return
 			}
 		}
--- a/control/replicator/step.go
+++ b/control/replicator/step.go
@@ -152,7 +152,7 @@
 	raftStatus.Progress = make(map[string]Progress, len(status.Peers)+1)
 	raftStatus.Progress[raftStatus.Name] = Progress{Match: status.Last, LastContact: now}
 	for _, peer := range status.Peers {
-		raftStatus.Progress[peer.Name] = Progress{Match: peer.Match, LastContact: peer.LastContact}
+		raftStatus.Progress[peer.Name] = Progress{Match: peer.Match, LastContact: peer.LastContact, Outdated: r.outdated[peer.Name]}
 	}
 	return raftStatus
 }
--- a/kernel/messenger/messenger.go
+++ b/kernel/messenger/messenger.go
@@ -75,4 +75,7 @@
 	// Replies reports whether the sender reads and sends a [RelayReply] in place of a
 	// [RelayResponse].
 	Replies bool
+	// Evacuates reports whether the sender, a replica, applies evacuations of failure
+	// domains. Earlier versions ignore them.
+	Evacuates bool
 }
