Look for empty domains once a second

Cause: the keys of each evacuated domain were counted at every tick of 25 ms, for as long as a domain could not be emptied. Result: the supervisor's tests pass; the event comes up to a second later.

--- a/control/supervisor/balance.go
+++ b/control/supervisor/balance.go
@@ -57,6 +57,7 @@
 		s.balanceTable(now, t, batch)
 	}
 	s.publishMetrics(now)
+	s.announceEmptyDomains(now, batch)
 }
 
 func (s *Supervisor) balanceTable(now timer.Instant, t *assigner.Table, batch *batch) {
--- a/control/supervisor/evacuation.go
+++ b/control/supervisor/evacuation.go
@@ -47,7 +47,8 @@
 }
 
 // announceEmptyDomains records an event once no keys are left in an evacuated domain. It
-// is recorded once for each order, also when the leader changes.
+// is recorded once for each order, also when the leader changes. It counts the keys, so it
+// is called at the interval of measurements and not at each tick.
 func (s *Supervisor) announceEmptyDomains(now timer.Instant, batch *batch) {
 	for _, entry := range s.state.Evacuations() {
 		domain := entry.Value.Domain
--- a/control/supervisor/evacuation_test.go
+++ b/control/supervisor/evacuation_test.go
@@ -86,6 +86,7 @@
 	f.evacuate("d1", true)
 	f.run(3 * time.Second)
 	qt.Check(t, f.keysIn("d1"), qt.Equals, 0)
+	f.run(time.Second)
 	qt.Check(t, f.keysIn("d0")+f.keysIn("d2"), qt.Equals, allKeys)
 	qt.Assert(t, len(f.moves), qt.Equals, 5)
 	for n := range f.moves {
--- a/control/supervisor/supervisor.go
+++ b/control/supervisor/supervisor.go
@@ -133,7 +133,6 @@
 		s.drainLeaving(now, batch)
 		s.balance(now, batch)
 		s.placeRanges(now, batch)
-		s.announceEmptyDomains(now, batch)
 	}
 	return batch.commands
 }
