--- a/control/replicator/input.go
+++ b/control/replicator/input.go
@@ -13,14 +13,17 @@
 	input()
 }
 
-// messageInput is a message from another replica that listens at address.
+// messageInput is a message from another replica that listens at address. evacuates
+// reports whether that replica applies evacuations.
 type messageInput struct {
-	address string
-	message elector.Message
+	address   string
+	evacuates bool
+	message   elector.Message
 }
 
-// proposeInput is a command whose proposer waits for the outcome.
+// proposeInput is a command whose proposer waits for the outcome until ctx ends.
 type proposeInput struct {
+	ctx     context.Context
 	command []byte
 	reply   chan outcome
 }
@@ -65,6 +68,12 @@
 // pending batch is flushed, so that inputs take effect in order.
 func (r *Replica) handleInput(next input) {
 	if propose, ok := next.(proposeInput); ok {
+		if propose.ctx.Err() != nil {
+			// The proposer has given up and may have sent the command again: applied
+			// late, this copy could undo a newer one.
+			propose.reply <- outcome{err: Error.New("nothing was proposed: %w", context.Cause(propose.ctx))}
+			return
+		}
 		id := r.waiters.add(propose.reply)
 		r.commands = append(r.commands, elector.Command{ID: id, Data: propose.command})
 		return
@@ -73,6 +82,7 @@
 	switch next := next.(type) {
 	case messageInput:
 		r.addresses[next.message.From] = next.address
+		r.outdated[next.message.From] = !next.evacuates
 		r.step(elector.Received{Message: next.message})
 	case queryInput:
 		r.query(next)
@@ -130,7 +140,7 @@
 // ErrUnknownResult it may still be committed.
 func (r *Replica) Propose(ctx context.Context, command []byte) (Proposal, error) {
 	reply := make(chan outcome, 1)
-	return r.await(ctx, proposeInput{command: command, reply: reply}, reply)
+	return r.await(ctx, proposeInput{ctx: ctx, command: command, reply: reply}, reply)
 }
 
 // Query passes a query to the machine and returns its response.
