Guard the backend servers of an evacuated failure domain at their routers

Cause: an operator's order to evacuate a failure domain must be in force at each router within the bound of the setting evacuation, also at routers that were frozen, cut off or down when it was given. Change: mapper and locator hold the evacuated domains. Package evacuator decides (Gate) and holds or refuses requests at the owner in routed mode and refuses them in sharded mode (Guard). Setting evacuation, event 316, counters and gauge.

--- a/kernel/logger/router.go
+++ b/kernel/logger/router.go
@@ -14,6 +14,7 @@
 	AnnouncementIgnored = Event{313, hclog.Info, "backend server announcement ignored"}
 	ServerLoad          = Event{314, hclog.Info, "backend server load"}
 	ServerLimitChanged  = Event{315, hclog.Info, "backend server named another limit"}
+	EvacuationChanged   = Event{316, hclog.Warn, "evacuation of the router's own failure domain changed"}
 	ServerTerminated    = Event{312, hclog.Warn, "backend server terminated with requests in flight"}
 	RecordsRecovered    = Event{320, hclog.Info, "records of the previous owner recovered"}
 	RecordsCopied       = Event{321, hclog.Info, "records copied to a joining recorder"}
@@ -25,7 +26,7 @@
 
 func routerEvents() []Event {
 	return []Event{
-		LeaseAcquired, LeaseLost, LeaseReleased, ControlUnreachable, ControlReachable, ServerAnnounced, AnnouncementIgnored, ServerStateChanged, ServerLoad, ServerTerminated, ServerLimitChanged,
+		LeaseAcquired, LeaseLost, LeaseReleased, ControlUnreachable, ControlReachable, ServerAnnounced, AnnouncementIgnored, ServerStateChanged, ServerLoad, ServerTerminated, ServerLimitChanged, EvacuationChanged,
 		RecordsRecovered, RecordsCopied, RangeCallCompleted, RangesFreed, RequestStalled, ResponseOversized,
 	}
 }
--- a/router/assembler/assembler.go
+++ b/router/assembler/assembler.go
@@ -36,6 +36,7 @@
 	"marigoldhill/router/announcer"
 	"marigoldhill/router/dispatcher"
 	"marigoldhill/router/drainer"
+	"marigoldhill/router/evacuator"
 	"marigoldhill/router/executor"
 	"marigoldhill/router/forwarder"
 	"marigoldhill/router/granter"
@@ -78,6 +79,7 @@
 	reporter         *reporter.Reporter
 	detector         *isolator.Detector
 	executor         *executor.Executor
+	evacuation       *evacuator.Guard
 	dispatcher       *dispatcher.Dispatcher
 	forwarder        *forwarder.Forwarder
 	acceptor         *acceptor.Acceptor
@@ -134,6 +136,13 @@
 	tally := tallier.New()
 	isolation := isolator.New()
 	p.detector = isolator.NewDetector(options.Network, isolation, p.serverCrashed)
+	p.evacuation = evacuator.New(evacuator.Options{
+		Domain:  p.settings.Domain,
+		Bound:   p.settings.Evacuation,
+		Lease:   keeperLease{p}.Lease,
+		Log:     options.Log,
+		Metrics: options.Metrics,
+	})
 	p.heartbeatHandler = &heartbeatHandler{
 		locator:  p.locator,
 		prober:   p.prober,
@@ -145,6 +154,9 @@
 		reporter: p.reporter,
 		pool:     p.pool,
 		log:      options.Log,
+
+		domain:     p.settings.Domain,
+		evacuation: p.evacuation,
 	}
 	p.executor = executor.New(executor.Options{
 		Locator:      p.locator,
@@ -157,6 +169,7 @@
 		Admitter:     p.admitter,
 		Isolator:     isolation,
 		Detector:     p.detector,
+		Evacuation:   p.evacuation,
 		Tally:        tally,
 		Metrics:      options.Metrics,
 	})
--- a/router/assembler/heartbeat.go
+++ b/router/assembler/heartbeat.go
@@ -12,6 +12,7 @@
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/admitter"
 	"marigoldhill/router/drainer"
+	"marigoldhill/router/evacuator"
 	"marigoldhill/router/granter"
 	"marigoldhill/router/keeper"
 	"marigoldhill/router/locator"
@@ -37,6 +38,9 @@
 	reporter *reporter.Reporter
 	pool     *linker.Pool
 	log      *logger.Log
+	// domain is the failure domain of the router, evacuation guards its backend server.
+	domain     string
+	evacuation *evacuator.Guard
 
 	ownedShards       ownedShards
 	server            *messenger.ServerRow
@@ -115,6 +119,7 @@
 	if err := h.locator.Apply(delta); err != nil {
 		return Error.New("applying the routing table: %w", err)
 	}
+	h.evacuation.Update(h.locator.Load().Evacuation(h.domain), delta.Full)
 	if h.ownedShards.apply(session, h.locator.Load(), delta) {
 		h.distributeShards()
 	}
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -19,6 +19,7 @@
 	"marigoldhill/router/attendant"
 	"marigoldhill/router/budgeter"
 	"marigoldhill/router/courier"
+	"marigoldhill/router/evacuator"
 	"marigoldhill/router/granter"
 	"marigoldhill/router/holder"
 	"marigoldhill/router/inviter"
@@ -116,6 +117,8 @@
 	members  atomic.Pointer[[]string]
 	reporter *reporter.Reporter
 	detector *isolator.Detector
+	// evacuation guards the backend server while the failure domain is evacuated.
+	evacuation *evacuator.Guard
 	// lastStart is the name and the start time of the backend server.
 	lastStart atomic.Value
 
@@ -194,6 +197,13 @@
 		Log:           options.Log,
 		Metrics:       options.Metrics,
 	})
+	p.evacuation = evacuator.New(evacuator.Options{
+		Domain:  p.settings.Domain,
+		Bound:   p.settings.Evacuation,
+		Lease:   p.keeper.Lease,
+		Log:     options.Log,
+		Metrics: options.Metrics,
+	})
 	isolation := isolator.New()
 	p.detector = isolator.NewDetector(options.Network, isolation, p.serverCrashed)
 	p.owner = relayer.NewOwner(relayer.OwnerOptions{
@@ -204,6 +214,7 @@
 		Sampler:       p.sampler,
 		Isolator:      isolation,
 		Detector:      p.detector,
+		Evacuation:    p.evacuation,
 		IsQuarantined: func(fingerprint string) bool { return p.mapper.Load().IsQuarantined(fingerprint) },
 		Inbound:       p.inbound,
 		RequestUpdate: p.keeper.RequestUpdate,
--- a/router/assembler/routed_heartbeat.go
+++ b/router/assembler/routed_heartbeat.go
@@ -66,6 +66,7 @@
 		if err := p.mapper.Apply(delta); err != nil {
 			return Error.New("applying the routing table: %w", err)
 		}
+		p.evacuation.Update(p.mapper.Load().Evacuation(p.settings.Domain), delta.Full)
 		if after := p.mapper.Load().Configuration; after != before {
 			p.options.Log.Emit(logger.ConfigurationApplied, "version", after.Version, "revision", delta.To, "routes", len(after.Routes))
 		}
--- a/router/assembler/routed_server.go
+++ b/router/assembler/routed_server.go
@@ -63,6 +63,7 @@
 		select {
 		case <-ticker.C:
 			p.server.Tick(timer.Now())
+			p.evacuation.Tick()
 		case <-summary.C:
 			totals = p.summarize(totals)
 		case <-ctx.Done():
--- a/router/assembler/routed_settings.go
+++ b/router/assembler/routed_settings.go
@@ -46,6 +46,10 @@
 	Budget budgeter.Settings `yaml:"budget"`
 	// Grace is the grace period: how long the process may take to stop.
 	Grace time.Duration `yaml:"grace"`
+	// Evacuation is the time in which the evacuation of a failure domain must be in force.
+	// If it is 0, the default applies, and requests are not held while the control group
+	// does not answer; see package evacuator.
+	Evacuation time.Duration `yaml:"evacuation"`
 	// LinkMbits is the bandwidth of the VM's link in Mbit/s. Large responses are sent no
 	// faster, so that they do not delay heartbeats; 0 means no limit.
 	LinkMbits float64 `yaml:"link"`
@@ -95,6 +99,8 @@
 		return "group", "must list at least one address"
 	case s.LinkMbits < 0:
 		return "link", "must not be below 0"
+	case s.Evacuation < 0:
+		return "evacuation", "must not be below 0"
 	case s.Grace <= 0:
 		return "grace", "must be above 0"
 	case s.Budget.Ratio < 0 || s.Budget.Reserve < 0 || s.Budget.Window <= 0:
--- a/router/assembler/settings.go
+++ b/router/assembler/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"regexp"
+	"time"
 
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/parser"
@@ -31,6 +32,9 @@
 	Operator string `yaml:"operator"`
 	// Control lists the addresses of the members of the control group.
 	Control []string `yaml:"control"`
+	// Evacuation is the time in which the evacuation of a failure domain must be in force;
+	// 0 means evacuator.DefaultBound.
+	Evacuation time.Duration `yaml:"evacuation"`
 	// Log is the log format: text, the default, or json.
 	Log string `yaml:"log"`
 }
@@ -52,6 +56,9 @@
 	if field, reason := s.checkAddresses(); reason != "" {
 		return field, reason
 	}
+	if s.Evacuation < 0 {
+		return "evacuation", "must not be below 0"
+	}
 	switch logger.Format(s.Log) {
 	case "", logger.FormatText, logger.FormatJSON:
 		return "", ""
--- a/router/executor/dispatch.go
+++ b/router/executor/dispatch.go
@@ -79,6 +79,9 @@
 	if drainer.RefOf(place.Row) != r.ref || place.Row.Owner != lease.Session {
 		return messenger.ReasonMisrouted
 	}
+	if reason := r.options.Evacuation.Check(now); reason != messenger.ReasonNone {
+		return reason
+	}
 	view := r.options.Server.View()
 	r.view = view
 	if view.State == messenger.ServerLeaving {
--- a/router/executor/executor.go
+++ b/router/executor/executor.go
@@ -14,6 +14,7 @@
 	"marigoldhill/router/admitter"
 	"marigoldhill/router/dispatcher"
 	"marigoldhill/router/drainer"
+	"marigoldhill/router/evacuator"
 	"marigoldhill/router/isolator"
 	"marigoldhill/router/keeper"
 	"marigoldhill/router/locator"
@@ -59,8 +60,10 @@
 	Admitter     *admitter.Admitter
 	Isolator     *isolator.Isolator
 	Detector     Detector
-	Tally        *tallier.Tally
-	Metrics      *metrics.Set
+	// Evacuation refuses requests while the failure domain is evacuated; nil never does.
+	Evacuation *evacuator.Guard
+	Tally      *tallier.Tally
+	Metrics    *metrics.Set
 }
 
 // Executor runs requests as the owner of their keys. Its methods are safe for
--- a/router/executor/run.go
+++ b/router/executor/run.go
@@ -89,6 +89,9 @@
 	if reason := serverReason(r.view); reason != messenger.ReasonNone {
 		return reason
 	}
+	if reason := r.options.Evacuation.Check(timer.Now()); reason != messenger.ReasonNone {
+		return reason
+	}
 	if !r.options.OutcomeStore.Begin(timer.Now(), r.request.Number, r.profile.Idempotent) {
 		return messenger.ReasonStale
 	}
--- a/router/forwarder/call.go
+++ b/router/forwarder/call.go
@@ -35,6 +35,9 @@
 func (c *call) run(ctx context.Context) executor.Answer {
 	for {
 		answer := c.attempt(ctx)
+		if c.isEvacuated(answer) {
+			return c.finalAnswer(evacuatedAnswer(answer))
+		}
 		decision := c.decideRetry(ctx, answer)
 		if decision.Verdict == retrier.VerdictBudget {
 			return c.finalAnswer(c.overBudget(answer))
--- a/router/locator/apply.go
+++ b/router/locator/apply.go
@@ -28,6 +28,7 @@
 	builder.sessions(base.sessions, delta)
 	builder.profiles(base.profiles, delta)
 	builder.quarantines(base, delta)
+	builder.table.evacuations = messenger.UpdateEvacuations(base.evacuations, delta.Evacuations)
 	builder.services(base.services, delta)
 	builder.keys(delta)
 	builder.shards(delta)
--- a/router/locator/table.go
+++ b/router/locator/table.go
@@ -57,6 +57,7 @@
 	profiles    map[string]*messenger.Profile
 	quarantines map[string]messenger.QuarantineRow
 	suspects    map[string]messenger.QuarantineRow
+	evacuations map[string]messenger.EvacuationRow
 }
 
 // NewTable returns an empty table at revision 0.
@@ -185,6 +186,31 @@
 	return ok
 }
 
+// Evacuation returns the evacuation of a failure domain, nil if it is not evacuated.
+func (t *Table) Evacuation(domain string) *messenger.EvacuationRow {
+	if row, ok := t.evacuations[domain]; ok {
+		return &row
+	}
+	return nil
+}
+
+// IsEvacuated reports whether no router takes new work because failure domains are
+// evacuated.
+func (t *Table) IsEvacuated() bool {
+	if len(t.evacuations) == 0 {
+		return false
+	}
+	evacuated := false
+	for _, session := range t.sessions {
+		if _, ok := t.evacuations[session.Domain]; ok {
+			evacuated = true
+		} else if !session.Leaving {
+			return false
+		}
+	}
+	return evacuated
+}
+
 // serviceTable is the part of a table that belongs to one service.
 type serviceTable struct {
 	service *messenger.Service
--- a/router/mapper/mapper.go
+++ b/router/mapper/mapper.go
@@ -74,6 +74,7 @@
 	owners        map[uint64]*Server
 	ranges        map[string]*splitter.Map[KeyOwnership]
 	quarantines   map[string]messenger.QuarantineRow
+	evacuations   map[string]messenger.EvacuationRow
 	// next is closed when a newer Map has replaced this one.
 	next chan struct{}
 }
@@ -158,6 +159,28 @@
 	return ok
 }
 
+// Evacuation returns the evacuation of a failure domain, nil if it is not evacuated.
+func (m *Map) Evacuation(domain string) *messenger.EvacuationRow {
+	if row, ok := m.evacuations[domain]; ok {
+		return &row
+	}
+	return nil
+}
+
+// IsEvacuated reports whether a service has no backend server that takes new work because
+// failure domains are evacuated.
+func (m *Map) IsEvacuated(service string) bool {
+	evacuated := false
+	for _, server := range m.servers[service] {
+		if _, ok := m.evacuations[server.Domain]; ok {
+			evacuated = true
+		} else if !server.Leaving {
+			return false
+		}
+	}
+	return evacuated
+}
+
 // OwnedRanges returns the ranges that a session owns.
 func (m *Map) OwnedRanges(service string, session uint64) []messenger.RangeRow {
 	ranges := m.ranges[service]
@@ -208,6 +231,7 @@
 		updated.sessions = previous.sessions
 		updated.ranges = previous.ranges
 		updated.quarantines = previous.quarantines
+		updated.evacuations = previous.evacuations
 	}
 	updated.configure(delta.Configuration)
 	updated.servers, updated.owners = previous.servers, previous.owners
@@ -216,6 +240,7 @@
 	}
 	updated.addRanges(delta.Ranges)
 	updated.quarantines = messenger.UpdateQuarantines(updated.quarantines, delta.Quarantines)
+	updated.evacuations = messenger.UpdateEvacuations(updated.evacuations, delta.Evacuations)
 	m.current.Store(updated)
 	close(previous.next)
 	return nil
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -18,6 +18,7 @@
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/attendant"
 	"marigoldhill/router/courier"
+	"marigoldhill/router/evacuator"
 	"marigoldhill/router/inviter"
 	"marigoldhill/router/isolator"
 	"marigoldhill/router/queuer"
@@ -72,6 +73,9 @@
 	// Isolator keeps the requests in flight, the suspects if the server crashes.
 	Isolator *isolator.Isolator
 	Detector Detector
+	// Evacuation refuses and holds requests while the failure domain is, or may be,
+	// evacuated; nil never does.
+	Evacuation *evacuator.Guard
 	// IsQuarantined reports whether requests with a fingerprint must not run.
 	IsQuarantined func(fingerprint string) bool
 	// Inbound is the account of the link that bodies arrive on.
@@ -139,7 +143,7 @@
 }
 
 func (o *Owner) run(ctx context.Context, started timer.Instant, relay *messenger.Relay, body io.Reader) (*messenger.RelayResponse, io.ReadCloser) {
-	if _, reason := o.check(started, relay); reason != messenger.ReasonNone {
+	if _, reason := o.admit(ctx, started, relay); reason != messenger.ReasonNone {
 		return refusedResponse(reason, 0), nil
 	}
 	now := o.options.Admission.Now()
@@ -175,7 +179,7 @@
 		return refusedResponse(refused.Reason, refused.RetryAfter), nil
 	}
 	// The state of the server and its keys may have changed while the request waited.
-	view, reason := o.check(timer.Now(), relay)
+	view, reason := o.admit(ctx, started, relay)
 	if reason != messenger.ReasonNone {
 		slot.Release(false)
 		return refusedResponse(reason, 0), nil
--- a/router/relayer/routed_call.go
+++ b/router/relayer/routed_call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/router/evacuator"
 	"marigoldhill/router/mapper"
 )
 
@@ -92,6 +93,9 @@
 			return c.refuse(messenger.ReasonQuarantine, quarantineRetryAfter)
 		}
 		server, reason := c.choose(routes)
+		if server == nil && c.isEvacuated(routes, reason) {
+			return c.refuse(messenger.ReasonDraining, evacuator.RetryAfter)
+		}
 		if server == nil {
 			if !c.waitForOwner(ctx, routes, reason) {
 				return c.refuse(reason, c.retryAfter(reason, 0))
@@ -200,6 +204,9 @@
 			return Answer{}, true
 		}
 		routes := c.entry.options.Mapper.Load()
+		if c.isEvacuated(routes, response.Reason) {
+			return c.refuse(messenger.ReasonDraining, evacuator.RetryAfter), false
+		}
 		if c.waitForOwner(ctx, routes, c.waitReason(routes)) {
 			return Answer{}, true
 		}
