--- a/router/evacuator/guard.go
+++ b/router/evacuator/guard.go
@@ -19,7 +19,7 @@
 const RetryAfter = time.Second
 
 // pollInterval is the time between two checks whether a held request may go on.
-const pollInterval = 10 * time.Millisecond
+const pollInterval = 20 * time.Millisecond
 
 // Options are the dependencies of a Guard.
 type Options struct {
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -146,7 +146,8 @@
 	if _, reason := o.admit(ctx, started, relay); reason != messenger.ReasonNone {
 		return refusedResponse(reason, 0), nil
 	}
-	now := o.options.Admission.Now()
+	// A request that was held has less time left.
+	now := o.options.Admission.Now() - timer.Now().Since(started)
 	job := queuer.Job{
 		Kind:     relay.Route,
 		Rank:     relay.Rank,
