--- a/router/relayer/evacuated_entry_test.go
+++ b/router/relayer/evacuated_entry_test.go
@@ -133,6 +133,9 @@
 				qt.Assert(t, answer.Outcome, qt.Equals, messenger.OutcomeDone, qt.Commentf("%s", answer.Reason))
 				qt.Assert(t, f.sent("a"), qt.Equals, 0)
 				qt.Assert(t, f.sent("b")+f.sent("c"), qt.Equals, test.sent)
+				if test.evacuated != nil {
+					qt.Assert(t, f.owners["a"].refusals.Get(), qt.Equals, uint64(0), qt.Commentf("the entry knows of the order"))
+				}
 			})
 		})
 	}
--- a/router/relayer/evacuation_test.go
+++ b/router/relayer/evacuation_test.go
@@ -18,6 +18,7 @@
 	"marigoldhill/router/evacuator"
 	"marigoldhill/router/inviter"
 	"marigoldhill/router/keeper"
+	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
 )
 
@@ -27,6 +28,8 @@
 	*testOwner
 	guard *evacuator.Guard
 	lease atomic.Pointer[keeper.Lease]
+	// refusals counts the requests that were refused because of the order.
+	refusals *metrics.Counter
 }
 
 // newDomainOwner returns a domainOwner whose process has just started.
@@ -35,6 +38,7 @@
 	o.lease.Store(keeper.NewTestLease(0, timer.Instant{}))
 	set := metrics.NewSet()
 	o.guard = evacuator.New(evacuator.Options{Domain: "a", Bound: 5 * time.Second, Lease: o.lease.Load, Log: logger.Discard(), Metrics: set})
+	o.refusals = set.GetOrCreateCounter("marigold_evacuation_refusals_total")
 	o.Owner = relayer.NewOwner(relayer.OwnerOptions{
 		Server: o.server, KeyChecker: o.keys, Admission: o.admission, Backend: o.backend, Sampler: o.sampler,
 		Isolator: o.isolation, Detector: fakeDetector{}, Evacuation: o.guard,
@@ -223,6 +227,43 @@
 	})
 }
 
+// Guards against requests that are held first and then wait for a slot, or the other way
+// round, and so are refused after their deadline.
+func TestHeldAndQueuedRequestKeepsItsDeadline(t *testing.T) {
+	tests := []struct {
+		name string
+		// confirmed is how long before the request the router was confirmed, resumed how
+		// long after it that is the case again, and released when the slot becomes free.
+		confirmed time.Duration
+		resumed   time.Duration
+		released  time.Duration
+	}{
+		{name: "held, then queued", confirmed: 20 * time.Second, resumed: 300 * time.Millisecond, released: 5 * time.Second},
+		{name: "queued, then held", confirmed: messenger.LeaseDuration - 300*time.Millisecond, resumed: 5 * time.Second, released: 400 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newConfirmedOwner(done)
+				slot, refused := o.admission.Acquire(t.Context(), queuer.Job{Kind: "other", Aim: time.Hour, Deadline: time.Hour})
+				qt.Assert(t, refused, qt.IsNil)
+				time.Sleep(test.confirmed)
+				time.AfterFunc(test.resumed, o.confirm)
+				time.AfterFunc(test.released, func() { slot.Release(true) })
+				started := time.Now()
+				request := relay(7)
+				request.Aim = request.Left
+				response, _ := o.Run(t.Context(), request, nil)
+				qt.Assert(t, response.Outcome, qt.Equals, messenger.OutcomeRefused)
+				qt.Assert(t, response.Reason, qt.Equals, messenger.ReasonDeadline)
+				qt.Assert(t, time.Since(started) <= time.Second, qt.IsTrue, qt.Commentf("refused after %s", time.Since(started)))
+				qt.Assert(t, o.backend.sent, qt.Equals, 0)
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
 // Guards against requests of callers that have left and are sent to the server when the
 // hold ends.
 func TestHeldRequestEndsWithItsCaller(t *testing.T) {
