Refuse a streamed request whose body was read instead of sending it in part

Cause: an owner checks again when a request has got a slot. If it refuses then, because the server leaves, its keys move or its domain is evacuated, the entry router sent the request to another server; of a body above 64 KiB or of unknown length only the unread rest was left, and the server ran it as if it were whole. Change: such a request is refused unless its body can be sent from its start. Result: TestReceivedBodyIsNotSentInPart passes; without the change the second server ran three of its four cases with 0 bytes of 50,000 or 300,000.

--- a/router/relayer/evacuated_entry_test.go
+++ b/router/relayer/evacuated_entry_test.go
@@ -18,6 +18,7 @@
 	"marigoldhill/router/budgeter"
 	"marigoldhill/router/courier"
 	"marigoldhill/router/mapper"
+	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
 )
 
@@ -55,7 +56,7 @@
 	for n, domain := range []string{"a", "b", "c"} {
 		o := newConfirmedOwner(func(context.Context) courier.Result { return run(domain) })
 		f.owners[domain] = o
-		server, err := linker.Listen(simulatedNetwork.Node(domain), domain+":1", linker.Options{Hello: hello, Handler: o.Handle})
+		server, err := linker.Listen(simulatedNetwork.Node(domain), domain+":1", linker.Options{Hello: hello, Handler: func(ctx context.Context, link *linker.Link, stream *linker.Stream) { o.Handle(ctx, link, stream) }})
 		qt.Assert(t, err, qt.IsNil)
 		t.Cleanup(func() { _ = server.Close() })
 		delta.Sessions = append(delta.Sessions, messenger.SessionRow{
@@ -204,3 +205,62 @@
 		})
 	}
 }
+
+// Guards against a part of a body that reaches a server as if it were whole: a body that was
+// received by the owner of an evacuated domain is not there for another one, unless it is
+// small enough to be kept.
+func TestReceivedBodyIsNotSentInPart(t *testing.T) {
+	tests := []struct {
+		name      string
+		size      int
+		isChunked bool
+		outcome   messenger.Outcome
+		received  int
+	}{
+		{name: "kept for a retry", size: 50_000, outcome: messenger.OutcomeDone, received: 50_000},
+		{name: "streamed", size: 300_000, outcome: messenger.OutcomeRefused},
+		{name: "of unknown length", size: 50_000, isChunked: true, outcome: messenger.OutcomeRefused},
+		{name: "long, of unknown length", size: 300_000, isChunked: true, outcome: messenger.OutcomeRefused},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newThreeDomains(t, false, func(string) courier.Result { return done(t.Context()) }, "a")
+				backends := make(map[string]*bodyBackend)
+				slots := make(map[string]*queuer.Slot)
+				for _, domain := range []string{"b", "c"} {
+					backends[domain] = &bodyBackend{}
+					f.owners[domain].setBackend(backends[domain])
+					slot, refused := f.owners[domain].admission.Acquire(t.Context(), queuer.Job{Kind: "other", Aim: time.Hour, Deadline: time.Hour})
+					qt.Assert(t, refused, qt.IsNil)
+					slots[domain] = slot
+				}
+				upload := call("/find/x", messenger.NoKey)
+				upload.Body, upload.Length = newCallerBody(test.size), int64(test.size)
+				if test.isChunked {
+					upload.Length = -1
+				}
+				answers := make(chan relayer.Answer, 1)
+				go func() { answers <- f.serve(t, upload) }()
+				time.Sleep(100 * time.Millisecond)
+				first, second := "b", "c"
+				if f.owners["c"].admission.Work().Waiting > 0 {
+					first, second = second, first
+				}
+				qt.Assert(t, f.owners[first].admission.Work().Waiting, qt.Equals, 1)
+				f.owners[first].order(true)
+				slots[second].Release(true)
+				slots[first].Release(true)
+				answer := <-answers
+				qt.Assert(t, answer.Outcome, qt.Equals, test.outcome, qt.Commentf("%s", answer.Reason))
+				qt.Assert(t, backends[first].sent.Load(), qt.Equals, int32(0))
+				if test.outcome == messenger.OutcomeRefused {
+					qt.Assert(t, answer.Reason, qt.Equals, messenger.ReasonDraining)
+					qt.Assert(t, backends[second].sent.Load(), qt.Equals, int32(0))
+					return
+				}
+				qt.Assert(t, len(*backends[second].received.Load()), qt.Equals, test.received)
+			})
+		})
+	}
+}
--- a/router/relayer/evacuation_test.go
+++ b/router/relayer/evacuation_test.go
@@ -39,13 +39,18 @@
 	set := metrics.NewSet()
 	o.guard = evacuator.New(evacuator.Options{Domain: "a", Bound: 5 * time.Second, Lease: o.lease.Load, Log: logger.Discard(), Metrics: set})
 	o.refusals = set.GetOrCreateCounter("marigold_evacuation_refusals_total")
+	o.setBackend(o.backend)
+	return o
+}
+
+// setBackend replaces the server.
+func (o *domainOwner) setBackend(backend relayer.Backend) {
 	o.Owner = relayer.NewOwner(relayer.OwnerOptions{
-		Server: o.server, KeyChecker: o.keys, Admission: o.admission, Backend: o.backend, Sampler: o.sampler,
+		Server: o.server, KeyChecker: o.keys, Admission: o.admission, Backend: backend, Sampler: o.sampler,
 		Isolator: o.isolation, Detector: fakeDetector{}, Evacuation: o.guard,
 		IsQuarantined: func(string) bool { return false }, Inbound: inviter.New(0), RequestUpdate: func() {},
-		Log: logger.Discard(), Metrics: set,
+		Log: logger.Discard(), Metrics: metrics.NewSet(),
 	})
-	return o
 }
 
 // newConfirmedOwner returns a domainOwner that has been confirmed for some time.
--- a/router/relayer/routed_call.go
+++ b/router/relayer/routed_call.go
@@ -200,14 +200,13 @@
 	switch response.Reason {
 	case messenger.ReasonMisrouted, messenger.ReasonMoving, messenger.ReasonDraining,
 		messenger.ReasonDown, messenger.ReasonUnreachable, messenger.ReasonStopping:
-		if c.keyless {
-			return Answer{}, true
-		}
 		routes := c.entry.options.Mapper.Load()
-		if c.isEvacuated(routes, response.Reason) {
+		switch {
+		case c.isEvacuated(routes, response.Reason):
 			return c.refuse(messenger.ReasonDraining, evacuator.RetryAfter), false
-		}
-		if c.waitForOwner(ctx, routes, c.waitReason(routes)) {
+		case !c.body.canResend():
+			// Another server would run the rest of the body as if it were the whole.
+		case c.keyless, c.waitForOwner(ctx, routes, c.waitReason(routes)):
 			return Answer{}, true
 		}
 	case messenger.ReasonQueue, messenger.ReasonLimit, messenger.ReasonDeadline:
