--- a/router/relayer/routed_call.go
+++ b/router/relayer/routed_call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/router/evacuator"
 	"marigoldhill/router/mapper"
 )
 
@@ -92,6 +93,9 @@
 			return c.refuse(messenger.ReasonQuarantine, quarantineRetryAfter)
 		}
 		server, reason := c.choose(routes)
+		if server == nil && c.isEvacuated(routes, reason) {
+			return c.refuse(messenger.ReasonDraining, evacuator.RetryAfter)
+		}
 		if server == nil {
 			if !c.waitForOwner(ctx, routes, reason) {
 				return c.refuse(reason, c.retryAfter(reason, 0))
@@ -196,11 +200,13 @@
 	switch response.Reason {
 	case messenger.ReasonMisrouted, messenger.ReasonMoving, messenger.ReasonDraining,
 		messenger.ReasonDown, messenger.ReasonUnreachable, messenger.ReasonStopping:
-		if c.keyless {
-			return Answer{}, true
-		}
 		routes := c.entry.options.Mapper.Load()
-		if c.waitForOwner(ctx, routes, c.waitReason(routes)) {
+		switch {
+		case c.isEvacuated(routes, response.Reason):
+			return c.refuse(messenger.ReasonDraining, evacuator.RetryAfter), false
+		case !c.body.canResend():
+			// Another server would run the rest of the body as if it were the whole.
+		case c.keyless, c.waitForOwner(ctx, routes, c.waitReason(routes)):
 			return Answer{}, true
 		}
 	case messenger.ReasonQueue, messenger.ReasonLimit, messenger.ReasonDeadline:
