--- a/kernel/messenger/configuration.go
+++ b/kernel/messenger/configuration.go
@@ -65,6 +65,11 @@
 	// Warm is how long requests for a key are slow on a backend server that
 	// received the key without the handover of its last holder.
 	Warm time.Duration `yaml:"warm"`
+	// Cold is how long a backend server stays cold after its start, at most, and
+	// ColdRate how many requests per second a cold one can handle; 0 means no limit,
+	// and then Cold has no effect.
+	Cold     time.Duration `yaml:"cold"`
+	ColdRate float64       `yaml:"coldrate"`
 }
 
 // Limits are the limits on callers' requests and connections.
--- a/kernel/profiler/configuration.go
+++ b/kernel/profiler/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 
 	"marigoldhill/kernel/messenger"
@@ -39,6 +40,9 @@
 			return fmt.Sprintf("services[%d].name", n), "must be there and differ from the others"
 		}
 		services[name] = true
+		if field, reason := checkRoutedService(&c.Services[n]); reason != "" {
+			return "service " + name + ": " + field, reason
+		}
 	}
 	names := make(map[string]bool, len(c.Routes))
 	for n := range c.Routes {
@@ -54,6 +58,17 @@
 	return checkLimits(&c.Limits)
 }
 
+func checkRoutedService(service *messenger.RoutedService) (field, reason string) {
+	switch {
+	case service.Cold < 0:
+		return "cold", "must not be below 0"
+	// The negated comparison also rejects NaN.
+	case !(service.ColdRate >= 0) || math.IsInf(service.ColdRate, 1):
+		return "coldrate", "must be a number that is not below 0"
+	}
+	return "", ""
+}
+
 func checkPathRoute(route *messenger.PathRoute, services map[string]bool) (field, reason string) {
 	switch {
 	case route.Host == "":
--- a/router/assembler/routed_settings.go
+++ b/router/assembler/routed_settings.go
@@ -49,6 +49,9 @@
 	// LinkMbits is the bandwidth of the VM's link in Mbit/s. Large responses are sent no
 	// faster, so that they do not delay heartbeats; 0 means no limit.
 	LinkMbits float64 `yaml:"link"`
+	// Cold bounds what a cold backend server gets. It has an effect only if the
+	// configuration has a rate for cold servers of the service.
+	Cold ColdSettings `yaml:"cold"`
 	// Log is the log format: text, the default, or json.
 	Log string `yaml:"log"`
 }
@@ -100,6 +103,9 @@
 	case s.Budget.Ratio < 0 || s.Budget.Reserve < 0 || s.Budget.Window <= 0:
 		return "budget", "must have a window above 0, and nothing below 0"
 	}
+	if field, reason := s.Cold.check(); reason != "" {
+		return field, reason
+	}
 	switch logger.Format(s.Log) {
 	case "", logger.FormatText, logger.FormatJSON:
 		return "", ""
