Bound the starts at a cold backend server, and send it shares

Cause: a failure domain that returns gets the load of warm servers at once, from 73 entry routers that see no load on it. Change: an exact window of one second in the queue of the owner, full at the start of the process; events, announcements and health checks decide through package warmer whether it applies; ServerRow.Cold shows the decision; entry routers send a cold server only their share of its rate.

--- a/kernel/logger/router.go
+++ b/kernel/logger/router.go
@@ -14,6 +14,9 @@
 	AnnouncementIgnored = Event{313, hclog.Info, "backend server announcement ignored"}
 	ServerLoad          = Event{314, hclog.Info, "backend server load"}
 	ServerLimitChanged  = Event{315, hclog.Info, "backend server named another limit"}
+	ServerCold          = Event{317, hclog.Info, "backend server is cold"}
+	ServerWarm          = Event{318, hclog.Info, "backend server is warm"}
+	ServerChecked       = Event{319, hclog.Info, "health check of the backend server"}
 	ServerTerminated    = Event{312, hclog.Warn, "backend server terminated with requests in flight"}
 	RecordsRecovered    = Event{320, hclog.Info, "records of the previous owner recovered"}
 	RecordsCopied       = Event{321, hclog.Info, "records copied to a joining recorder"}
@@ -26,6 +29,7 @@
 func routerEvents() []Event {
 	return []Event{
 		LeaseAcquired, LeaseLost, LeaseReleased, ControlUnreachable, ControlReachable, ServerAnnounced, AnnouncementIgnored, ServerStateChanged, ServerLoad, ServerTerminated, ServerLimitChanged,
+		ServerCold, ServerWarm, ServerChecked,
 		RecordsRecovered, RecordsCopied, RangeCallCompleted, RangesFreed, RequestStalled, ResponseOversized,
 	}
 }
--- a/kernel/messenger/request.go
+++ b/kernel/messenger/request.go
@@ -43,6 +43,9 @@
 	HeaderLimit = "Marigold-Limit"
 	// HeaderLeaving is set to 1 by a backend server of a configuration that is leaving.
 	HeaderLeaving = "Marigold-Leaving"
+	// HeaderCold is set by a backend server of a configuration in its answer to a health
+	// check: how many milliseconds it stays cold, 0 when it is warm.
+	HeaderCold = "Marigold-Cold"
 	// HeaderRefused is set by a backend server on the response to a request that
 	// it did not run; its value is a Refusal.
 	HeaderRefused = "Marigold-Refused"
--- a/router/announcer/routed.go
+++ b/router/announcer/routed.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -19,6 +20,25 @@
 	messenger.ServerRow
 	// Sequence increases with each announcement of one incarnation of the server.
 	Sequence uint64 `json:"sequence"`
+	// ColdLeft is for how long the server stays cold, a duration as text.
+	ColdLeft string `json:"coldleft"`
+}
+
+// coldLeft returns for how long the server stays cold, nil when it does not say. A server
+// that announces no time and is not cold has none left. Cold alone only means that the
+// server starts cold.
+func (a *attended) coldLeft() (*time.Duration, error) {
+	if a.ColdLeft == "" {
+		if a.Cold {
+			return nil, nil
+		}
+		return new(time.Duration), nil
+	}
+	left, err := time.ParseDuration(a.ColdLeft)
+	if err != nil {
+		return nil, Error.New("reading the time left: %w", err)
+	}
+	return &left, nil
 }
 
 // NewRoutedHandler returns the HTTP handler for announcements to a router in routed
@@ -39,7 +59,8 @@
 			return writeProblem(call, http.StatusBadRequest, detail)
 		}
 		announcement.URL = strings.TrimSuffix(strings.TrimPrefix(announcement.URL, "http://"), "/")
-		server.Announce(timer.Now(), attendant.Announcement{Row: announcement.ServerRow, Sequence: announcement.Sequence})
+		left, _ := announcement.coldLeft() // validated
+		server.Announce(timer.Now(), attendant.Announcement{Row: announcement.ServerRow, Sequence: announcement.Sequence, ColdLeft: left})
 		return call.JSON(http.StatusOK, response())
 	})
 	handler.DELETE(messenger.PathAnnounce, func(call echo.Context) error {
@@ -58,5 +79,8 @@
 	case announcement.Sequence == 0:
 		return "sequence is missing"
 	}
+	if left, err := announcement.coldLeft(); err != nil || (left != nil && *left < 0) {
+		return "coldleft must be a duration that is not below 0, such as 2.5s"
+	}
 	return validate(&announcement.ServerRow)
 }
--- a/router/assembler/func_service.go
+++ b/router/assembler/func_service.go
@@ -19,6 +19,7 @@
 	serviceDrainer   = "drainer"
 	serviceHolder    = "holder"
 	serviceWatcher   = "watcher"
+	serviceWarmer    = "warmer"
 	serviceCallers   = "callers"
 	serviceReady     = "ready"
 )
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -30,6 +30,7 @@
 	"marigoldhill/router/relayer"
 	"marigoldhill/router/reporter"
 	"marigoldhill/router/sampler"
+	"marigoldhill/router/warmer"
 )
 
 const (
@@ -95,6 +96,7 @@
 	mapper    *mapper.Mapper
 	server    *attendant.Attendant
 	admission *queuer.Admission
+	cold      *coldWatch
 	backend   *courier.Client
 	holder    *holder.Holder
 	// rangesMu makes each update of the holder a step of its own: one that reads the map
@@ -150,13 +152,21 @@
 	options := p.options
 	p.mapper = mapper.New()
 	p.admission = queuer.NewAdmission(0)
-	p.backend = courier.New(courier.Options{Network: options.Network, HeaderCodec: options.HeaderCodec, Metrics: options.Metrics})
+	p.cold = p.newColdWatch()
+	p.backend = courier.New(courier.Options{
+		Network:     options.Network,
+		HeaderCodec: options.HeaderCodec,
+		Metrics:     options.Metrics,
+		OnBroken:    func() { p.cold.happened(warmer.ConnectionBroken) },
+	})
 	p.sampler = sampler.New()
 	rangeClient := granter.NewRangeClient(options.Network, *options.RangeProtocol, func() { p.server.DialRefused(timer.Now()) })
 	p.server = attendant.New(attendant.Options{
 		Address:     p.settings.Server,
 		OnChange:    p.serverChanged,
 		IsConnected: func() bool { return rangeClient.IsConnected() || p.backend.IsConnected() },
+		OnAnnounced: p.cold.announced,
+		OnRefused:   func() { p.cold.happened(warmer.ConnectionRefused) },
 		Log:         options.Log,
 	})
 	p.inbound = inviter.New(p.settings.LinkMbits * bytesPerMegabit)
@@ -203,7 +213,7 @@
 		Backend:       p.backend,
 		Sampler:       p.sampler,
 		Isolator:      isolation,
-		Detector:      p.detector,
+		Detector:      coldDetector{Detector: p.detector, cold: p.cold},
 		IsQuarantined: func(fingerprint string) bool { return p.mapper.Load().IsQuarantined(fingerprint) },
 		Inbound:       p.inbound,
 		RequestUpdate: p.keeper.RequestUpdate,
@@ -256,6 +266,7 @@
 		&funcService{name: serviceLink, start: p.startLink, stop: p.stopLink},
 		loopService(serviceHolder, []string{serviceLink}, p.holder.Run),
 		loopService(serviceWatcher, nil, p.watch),
+		loopService(serviceWarmer, nil, p.cold.run),
 		loopService(serviceReporter, []string{serviceLink}, p.reporter.Run),
 		&funcService{name: serviceKeeper, dependencies: []string{serviceLink, serviceHolder}, start: p.startKeeper, stop: p.stopKeeper},
 		&funcService{name: serviceAnnouncer, dependencies: []string{serviceKeeper}, start: p.startAnnounce, stop: p.stopAnnounce},
--- a/router/assembler/routed_heartbeat.go
+++ b/router/assembler/routed_heartbeat.go
@@ -19,7 +19,7 @@
 	routes := p.mapper.Load()
 	heartbeat.Routed = true
 	heartbeat.Sole = true
-	heartbeat.Server = view.Row
+	heartbeat.Server = p.cold.row(view.Row)
 	heartbeat.State = view.State
 	heartbeat.Revision = routes.Revision
 	heartbeat.Leaving = p.handingOver.Load()
@@ -62,13 +62,15 @@
 // Apply implements [keeper.HeartbeatHandler].
 func (p *Routed) Apply(_ uint64, delta *messenger.TableDelta) error {
 	if delta != nil {
-		before := p.mapper.Load().Configuration
+		previous := p.mapper.Load()
+		before := previous.Configuration
 		if err := p.mapper.Apply(delta); err != nil {
 			return Error.New("applying the routing table: %w", err)
 		}
 		if after := p.mapper.Load().Configuration; after != before {
 			p.options.Log.Emit(logger.ConfigurationApplied, "version", after.Version, "revision", delta.To, "routes", len(after.Routes))
 		}
+		p.cold.mapChanged(previous, p.mapper.Load(), p.serviceName(), p.keeper.Session())
 	}
 	p.updateRanges()
 	return nil
--- a/router/assembler/routed_server.go
+++ b/router/assembler/routed_server.go
@@ -11,6 +11,7 @@
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/attendant"
 	"marigoldhill/router/queuer"
+	"marigoldhill/router/warmer"
 )
 
 // serverChanged handles a change of the backend server.
@@ -21,7 +22,9 @@
 	p.detector.ServerStarted(view.Row.Born)
 	if start := fmt.Sprintf("%s %d", view.Row.Name, view.Row.Born); start != p.lastStart.Swap(start) {
 		p.admission.ClearLimit()
+		p.cold.happened(warmer.ServerStarted)
 	}
+	p.cold.update()
 	p.updateRanges()
 	p.keeper.RequestHeartbeat()
 }
@@ -42,13 +45,9 @@
 	p.rangesMu.Lock()
 	defer p.rangesMu.Unlock()
 	view := p.server.View()
-	service := p.settings.Service
-	if view.Row != nil {
-		service = view.Row.Service
-	}
 	routes, session := p.mapper.Load(), p.keeper.Session()
 	p.holder.SetRecordedServer(routes.ServerOf(session))
-	p.holder.SetRows(routes.OwnedRanges(service, session), view.Row, view.State)
+	p.holder.SetRows(routes.OwnedRanges(p.serviceName(), session), view.Row, view.State)
 }
 
 // watch checks periodically whether the announcements of the backend server have
--- a/router/attendant/attendant.go
+++ b/router/attendant/attendant.go
@@ -50,6 +50,8 @@
 	Sequence uint64
 	// Leaving is set when the server asks to get no new requests.
 	Leaving bool
+	// ColdLeft is for how long the server stays cold; nil when it does not say.
+	ColdLeft *time.Duration
 }
 
 // View is an immutable snapshot of the state of the server.
@@ -87,6 +89,11 @@
 	// IsConnected reports whether a connection to the server is still open. Such a server
 	// has not ended, even if its port refuses connections. It must not block.
 	IsConnected func() bool
+	// OnAnnounced, if not nil, is called with each announcement that was applied, after
+	// OnChange, and OnRefused with each dial that the port of the server refused. They
+	// must not block.
+	OnAnnounced func(announcement Announcement)
+	OnRefused   func()
 	Log         *logger.Log
 }
 
@@ -147,6 +154,9 @@
 		}
 	}
 	a.publish(before, after)
+	if a.options.OnAnnounced != nil {
+		a.options.OnAnnounced(announcement)
+	}
 	return true
 }
 
@@ -205,6 +215,9 @@
 
 // DialRefused records a dial that the port of the server refused.
 func (a *Attendant) DialRefused(now timer.Instant) {
+	if a.options.OnRefused != nil {
+		a.options.OnRefused()
+	}
 	a.mu.Lock()
 	before := a.view.Load()
 	if a.refusedDials == 0 || now.Since(a.firstRefused) > refusalWindow {
--- a/router/chooser/chooser.go
+++ b/router/chooser/chooser.go
@@ -6,6 +6,11 @@
 // cross failure domains. The load of a server is what it reported in its last response
 // to this router, plus what this router has sent to it since.
 //
+// A server with a rate while it is cold gets only the share of this router at no extra
+// cost: the routers choose independently of each other, and each of them sees a server
+// without load. Without shares all of them send to the servers of a failure domain that
+// returns, and most of that is refused there while warm servers have capacity.
+//
 // # Usage
 //
 //	balancer := chooser.New()
@@ -63,6 +68,9 @@
 	Slots   int
 	// Cold means that the server has just started and is slow.
 	Cold bool
+	// ColdRate is how many requests per second a cold server can handle; 0 if the server
+	// is warm or its rate is unknown.
+	ColdRate float64
 }
 
 // Requirements holds the requirements of a request.
@@ -75,6 +83,8 @@
 	Bytes int
 	// MaxLocalDelay bounds the extra latency accepted to stay in Domain.
 	MaxLocalDelay time.Duration
+	// Routers is the number of routers, which share the rate of a cold server.
+	Routers int
 	// Exclude lists the sessions that were already tried.
 	Exclude []uint64
 }
@@ -93,6 +103,7 @@
 	// failureRate is the moving average of failures, failed the time of the last one.
 	failureRate float64
 	failed      time.Duration
+	share       coldShare
 }
 
 // Balancer holds the statistics of all servers. It is safe for concurrent use.
@@ -120,18 +131,21 @@
 func (b *Balancer) Choose(now time.Duration, candidates []Candidate, requirements Requirements) uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	best, lowest := uint64(0), time.Duration(0)
+	best, lowest := Candidate{}, time.Duration(0)
 	fastest := b.fastest(candidates)
 	for _, candidate := range candidates {
 		if contains(requirements.Exclude, candidate.Session) {
 			continue
 		}
 		cost := b.cost(now, candidate, requirements, fastest)
-		if best == 0 || cost < lowest {
-			best, lowest = candidate.Session, cost
+		if best.Session == 0 || cost < lowest {
+			best, lowest = candidate, cost
 		}
 	}
-	return best
+	if best.ColdRate > 0 {
+		b.statsOf(best.Session).share.take(now)
+	}
+	return best.Session
 }
 
 // fastest returns the lowest slowness reported by a candidate, or defaultSlowness.
@@ -195,7 +209,7 @@
 		pace := max(known.work.Pace, time.Duration(slowness*float64(aim)))
 		cost += pace * time.Duration(load+1-slots) / time.Duration(slots)
 	}
-	cost += known.limitWait(now)
+	cost += known.limitWait(now) + known.share.wait(now, candidate, requirements.Routers)
 	if candidate.Domain != requirements.Domain {
 		cost += min(time.Duration(requirements.Bytes)*crossDomainDelayPerByte, requirements.MaxLocalDelay)
 	}
--- a/router/courier/courier.go
+++ b/router/courier/courier.go
@@ -79,6 +79,8 @@
 	Limit *float64
 	// Leaving means that the server leaves and must get no new requests.
 	Leaving bool
+	// ColdLeft is for how long the server stays cold; nil when it does not say.
+	ColdLeft *time.Duration
 }
 
 // ServerRequest is a request to the backend server.
@@ -113,6 +115,10 @@
 	Network     networker.Network
 	HeaderCodec HeaderCodec
 	Metrics     *metrics.Set
+	// OnBroken, if not nil, is called when a connection was found to be broken: the
+	// server closed it while it was idle, or a request could not be sent on it. It must
+	// not block.
+	OnBroken func()
 }
 
 // Client sends requests and pools connections to one backend server at a time. Its
@@ -121,6 +127,8 @@
 	options Options
 
 	open atomic.Int64
+	// checks is the number of open connections of health checks.
+	checks atomic.Int64
 
 	mu   sync.Mutex
 	idle []*conn
@@ -167,6 +175,9 @@
 	}
 	stop := context.AfterFunc(ctx, conn.interrupt)
 	result := conn.roundTrip(c, serverRequest, body)
+	if !result.Sent && result.Reason == messenger.ReasonDown && ctx.Err() == nil {
+		c.reportBroken()
+	}
 	if result.Outcome == messenger.OutcomeDone {
 		result.Body = &responseBody{client: c, conn: conn, source: result.Body, stop: stop}
 		return result
@@ -195,6 +206,7 @@
 		if conn.isUsable() {
 			return conn, nil
 		}
+		c.reportClosed(conn)
 		conn.close()
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
--- a/router/dispatcher/header_codec.go
+++ b/router/dispatcher/header_codec.go
@@ -36,5 +36,6 @@
 		Misdirected: refusal == messenger.RefusalFence,
 		Leaving:     header.Get(messenger.HeaderLeaving) == "1",
 		Limit:       courier.ParseLimit(header.Get(messenger.HeaderLimit)),
+		ColdLeft:    courier.ParseMillis(header.Get(messenger.HeaderCold)),
 	}
 }
--- a/router/queuer/admission.go
+++ b/router/queuer/admission.go
@@ -17,7 +17,9 @@
 	queue   *Queue
 	waiters map[*Entry]chan outcome
 	totals  Totals
-	updated time.Duration
+	// coldRefused counts the refusals for the bound of a cold server.
+	coldRefused uint64
+	updated     time.Duration
 	// limitNamed is when the backend server first named the limit that is in force.
 	limitNamed time.Time
 	// startTimer runs when a job can start that waits for the limit.
@@ -104,7 +106,7 @@
 func (a *Admission) SetLimit(limit *float64, sentAt time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	before := a.queue.Limit()
+	before := a.queue.NamedLimit()
 	switch {
 	case limit == nil && (before == 0 || !sentAt.After(a.limitNamed)):
 		return false
@@ -117,7 +119,7 @@
 		a.queue.SetLimit(a.Now(), max(*limit, minLimit))
 	}
 	a.startWaiting(a.Now())
-	return a.queue.Limit() != before
+	return a.queue.NamedLimit() != before
 }
 
 // ClearLimit ends the limit, as when another server has started.
@@ -128,11 +130,12 @@
 	a.startWaiting(a.Now())
 }
 
-// Limit returns the limit in requests per second, or 0 if there is none.
+// Limit returns the limit that the backend server has named, in requests per second, or 0
+// if there is none.
 func (a *Admission) Limit() float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.queue.Limit()
+	return a.queue.NamedLimit()
 }
 
 // startWaiting starts the jobs that can start and sets the timer for the next one. The
@@ -199,6 +202,9 @@
 	entry, refusal := a.queue.Offer(now, job)
 	if refusal != nil {
 		a.totals.Refused++
+		if refusal.Cold {
+			a.coldRefused++
+		}
 		a.mu.Unlock()
 		return nil, refusal
 	}
--- a/router/queuer/offered_load.go
+++ b/router/queuer/offered_load.go
@@ -62,5 +62,5 @@
 			rate += load.rate(now)
 		}
 	}
-	return min(rate/q.limiter.rate, maxUrgentShare)
+	return min(rate/q.Limit(), maxUrgentShare)
 }
--- a/router/queuer/prediction.go
+++ b/router/queuer/prediction.go
@@ -14,12 +14,12 @@
 	if q.canStart(now) && len(q.waiting) == 0 {
 		return nil
 	}
-	reason, expectedWait := messenger.ReasonQueue, q.expectedWait(now, entry)
+	reason, expectedWait, cold := messenger.ReasonQueue, q.expectedWait(now, entry), false
 	if limitWait := q.expectedLimitWait(now, entry); limitWait > expectedWait {
-		reason, expectedWait = messenger.ReasonLimit, limitWait
+		reason, expectedWait, cold = messenger.ReasonLimit, limitWait, q.isColdLimit(now, q.countAhead(entry))
 	}
 	if len(q.waiting) >= maxWaitingPerSlot*q.slots || now+expectedWait+entry.cost > entry.Aim {
-		return &Refusal{Reason: reason, RetryAfter: q.retryAfter(now, entry.Job, expectedWait+entry.cost)}
+		return &Refusal{Reason: reason, RetryAfter: q.retryAfter(now, entry.Job, expectedWait+entry.cost), Cold: cold}
 	}
 	return nil
 }
@@ -54,17 +54,22 @@
 // expectedLimitWait predicts how long a job would wait for the limit, with the jobs ahead
 // of it and those of lower ranks that arrive in the meantime.
 func (q *Queue) expectedLimitWait(now time.Duration, entry *Entry) time.Duration {
-	if q.limiter.rate == 0 {
+	if q.Limit() == 0 {
 		return 0
 	}
+	wait := q.limitWait(now, q.countAhead(entry))
+	return time.Duration(float64(wait) / (1 - q.urgentRateShare(now, entry.Rank)))
+}
+
+// countAhead returns the number of waiting jobs that run before an entry.
+func (q *Queue) countAhead(entry *Entry) int {
 	ahead := 0
 	for _, other := range q.waiting {
 		if other.isAheadOf(entry) {
 			ahead++
 		}
 	}
-	wait := q.limiter.wait(now, float64(ahead))
-	return time.Duration(float64(wait) / (1 - q.urgentRateShare(now, entry.Rank)))
+	return ahead
 }
 
 // isAheadOf reports whether a waiting job runs before another one that arrives.
--- a/router/queuer/queue.go
+++ b/router/queuer/queue.go
@@ -13,7 +13,8 @@
 // meet theirs, as it would make them late as well.
 //
 // A server may name a limit of requests per second. Jobs then start at that rate, even if
-// slots are free, and the excess is refused in the same way.
+// slots are free, and the excess is refused in the same way. For a cold server, the starts
+// in any second are bounded.
 //
 // # Usage
 //
@@ -67,6 +68,8 @@
 	cost    time.Duration
 	started time.Duration
 	running bool
+	// sent is set when the job was counted as sent; see [Queue.Send].
+	sent bool
 }
 
 // Queue holds the waiting and running jobs of one backend server. It is not safe for
@@ -81,6 +84,9 @@
 	aims    map[string]time.Duration
 	offered map[int]*offeredLoad
 	limiter limiter
+	window  window
+	// coldStarts counts the jobs that started under the bound of window.
+	coldStarts uint64
 }
 
 // NewQueue returns a Queue for a backend server with the given number of slots.
@@ -92,6 +98,8 @@
 type Refusal struct {
 	Reason     messenger.Reason
 	RetryAfter time.Duration
+	// Cold means that the bound for a cold backend server left no room in time.
+	Cold bool
 }
 
 // SetSlots changes the number of slots. It starts no jobs; see [Queue.StartWaiting].
@@ -99,36 +107,6 @@
 	q.slots = slots
 }
 
-// SetLimit sets the limit that the backend server has named, in requests per second; 0
-// means none. It starts no jobs; see [Queue.StartWaiting].
-func (q *Queue) SetLimit(now time.Duration, limit float64) {
-	q.limiter.set(now, limit)
-}
-
-// Limit returns the limit in requests per second, or 0 if there is none.
-func (q *Queue) Limit() float64 {
-	return q.limiter.rate
-}
-
-// LimitWait returns the time until one more job could start under the limit.
-func (q *Queue) LimitWait(now time.Duration) time.Duration {
-	return q.limiter.wait(now, float64(len(q.waiting)))
-}
-
-// NextStart returns the time until a waiting job can start under the limit. It reports
-// false if no job waits for that.
-func (q *Queue) NextStart(now time.Duration) (time.Duration, bool) {
-	if q.limiter.rate == 0 || len(q.waiting) == 0 || len(q.running) >= q.slots {
-		return 0, false
-	}
-	return q.limiter.wait(now, 0), true
-}
-
-// canStart reports whether a slot is free and the limit allows a start.
-func (q *Queue) canStart(now time.Duration) bool {
-	return len(q.running) < q.slots && q.limiter.wait(now, 0) == 0
-}
-
 // Load returns the numbers of running jobs, waiting jobs and slots.
 func (q *Queue) Load() (running, waiting, slots int) {
 	return len(q.running), len(q.waiting), q.slots
@@ -211,7 +189,7 @@
 func (q *Queue) start(now time.Duration, entry *Entry) {
 	entry.started = now
 	entry.running = true
-	q.limiter.take(now)
+	q.count(now)
 	q.running[entry] = struct{}{}
 }
 
@@ -221,6 +199,7 @@
 // only responses would miss it.
 func (q *Queue) Done(now time.Duration, entry *Entry, served bool) []*Entry {
 	delete(q.running, entry)
+	q.Send(entry.started, entry)
 	if elapsed := now - entry.started; served || elapsed > q.Cost(entry.Kind) {
 		q.updateCost(entry.Kind, elapsed)
 	}
--- a/router/relayer/choice.go
+++ b/router/relayer/choice.go
@@ -16,20 +16,29 @@
 		return c.owner(routes)
 	}
 	servers := routes.Servers(c.service)
+	coldRate := 0.0
+	if service := routes.Configuration.Service(c.service); service != nil {
+		coldRate = service.ColdRate
+	}
 	candidates := make([]chooser.Candidate, 0, len(servers))
 	for _, server := range servers {
 		if _, leaves := c.entry.leavers.leftFor(&server.Row); server.Leaving || leaves {
 			continue
 		}
-		candidates = append(candidates, chooser.Candidate{
+		candidate := chooser.Candidate{
 			Session: server.Session, Domain: server.Domain, Slots: server.Row.Slots, Cold: server.Row.Cold,
-		})
+		}
+		if candidate.Cold {
+			candidate.ColdRate = coldRate
+		}
+		candidates = append(candidates, candidate)
 	}
 	session := c.entry.balancer.Choose(c.entry.now(), candidates, chooser.Requirements{
 		Domain:        c.entry.options.Domain,
 		Aim:           c.route.Treatment.Aim,
 		Bytes:         int(max(c.call.Length, 0)) + c.entry.expectedBytes(c.route.Name) + headerBytes,
 		MaxLocalDelay: time.Duration(localPreference * float64(c.route.Treatment.Aim)),
+		Routers:       routes.RouterCount(),
 		Exclude:       c.tried,
 	})
 	for _, server := range servers {
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -220,6 +220,7 @@
 	left := relay.Left - timer.Now().Since(started)
 	ctx, cancel := context.WithTimeout(ctx, left+relay.Grace)
 	sentAt := time.Now()
+	slot.Sending()
 	result := o.options.Backend.Send(ctx, row.URL, &courier.ServerRequest{
 		Relay:    relay,
 		Deadline: sentAt.Add(left),
--- a/router/warmer/warmer.go
+++ b/router/warmer/warmer.go
@@ -48,7 +48,9 @@
 	ServerStarted     Event = "server started"
 	ConnectionBroken  Event = "connection broken"
 	ConnectionRefused Event = "connection refused"
-	EvacuationEnded   Event = "evacuation of the failure domain ended"
+	// EvacuationEnded also stands for the end of a drain, which looks the same to a
+	// router.
+	EvacuationEnded Event = "evacuation ended"
 )
 
 // Sources of a Verdict that are no Event.
