--- a/control/balancer/range.go
+++ b/control/balancer/range.go
@@ -46,6 +46,9 @@
 	// must move away.
 	Accepts  bool
 	Draining bool
+	// ColdRate is how many requests per second the server can handle while it is cold; 0
+	// if it is warm or the rate is unknown.
+	ColdRate float64
 }
 
 // PlacedRange assigns a range to a session.
--- a/control/balancer/range_load.go
+++ b/control/balancer/range_load.go
@@ -27,6 +27,9 @@
 	// medianFailureRate is the baseline for the failure rates of servers, since all
 	// of them fail requests when a service that they call fails.
 	medianFailureRate float64
+	// warm is the number of servers that may get ranges, have no ColdRate and are not
+	// ejected.
+	warm int
 	// passedOver are the servers that no move can relieve.
 	passedOver map[uint64]bool
 }
@@ -43,6 +46,9 @@
 	}
 	for n := range servers {
 		l.servers[servers[n].Session] = &servers[n]
+		if server := &servers[n]; server.Accepts && server.ColdRate == 0 && l.excessFailureRate(server) < ejectionThreshold {
+			l.warm++
+		}
 	}
 	for n := range ranges {
 		if finalOwner := ranges[n].finalOwner(); finalOwner != 0 {
@@ -67,10 +73,15 @@
 }
 
 func (l *rangeLoads) requestSeconds(session uint64) float64 {
-	if server := l.servers[session]; server != nil && server.RequestSeconds > 0 {
-		return server.RequestSeconds
+	server := l.servers[session]
+	if server == nil {
+		return l.meanRequestSeconds
+	}
+	seconds := server.RequestSeconds
+	if seconds <= 0 {
+		seconds = l.meanRequestSeconds
 	}
-	return l.meanRequestSeconds
+	return max(seconds, server.coldRequestSeconds())
 }
 
 // rate is the number of requests per second for a range.
@@ -108,7 +119,7 @@
 func (l *rangeLoads) leastLoaded(except uint64) uint64 {
 	best := uint64(0)
 	for session, server := range l.servers {
-		if !server.Accepts || session == except || l.excessFailureRate(server) >= ejectionThreshold {
+		if !l.mayGet(server) || session == except || l.excessFailureRate(server) >= ejectionThreshold {
 			continue
 		}
 		if best == 0 || l.utilization(session) < l.utilization(best) || (l.utilization(session) == l.utilization(best) && session < best) {
@@ -129,7 +140,7 @@
 func (l *rangeLoads) fastest() uint64 {
 	best := uint64(0)
 	for session, server := range l.servers {
-		if !server.Accepts || server.Slots <= 0 || l.excessFailureRate(server) >= ejectionThreshold {
+		if !l.mayGet(server) || server.Slots <= 0 || l.excessFailureRate(server) >= ejectionThreshold {
 			continue
 		}
 		if best == 0 || l.completionInterval(session) < l.completionInterval(best) || (l.completionInterval(session) == l.completionInterval(best) && session < best) {
--- a/control/supervisor/ranges.go
+++ b/control/supervisor/ranges.go
@@ -220,6 +220,10 @@
 // rangeServers lists the servers of a service that own ranges or may get some.
 func (s *Supervisor) rangeServers(now timer.Instant, r *assigner.Ranges) []balancer.RangeServer {
 	var rangeServers []balancer.RangeServer
+	coldRate := 0.0
+	if service := s.state.Configuration().Service(r.Service); service != nil {
+		coldRate = service.ColdRate
+	}
 	for _, session := range s.state.Sessions() {
 		if session.Service() != r.Service || !session.Routed {
 			continue
@@ -233,6 +237,9 @@
 			Accepts:  !session.Row.Leaving && s.isReady(number),
 			Draining: session.Row.Leaving,
 		}
+		if session.Row.Server.Cold {
+			server.ColdRate = coldRate
+		}
 		if router != nil {
 			server.RequestSeconds = router.requestTime.seconds
 			server.FailureRate = router.failureRate.current(now)
--- a/router/assembler/routed_cold.go
+++ b/router/assembler/routed_cold.go
@@ -58,6 +58,9 @@
 	passedOn warmer.Steady
 	// cold is the last verdict, if the service has a rate.
 	cold bool
+	// leaving is set while the map has the server as leaving: it gets no new work then,
+	// because its failure domain is evacuated, for instance.
+	leaving bool
 }
 
 func newColdWatch(options coldOptions) *coldWatch {
@@ -148,6 +151,10 @@
 
 // row returns the row of the server that the control group gets: with a rate for cold
 // servers, it shows whether the server is cold now.
+//
+// A server that gets no new work is shown as cold, since it will count as cold when it gets
+// some again. All routers then learn of both at once. Otherwise they would take it for warm
+// until the row of this router has reached them, two heartbeats later.
 func (w *coldWatch) row(row *messenger.ServerRow) *messenger.ServerRow {
 	service := w.options.Service()
 	if row == nil || service == nil || service.ColdRate <= 0 {
@@ -156,7 +163,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	current := *row
-	current.Cold = w.passedOn.Update(w.options.Admission.Now(), w.cold)
+	current.Cold = w.passedOn.Update(w.options.Admission.Now(), w.cold || w.leaving)
 	return &current
 }
 
@@ -284,14 +291,17 @@
 	d.Detector.ConnectionBroken(address)
 }
 
-// mapChanged passes on what a new map says about the server: its configuration, and
-// whether it gets new work again after the evacuation of its failure domain, or a drain.
-func (w *coldWatch) mapChanged(before, after *mapper.Map, service string, session uint64) {
-	if isLeaving(before, service, session) && !isLeaving(after, service, session) {
-		w.happened(warmer.EvacuationEnded)
-		return
-	}
-	w.update()
+// mapChanged takes note of a new map: of the configuration, and of whether the server of a
+// session gets no new work. Once it gets some again, after the evacuation of its failure
+// domain or a drain, it may have become cold.
+func (w *coldWatch) mapChanged(routes *mapper.Map, service string, session uint64) {
+	leaving := isLeaving(routes, service, session)
+	w.change(func(now time.Duration) {
+		if w.leaving && !leaving {
+			w.warmer.Happened(now, warmer.EvacuationEnded)
+		}
+		w.leaving = leaving
+	})
 }
 
 // isLeaving reports whether a map has the server of a session as leaving.
--- a/router/assembler/routed_heartbeat.go
+++ b/router/assembler/routed_heartbeat.go
@@ -62,15 +62,14 @@
 // Apply implements [keeper.HeartbeatHandler].
 func (p *Routed) Apply(_ uint64, delta *messenger.TableDelta) error {
 	if delta != nil {
-		previous := p.mapper.Load()
-		before := previous.Configuration
+		before := p.mapper.Load().Configuration
 		if err := p.mapper.Apply(delta); err != nil {
 			return Error.New("applying the routing table: %w", err)
 		}
 		if after := p.mapper.Load().Configuration; after != before {
 			p.options.Log.Emit(logger.ConfigurationApplied, "version", after.Version, "revision", delta.To, "routes", len(after.Routes))
 		}
-		p.cold.mapChanged(previous, p.mapper.Load(), p.serviceName(), p.keeper.Session())
+		p.cold.mapChanged(p.mapper.Load(), p.serviceName(), p.keeper.Session())
 	}
 	p.updateRanges()
 	return nil
