--- a/router/queuer/admission.go
+++ b/router/queuer/admission.go
@@ -181,7 +181,9 @@
 func (a *Admission) Check(job Job) *Refusal {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.queue.Check(a.Now(), job)
+	refusal := a.queue.Check(a.Now(), job)
+	a.countCold(refusal)
+	return refusal
 }
 
 // Cost returns the expected service time of a kind.
@@ -202,9 +204,7 @@
 	entry, refusal := a.queue.Offer(now, job)
 	if refusal != nil {
 		a.totals.Refused++
-		if refusal.Cold {
-			a.coldRefused++
-		}
+		a.countCold(refusal)
 		a.mu.Unlock()
 		return nil, refusal
 	}
--- a/router/queuer/cold.go
+++ b/router/queuer/cold.go
@@ -27,6 +27,14 @@
 	return ColdTotals{Started: a.queue.coldStarts, Refused: a.coldRefused}
 }
 
+// countCold counts a refusal, if it is one for the bound of a cold server. The caller holds
+// mu.
+func (a *Admission) countCold(refusal *Refusal) {
+	if refusal != nil && refusal.Cold {
+		a.coldRefused++
+	}
+}
+
 // Sending records that the request of the slot is sent to the backend server now.
 func (s *Slot) Sending() {
 	s.admission.mu.Lock()
--- a/router/queuer/window_test.go
+++ b/router/queuer/window_test.go
@@ -234,6 +234,19 @@
 	return most, at
 }
 
+// Guards against a refusal that is not counted, also of a body that was not received yet.
+func TestColdRefusalsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		admission := queuer.NewAdmission(13)
+		admission.SetCold(1)
+		job := queuer.Job{Kind: "a", Aim: 300 * ms, Deadline: time.Second}
+		_, refusal := admission.Acquire(t.Context(), job)
+		qt.Assert(t, refusal, qt.Not(qt.IsNil))
+		qt.Assert(t, admission.Check(job), qt.Not(qt.IsNil))
+		qt.Check(t, admission.ColdTotals(), qt.Equals, queuer.ColdTotals{Refused: 2})
+	})
+}
+
 // Guards against a job that waits for the window although it may start, since the timer
 // was not set.
 func TestAdmissionStartsJobsOfColdServer(t *testing.T) {
