--- a/kernel/messenger/table.go
+++ b/kernel/messenger/table.go
@@ -91,7 +91,8 @@
 	Slots int `json:"slots"`
 	// Fences means that the server refuses requests with an outdated fence.
 	Fences bool `json:"fences"`
-	// Cold means that the server starts cold, so its load is increased slowly.
+	// Cold means that the server starts cold, so its load is increased slowly. In routed
+	// mode, if its service has a rate for cold servers, it means that it is cold now.
 	Cold bool `json:"cold"`
 	// Born is the start time of the server in milliseconds of its wall clock; 0 when
 	// not reported. A server that was restarted no longer holds any keys.
--- a/router/chooser/chooser.go
+++ b/router/chooser/chooser.go
@@ -66,7 +66,7 @@
 	Session uint64
 	Domain  string
 	Slots   int
-	// Cold means that the server has just started and is slow.
+	// Cold means that the server has just started, or has become cold again, and is slow.
 	Cold bool
 	// ColdRate is how many requests per second a cold server can handle; 0 if the server
 	// is warm or its rate is unknown.
--- a/router/warmer/replay_fleet_test.go
+++ b/router/warmer/replay_fleet_test.go
@@ -82,4 +82,3 @@
 	// server had a free slot.
 	refusedCold, refusedBeside int
 }
-
