--- a/router/relayer/choice.go
+++ b/router/relayer/choice.go
@@ -15,6 +15,27 @@
 	if !c.keyless {
 		return c.owner(routes)
 	}
+	session := c.entry.balancer.Choose(c.entry.now(), c.candidates(routes), chooser.Requirements{
+		Domain:        c.entry.options.Domain,
+		Aim:           c.route.Treatment.Aim,
+		Bytes:         int(max(c.call.Length, 0)) + c.entry.expectedBytes(c.route.Name) + headerBytes,
+		MaxLocalDelay: time.Duration(localPreference * float64(c.route.Treatment.Aim)),
+		Routers:       routes.RouterCount(),
+		Exclude:       c.tried,
+	})
+	for _, server := range routes.Servers(c.service) {
+		if server.Session == session {
+			return server, messenger.ReasonNone
+		}
+	}
+	if c.fullServers > 0 {
+		return nil, messenger.ReasonQueue
+	}
+	return nil, messenger.ReasonDown
+}
+
+// candidates returns the servers that a request without a key may be sent to.
+func (c *routedCall) candidates(routes *mapper.Map) []chooser.Candidate {
 	servers := routes.Servers(c.service)
 	coldRate := 0.0
 	if service := routes.Configuration.Service(c.service); service != nil {
@@ -33,23 +54,7 @@
 		}
 		candidates = append(candidates, candidate)
 	}
-	session := c.entry.balancer.Choose(c.entry.now(), candidates, chooser.Requirements{
-		Domain:        c.entry.options.Domain,
-		Aim:           c.route.Treatment.Aim,
-		Bytes:         int(max(c.call.Length, 0)) + c.entry.expectedBytes(c.route.Name) + headerBytes,
-		MaxLocalDelay: time.Duration(localPreference * float64(c.route.Treatment.Aim)),
-		Routers:       routes.RouterCount(),
-		Exclude:       c.tried,
-	})
-	for _, server := range servers {
-		if server.Session == session {
-			return server, messenger.ReasonNone
-		}
-	}
-	if c.fullServers > 0 {
-		return nil, messenger.ReasonQueue
-	}
-	return nil, messenger.ReasonDown
+	return candidates
 }
 
 // owner returns the owner of the key, unless it was tried already.
