Test the share of a server that is cold again

Cause: a mutation that kept the share of an earlier cold time failed no test. Change: a test of that.

--- a/router/chooser/cold_share_test.go
+++ b/router/chooser/cold_share_test.go
@@ -85,3 +85,18 @@
 	counts := sendTo(lb, []chooser.Candidate{{Session: 1, Slots: 6}, {Session: 2, Slots: 6}}, 100, 100, 2*time.Second)
 	qt.Check(t, counts[1] > 50, qt.IsTrue, qt.Commentf("%d of 200 requests", counts[1]))
 }
+
+// A server that becomes cold again starts with a new share. Guards against requests beyond
+// an earlier share that keep it from any.
+func TestServerThatIsColdAgainHasNewShare(t *testing.T) {
+	lb := chooser.New()
+	cold := chooser.Candidate{Session: 1, Slots: 6, Cold: true, ColdRate: 1}
+	for range 100 {
+		lb.Choose(0, []chooser.Candidate{cold}, chooser.Requirements{Routers: 1})
+	}
+	lb.Choose(0, []chooser.Candidate{{Session: 1, Slots: 6}}, chooser.Requirements{Routers: 1})
+	report(lb, 1, messenger.ServerWork{Slots: 6, Slowness: 0.2})
+	report(lb, 2, messenger.ServerWork{Slots: 6, Slowness: 6})
+	got := lb.Choose(time.Second, []chooser.Candidate{cold, {Session: 2, Slots: 6}}, chooser.Requirements{Routers: 1})
+	qt.Check(t, got, qt.Equals, uint64(1))
+}
