--- a/kernel/logger/router.go
+++ b/kernel/logger/router.go
@@ -15,6 +15,9 @@
 	ServerLoad          = Event{314, hclog.Info, "backend server load"}
 	ServerLimitChanged  = Event{315, hclog.Info, "backend server named another limit"}
 	EvacuationChanged   = Event{316, hclog.Warn, "evacuation of the router's own failure domain changed"}
+	ServerCold          = Event{317, hclog.Info, "backend server is cold"}
+	ServerWarm          = Event{318, hclog.Info, "backend server is warm"}
+	ServerChecked       = Event{319, hclog.Info, "health check of the backend server"}
 	ServerTerminated    = Event{312, hclog.Warn, "backend server terminated with requests in flight"}
 	RecordsRecovered    = Event{320, hclog.Info, "records of the previous owner recovered"}
 	RecordsCopied       = Event{321, hclog.Info, "records copied to a joining recorder"}
@@ -26,7 +29,8 @@
 
 func routerEvents() []Event {
 	return []Event{
-		LeaseAcquired, LeaseLost, LeaseReleased, ControlUnreachable, ControlReachable, ServerAnnounced, AnnouncementIgnored, ServerStateChanged, ServerLoad, ServerTerminated, ServerLimitChanged, EvacuationChanged,
+		LeaseAcquired, LeaseLost, LeaseReleased, ControlUnreachable, ControlReachable, ServerAnnounced, AnnouncementIgnored, ServerStateChanged, ServerLoad, ServerTerminated, ServerLimitChanged,
+		EvacuationChanged, ServerCold, ServerWarm, ServerChecked,
 		RecordsRecovered, RecordsCopied, RangeCallCompleted, RangesFreed, RequestStalled, ResponseOversized,
 	}
 }
--- a/router/assembler/routed_heartbeat.go
+++ b/router/assembler/routed_heartbeat.go
@@ -19,7 +19,7 @@
 	routes := p.mapper.Load()
 	heartbeat.Routed = true
 	heartbeat.Sole = true
-	heartbeat.Server = view.Row
+	heartbeat.Server = p.cold.row(view.Row)
 	heartbeat.State = view.State
 	heartbeat.Revision = routes.Revision
 	heartbeat.Leaving = p.handingOver.Load()
@@ -70,6 +70,7 @@
 		if after := p.mapper.Load().Configuration; after != before {
 			p.options.Log.Emit(logger.ConfigurationApplied, "version", after.Version, "revision", delta.To, "routes", len(after.Routes))
 		}
+		p.cold.mapChanged(p.mapper.Load(), p.serviceName(), p.keeper.Session())
 	}
 	p.updateRanges()
 	return nil
--- a/router/relayer/choice.go
+++ b/router/relayer/choice.go
@@ -15,24 +15,15 @@
 	if !c.keyless {
 		return c.owner(routes)
 	}
-	servers := routes.Servers(c.service)
-	candidates := make([]chooser.Candidate, 0, len(servers))
-	for _, server := range servers {
-		if _, leaves := c.entry.leavers.leftFor(&server.Row); server.Leaving || leaves {
-			continue
-		}
-		candidates = append(candidates, chooser.Candidate{
-			Session: server.Session, Domain: server.Domain, Slots: server.Row.Slots, Cold: server.Row.Cold,
-		})
-	}
-	session := c.entry.balancer.Choose(c.entry.now(), candidates, chooser.Requirements{
+	session := c.entry.balancer.Choose(c.entry.now(), c.candidates(routes), chooser.Requirements{
 		Domain:        c.entry.options.Domain,
 		Aim:           c.route.Treatment.Aim,
 		Bytes:         int(max(c.call.Length, 0)) + c.entry.expectedBytes(c.route.Name) + headerBytes,
 		MaxLocalDelay: time.Duration(localPreference * float64(c.route.Treatment.Aim)),
+		Routers:       routes.RouterCount(),
 		Exclude:       c.tried,
 	})
-	for _, server := range servers {
+	for _, server := range routes.Servers(c.service) {
 		if server.Session == session {
 			return server, messenger.ReasonNone
 		}
@@ -43,6 +34,29 @@
 	return nil, messenger.ReasonDown
 }
 
+// candidates returns the servers that a request without a key may be sent to.
+func (c *routedCall) candidates(routes *mapper.Map) []chooser.Candidate {
+	servers := routes.Servers(c.service)
+	coldRate := 0.0
+	if service := routes.Configuration.Service(c.service); service != nil {
+		coldRate = service.ColdRate
+	}
+	candidates := make([]chooser.Candidate, 0, len(servers))
+	for _, server := range servers {
+		if _, leaves := c.entry.leavers.leftFor(&server.Row); server.Leaving || leaves {
+			continue
+		}
+		candidate := chooser.Candidate{
+			Session: server.Session, Domain: server.Domain, Slots: server.Row.Slots, Cold: server.Row.Cold,
+		}
+		if candidate.Cold {
+			candidate.ColdRate = coldRate
+		}
+		candidates = append(candidates, candidate)
+	}
+	return candidates
+}
+
 // owner returns the owner of the key, unless it was tried already.
 func (c *routedCall) owner(routes *mapper.Map) (*mapper.Server, messenger.Reason) {
 	if c.call.Key == messenger.NoKey {
