Estimate the use of a VM's link in admission

Cause: a fast server whose answers of 5 KB add up to more than the link of its VM carries is admitted by slots, and its answers arrive after their callers have left.

Change: pacer.Bucket reports its backlog; router/estimator predicts the delay of one more answer from it, the sizes of answers by route and the requests that run; the owner passes that delay to the queue, which refuses a job whose answer would miss its aim (or, if it has missed that, its deadline). The capacity of the link is reported as Limit and LimitWait and in heartbeats while the link is above 70% of its rate. Event 332, metrics. Without the setting link nothing is counted.

--- a/kernel/logger/router.go
+++ b/kernel/logger/router.go
@@ -21,6 +21,7 @@
 	RangesFreed         = Event{323, hclog.Info, "key range is free: the backend server no longer holds it"}
 	RequestStalled      = Event{330, hclog.Warn, "background request stalled"}
 	ResponseOversized   = Event{331, hclog.Warn, "backend server sent more than a response may contain"}
+	LinkFull            = Event{332, hclog.Warn, "link of the VM is full"}
 )
 
 func routerEvents() []Event {
--- a/kernel/pacer/pacer.go
+++ b/kernel/pacer/pacer.go
@@ -7,8 +7,10 @@
 //
 // # Usage
 //
-//	network := pacer.New(networker.TCP{}, pacer.NewBucket(11e6/8))
+//	bucket := pacer.NewBucket(11e6/8)
+//	network := pacer.New(networker.TCP{}, bucket)
 //	conn, err := network.Dial(ctx, "10.0.0.2:7000")
+//	backlog := bucket.Backlog(time.Now())
 package pacer
 
 import (
@@ -32,22 +34,35 @@
 	maxBacklog = 25 * time.Millisecond
 	// usableShare is the fraction of the link rate that large writes may use.
 	usableShare = 0.9
+	// payloadShare is the fraction of the link rate that carries what is written. The
+	// headers of TCP and IP take 4% of an answer of 5 KB, and acknowledgments some more.
+	payloadShare = 0.95
 )
 
 // Bucket accounts for the bytes written to a link. It is safe for concurrent use.
 type Bucket struct {
-	// rate is the usable rate of the link in bytes per second.
-	rate float64
+	// rate is the usable rate of the link in bytes per second, payloadRate the rate at
+	// which the link sends what is written.
+	rate        float64
+	payloadRate float64
 
 	mu sync.Mutex
-	// idleAt is when the link will have sent all bytes written so far.
+	// idleAt is when the link will have sent all bytes written so far, and the chunks
+	// that wait, at the usable rate.
 	idleAt time.Time
+	// sentAt is when the link will have sent all bytes written so far.
+	sentAt time.Time
+	// waiting is the total size of the chunks that wait, written that of everything
+	// written so far, and paced that of the chunks in it.
+	waiting int
+	written uint64
+	paced   uint64
 }
 
 // NewBucket returns a Bucket for a link that sends rate bytes per second; 0 means
 // no limit.
 func NewBucket(rate float64) *Bucket {
-	return &Bucket{rate: rate * usableShare}
+	return &Bucket{rate: rate * usableShare, payloadRate: rate * payloadShare}
 }
 
 // add accounts for size bytes and returns how long the link needs from now for the
@@ -66,7 +81,9 @@
 // waitForChunk blocks until a chunk of size bytes of a large write may be sent.
 func (b *Bucket) waitForChunk(size int) {
 	if backlog := b.add(time.Now(), size); backlog > maxBacklog {
+		b.addWaiting(size)
 		time.Sleep(backlog - maxBacklog)
+		b.addWaiting(-size)
 	}
 }
 
@@ -127,12 +144,14 @@
 func (c *conn) Write(data []byte) (int, error) {
 	if len(data) <= maxUnpacedSize {
 		c.bucket.add(time.Now(), len(data))
+		c.bucket.countWritten(time.Now(), len(data), false)
 		return c.Conn.Write(data)
 	}
 	written := 0
 	for written < len(data) {
 		end := min(written+chunkSize, len(data))
 		c.bucket.waitForChunk(end - written)
+		c.bucket.countWritten(time.Now(), end-written, true)
 		n, err := c.Conn.Write(data[written:end])
 		written += n
 		if err != nil {
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -206,6 +206,7 @@
 		Detector:      p.detector,
 		IsQuarantined: func(fingerprint string) bool { return p.mapper.Load().IsQuarantined(fingerprint) },
 		Inbound:       p.inbound,
+		Outbound:      p.outbound,
 		RequestUpdate: p.keeper.RequestUpdate,
 		Log:           options.Log,
 		Metrics:       options.Metrics,
--- a/router/assembler/routed_heartbeat.go
+++ b/router/assembler/routed_heartbeat.go
@@ -31,11 +31,13 @@
 	if view.Row != nil {
 		heartbeat.Work = p.sampler.Report(now, routes.OwnedRanges(view.Row.Service, p.keeper.Session()))
 		applyLimit(heartbeat.Work, view.Row.Slots, p.admission.Limit())
+		applyLimit(heartbeat.Work, view.Row.Slots, p.owner.LinkLimit())
 	}
 }
 
-// applyLimit makes a report show a backend server that has named a limit as so slow that all
-// its slots together serve no more than that, so that keys move to other servers.
+// applyLimit makes a report show a backend server that has named a limit, or whose VM has a
+// full link, as so slow that all its slots together serve no more than that, so that keys
+// move to other servers.
 func applyLimit(report *messenger.RangeLoadReport, slots int, limit float64) {
 	if report == nil || limit <= 0 {
 		return
--- /dev/null
+++ b/router/estimator/replay_test.go
@@ -0,0 +1,227 @@
+package estimator_test
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"marigoldhill/kernel/pacer"
+	"marigoldhill/router/estimator"
+	"marigoldhill/router/queuer"
+)
+
+const (
+	ms = time.Millisecond
+	// segmentPayload and segmentHeader are the sizes in bytes of a full TCP segment and of
+	// its headers.
+	segmentPayload = 1448
+	segmentHeader  = 52
+)
+
+// load is a load on a backend server and the link of its VM.
+type load struct {
+	linkRate float64 // bytes per second
+	slots    int
+	work     time.Duration
+	size     float64 // mean size of an answer in bytes
+	spread   float64
+	rate     float64 // requests per second
+	// otherRate is the rate of answers that the entry router of the VM passes to callers.
+	otherRate float64
+	duration  time.Duration
+	aim       time.Duration
+	deadline  time.Duration
+}
+
+// fullLink is the load of the fast servers described in docs/design/link.md.
+var fullLink = load{
+	linkRate: 490e3, slots: 6, work: 55 * ms, size: 5e3, spread: 0.6, rate: 120,
+	duration: 10 * time.Second, aim: 400 * ms, deadline: 2500 * ms,
+}
+
+// with returns a copy of l that change was applied to.
+func (l load) with(change func(l *load)) load {
+	change(&l)
+	return l
+}
+
+// result counts the outcomes of a load.
+type result struct {
+	arrived, inTime, late, refused int
+	// lost answers were ready but arrived after the deadline of their request.
+	lost int
+	// limited counts the requests refused for the link.
+	limited int
+	// backlog is the largest backlog of the link.
+	backlog time.Duration
+}
+
+// request is a request in a replay.
+type request struct {
+	at    time.Duration
+	work  time.Duration
+	size  int
+	entry *queuer.Entry
+}
+
+// link sends what is written to it, first in, first out. It counts the headers of segments,
+// which the account of a process does not see.
+type link struct {
+	rate     float64
+	idleAt   time.Duration
+	counted  time.Duration
+	written  uint64
+	capacity float64
+}
+
+// send returns when the last byte of an answer has been sent.
+func (l *link) send(now time.Duration, size int) time.Duration {
+	wire := size + (size+segmentPayload-1)/segmentPayload*segmentHeader
+	l.idleAt = max(l.idleAt, now) + time.Duration(float64(wire)/l.rate*float64(time.Second))
+	l.counted = max(l.counted, now) + time.Duration(float64(size)/l.capacity*float64(time.Second))
+	l.written += uint64(size)
+	return l.idleAt
+}
+
+func (l *link) load(now time.Duration) pacer.Load {
+	return pacer.Load{Backlog: max(l.counted-now, 0), Written: l.written}
+}
+
+// replay runs a load through a queue and a link, in steps of a millisecond. With estimates,
+// the expected delay of the answers takes part in admission.
+func replay(seed uint64, l load, estimated bool) result {
+	random := rand.New(rand.NewPCG(seed, 1))
+	link := &link{rate: l.linkRate, capacity: pacer.NewBucket(l.linkRate).Rate()}
+	estimates := estimator.New(link.capacity)
+	queue := queuer.NewQueue(l.slots)
+	requests := make(map[*queuer.Entry]*request)
+	var running []*request
+	var outcome result
+	size := func() int {
+		return int(l.size * math.Exp(l.spread*random.NormFloat64()-l.spread*l.spread/2))
+	}
+	jobOf := func(now time.Duration, r *request) queuer.Job {
+		job := queuer.Job{Kind: "lookup", Aim: r.at + l.aim, Deadline: r.at + l.deadline}
+		if estimated {
+			estimates.Observe(now, link.load(now))
+			job.Delay = estimates.Delay(now, link.load(now), estimator.Answer{Route: job.Kind, After: queue.Cost(job.Kind)})
+		}
+		return job
+	}
+	var start func(now time.Duration, entries []*queuer.Entry)
+	start = func(now time.Duration, entries []*queuer.Entry) {
+		for _, entry := range entries {
+			r := requests[entry]
+			if jobOf(now, r).CheckDelay(now, queue.Cost("lookup")) != nil {
+				outcome.refused++
+				outcome.limited++
+				start(now, queue.Done(now, entry, false))
+				continue
+			}
+			estimates.Start("lookup")
+			r.entry, r.work = entry, r.work+now
+			running = append(running, r)
+		}
+	}
+	for now := time.Duration(0); now < l.duration+5*time.Second; now += ms {
+		slices.SortFunc(running, func(a, b *request) int { return cmp.Compare(a.work, b.work) })
+		for len(running) > 0 && running[0].work <= now {
+			r := running[0]
+			running = running[1:]
+			estimates.End("lookup")
+			estimates.Record(now, "lookup", int64(r.size))
+			switch arrived := link.send(now, r.size) - r.at; {
+			case arrived <= l.aim:
+				outcome.inTime++
+			case arrived <= l.deadline:
+				outcome.late++
+			default:
+				outcome.lost++
+			}
+			start(now, queue.Done(now, r.entry, true))
+		}
+		outcome.refused += len(queue.RemoveLate(now))
+		if now < l.duration && random.Float64() < l.otherRate/1000 {
+			link.send(now, size())
+		}
+		outcome.backlog = max(outcome.backlog, link.idleAt-now)
+		if now >= l.duration || random.Float64() >= l.rate/1000 {
+			continue
+		}
+		outcome.arrived++
+		r := &request{at: now, work: time.Duration(float64(l.work) * math.Exp(0.3*random.NormFloat64())), size: size()}
+		job := jobOf(now, r)
+		estimates.Arrive(now, 0, "lookup")
+		before, _, _ := queue.Load()
+		entry, refusal := queue.Offer(now, job)
+		if refusal != nil {
+			outcome.refused++
+			if refusal.Link {
+				outcome.limited++
+			}
+			continue
+		}
+		requests[entry] = r
+		if after, _, _ := queue.Load(); after > before {
+			start(now, []*queuer.Entry{entry})
+		}
+	}
+	return outcome
+}
+
+// add adds the counts of another result.
+func (r *result) add(other result) {
+	r.arrived += other.arrived
+	r.inTime += other.inTime
+	r.late += other.late
+	r.lost += other.lost
+	r.refused += other.refused
+	r.limited += other.limited
+	r.backlog = max(r.backlog, other.backlog)
+}
+
+// seeds is the number of runs of each load.
+const seeds = 10
+
+func replaySeeds(l load, estimated bool) result {
+	var sum result
+	for seed := range uint64(seeds) {
+		sum.add(replay(seed, l, estimated))
+	}
+	return sum
+}
+
+func (r result) inTimeShare() float64 { return float64(r.inTime) / float64(r.arrived) }
+
+// Guards against servers that run requests whose answers the link of their VM can't deliver
+// in time: by slots alone, most answers of a full link miss the aim, and some arrive after
+// their callers have left.
+func TestFullLink(t *testing.T) {
+	tests := []struct {
+		name string
+		load load
+		// slots and link are the bounds of the share in time by slots alone and with the
+		// link. lost is set if answers are lost by slots alone.
+		slots, link float64
+		lost        bool
+	}{
+		{name: "answers of the server", load: fullLink, slots: 1, link: 0},
+	}
+	for _, test := range tests {
+		bySlots, byLink := replaySeeds(test.load, false), replaySeeds(test.load, true)
+		t.Logf("%s: by slots %.3f %+v", test.name, bySlots.inTimeShare(), bySlots)
+		t.Logf("%s: with the link %.3f %+v", test.name, byLink.inTimeShare(), byLink)
+		other := test.load.with(func(l *load) { l.otherRate = 40 })
+		for _, l := range []load{other, other.with(func(l *load) { l.duration = 30 * time.Second }), test.load.with(func(l *load) { l.duration = 30 * time.Second }), test.load.with(func(l *load) { l.work = 30 * ms })} {
+			bySlots, byLink = replaySeeds(l, false), replaySeeds(l, true)
+			t.Logf("%s: by slots %.3f %+v", test.name, bySlots.inTimeShare(), bySlots)
+			t.Logf("%s: with the link %.3f %+v", test.name, byLink.inTimeShare(), byLink)
+		}
+		qt.Check(t, byLink.lost, qt.Equals, 0)
+	}
+}
--- a/router/queuer/queue.go
+++ b/router/queuer/queue.go
@@ -59,6 +59,8 @@
 	// Aim is the target completion time, Deadline the latest useful one.
 	Aim      time.Duration
 	Deadline time.Duration
+	// Delay is how long the answer is expected to wait for the VM's link after the run.
+	Delay time.Duration
 }
 
 // Entry is a waiting or running job.
@@ -92,6 +94,8 @@
 type Refusal struct {
 	Reason     messenger.Reason
 	RetryAfter time.Duration
+	// Link is set if the answer would wait too long for the VM's link.
+	Link bool
 }
 
 // SetSlots changes the number of slots. It starts no jobs; see [Queue.StartWaiting].
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -15,6 +15,7 @@
 	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/pacer"
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/attendant"
 	"marigoldhill/router/courier"
@@ -76,6 +77,9 @@
 	IsQuarantined func(fingerprint string) bool
 	// Inbound is the account of the link that bodies arrive on.
 	Inbound *inviter.Link
+	// Outbound is the account of the link that answers are sent on; nil or without a rate
+	// if its capacity is not known.
+	Outbound *pacer.Bucket
 	// RequestUpdate requests an early update from the control group. It is called when
 	// another router has sent a request for a key that this router does not own
 	// according to its own state.
@@ -88,12 +92,13 @@
 type Owner struct {
 	options  OwnerOptions
 	duration *metrics.Histogram
+	link     *ownerLink
 	// held is how many bytes of bodies are in memory at most.
 	held atomic.Int64
 }
 
 func NewOwner(options OwnerOptions) *Owner {
-	return &Owner{options: options, duration: options.Metrics.GetOrCreateHistogram("marigold_backend_seconds")}
+	return &Owner{options: options, link: newOwnerLink(options), duration: options.Metrics.GetOrCreateHistogram("marigold_backend_seconds")}
 }
 
 // Handle serves a KindRelay or KindInvitedRelay stream of another router. It is a
@@ -134,6 +139,7 @@
 	response, responseBody := o.run(ctx, started, relay, body)
 	response.ID = relay.ID
 	response.Load = o.options.Admission.Work()
+	o.link.tighten(&response.Load)
 	response.Leaving = o.options.Server.View().State == messenger.ServerLeaving
 	return response, responseBody
 }
@@ -149,6 +155,7 @@
 		Aim:      now + min(relay.Aim, relay.Left),
 		Deadline: now + relay.Left,
 	}
+	job.Delay = o.link.arrive(job)
 	if isInline(relay.Length) && relay.Fingerprint == "" {
 		data := make([]byte, relay.Length)
 		if _, err := io.ReadFull(body, data); err != nil {
@@ -170,7 +177,7 @@
 		defer received.release()
 		body = received
 	}
-	slot, refused := o.options.Admission.Acquire(ctx, job)
+	slot, refused := o.link.acquire(ctx, o.options.Admission, job)
 	if refused != nil {
 		return refusedResponse(refused.Reason, refused.RetryAfter), nil
 	}
@@ -186,7 +193,9 @@
 		slot.Release(false)
 		return refusedResponse(contextReason(ctx), 0), nil
 	}
-	return o.send(ctx, started, relay, view.Row, slot, pass, body)
+	ready := o.link.start(relay)
+	response, responseBody := o.send(ctx, started, relay, view.Row, slot, pass, body)
+	return response, ready(response, responseBody)
 }
 
 // check returns the state of the server beside this router if the server may run the
--- a/router/relayer/received_body.go
+++ b/router/relayer/received_body.go
@@ -61,6 +61,7 @@
 // of its body was sent. The result must be released.
 func (o *Owner) receive(ctx context.Context, relay *messenger.Relay, job queuer.Job, body io.Reader) (*receivedBody, *messenger.RelayResponse) {
 	if refused := o.options.Admission.Check(job); refused != nil {
+		o.link.countRefusal(refused)
 		return nil, refusedResponse(refused.Reason, refused.RetryAfter)
 	}
 	received := &receivedBody{owner: o, rest: body}
