Test waiting requests and a link that fills meanwhile at the owner

Cause: a mutation that dropped either from the owner passed the tests.

Change: two tests, each of which fails without its part (checked by removing it).

--- a/router/relayer/owner_link_test.go
+++ b/router/relayer/owner_link_test.go
@@ -201,3 +201,63 @@
 		})
 	}
 }
+
+// Guards against a burst whose answers together take too long on the link: requests that
+// wait for a slot are ahead of those that arrive later. The last one would start after 220
+// ms and take 100 ms, but its answer is the 14th of 29 ms each.
+func TestOwnerCountsWaitingRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newLinkOwner(pacer.NewBucket(150e3))
+		responses := make(chan *messenger.RelayResponse, 14)
+		for range cap(responses) {
+			go func() {
+				response, _ := o.Run(t.Context(), relay(messenger.NoKey), nil)
+				responses <- response
+			}()
+			synctest.Wait()
+		}
+		first := <-responses
+		qt.Assert(t, first.Reason, qt.Equals, messenger.ReasonLimit)
+		qt.Assert(t, first.RetryAfter > 0, qt.IsTrue)
+		for range cap(responses) - 1 {
+			qt.Assert(t, (<-responses).Outcome, qt.Equals, messenger.OutcomeDone)
+		}
+	})
+}
+
+// Guards against a request that runs although the link has filled while it waited for its
+// slot.
+func TestOwnerRefusesWhenTheLinkFillsMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		outbound := pacer.NewBucket(490e3)
+		o := newLinkOwner(outbound)
+		responses := make(chan *messenger.RelayResponse, 7)
+		for range cap(responses) {
+			go func() {
+				response, _ := o.Run(t.Context(), relay(messenger.NoKey), nil)
+				responses <- response
+			}()
+			synctest.Wait()
+		}
+		network := disrupter.New(0)
+		listener, err := network.Node("e1").Listen("e1:80")
+		qt.Assert(t, err, qt.IsNil)
+		conn, err := pacer.New(network.Node("owner"), outbound).Dial(t.Context(), "e1:80")
+		qt.Assert(t, err, qt.IsNil)
+		for range 50 {
+			_, err := conn.Write(make([]byte, 5000))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		refused := 0
+		for range cap(responses) {
+			if response := <-responses; response.Outcome == messenger.OutcomeRefused {
+				qt.Check(t, response.Reason, qt.Equals, messenger.ReasonLimit)
+				qt.Check(t, response.Ran, qt.IsFalse)
+				refused++
+			}
+		}
+		qt.Assert(t, refused, qt.Equals, 1)
+		qt.Assert(t, conn.Close(), qt.IsNil)
+		qt.Assert(t, listener.Close(), qt.IsNil)
+	})
+}
