--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -227,6 +227,7 @@
 		Evacuation:    p.evacuation,
 		IsQuarantined: func(fingerprint string) bool { return p.mapper.Load().IsQuarantined(fingerprint) },
 		Inbound:       p.inbound,
+		Outbound:      p.outbound,
 		RequestUpdate: p.keeper.RequestUpdate,
 		Log:           options.Log,
 		Metrics:       options.Metrics,
--- a/router/queuer/queue.go
+++ b/router/queuer/queue.go
@@ -60,6 +60,9 @@
 	// Aim is the target completion time, Deadline the latest useful one.
 	Aim      time.Duration
 	Deadline time.Duration
+	// Delay is how long the answer is expected to take on the VM's link after the run if
+	// the job starts at once; 0 if the link is idle then.
+	Delay time.Duration
 }
 
 // Entry is a waiting or running job.
@@ -100,6 +103,8 @@
 	RetryAfter time.Duration
 	// Cold means that the bound for a cold backend server left no room in time.
 	Cold bool
+	// Link is set if the answer would wait too long for the VM's link.
+	Link bool
 }
 
 // SetSlots changes the number of slots. It starts no jobs; see [Queue.StartWaiting].
