Count only traffic that leaves the VM on its link

Cause: the account of a link of 0.49 MB/s showed 0.51 to 0.59 MB/s for seconds, of which 0.10 to 0.17 MB/s went to callers at the same address. The link was taken for full, and calls were refused for it. Change: connections within the VM are neither counted nor paced, for what is sent and for what is received.

--- a/kernel/pacer/pacer.go
+++ b/kernel/pacer/pacer.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// Network is a network whose connections share a Bucket.
+// Network is a network whose connections share a Bucket. Connections within the VM do not
+// use the link, so their writes are neither counted nor delayed.
 type Network struct {
 	inner  networker.Network
 	bucket *Bucket
@@ -118,6 +119,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if networker.IsLocal(wrapped) {
+		return wrapped, nil
+	}
 	return &conn{Conn: wrapped, bucket: n.bucket}, nil
 }
 
@@ -132,6 +136,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if networker.IsLocal(wrapped) {
+		return wrapped, nil
+	}
 	return &conn{Conn: wrapped, bucket: l.bucket}, nil
 }
 
--- a/router/inviter/network.go
+++ b/router/inviter/network.go
@@ -8,6 +8,7 @@
 )
 
 // Network is a network whose connections charge the bytes that they receive to a Link.
+// Connections within the VM do not use the link and are not charged.
 type Network struct {
 	inner networker.Network
 	link  *Link
@@ -38,6 +39,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if networker.IsLocal(wrapped) {
+		return wrapped, nil
+	}
 	return &conn{Conn: wrapped, link: n.link}, nil
 }
 
@@ -52,6 +56,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if networker.IsLocal(wrapped) {
+		return wrapped, nil
+	}
 	return &conn{Conn: wrapped, link: l.link}, nil
 }
 
