Refuse excess requests at their entry routers while links are busy

Cause: under twice its load, a service completed a third of what it completes at its capacity: refusals by owners crossed the links of two VMs each, answers and calls of servers waited behind them (90th percentile of the backlog 0.3 s), and a call that was refused failed the request that had made it. Change: owners report for each rank which fraction of the requests they can take, and entry routers refuse the rest at once. A request with less than 0.6 s left is never refused so, and is admitted if it can meet its deadline, because its caller cannot retry in time. Both act only while the link of the owner's VM is above a quarter of its rate.

--- a/kernel/messenger/relay.go
+++ b/kernel/messenger/relay.go
@@ -100,6 +100,9 @@
 	// carries both.
 	Limit     float32       `msgpack:"-"`
 	LimitWait time.Duration `msgpack:"-"`
+	// Fraction is the fraction of the requests of the same rank that entry routers should
+	// still send to the server; 0 means all. Only a RelayReply carries it.
+	Fraction float32 `msgpack:"-"`
 }
 
 // RelayReply is sent instead of a RelayResponse between routers that both set
@@ -110,6 +113,7 @@
 	Leaving   bool           `msgpack:"leaving,omitempty"`
 	Limit     float32        `msgpack:"limit,omitempty"`
 	LimitWait time.Duration  `msgpack:"wait,omitempty"`
+	Fraction  float32        `msgpack:"fraction,omitempty"`
 }
 
 var _ msgpack.CustomEncoder = (*RelayReply)(nil)
@@ -127,13 +131,15 @@
 
 // NewRelayReply returns the message that carries all of a response.
 func NewRelayReply(response *RelayResponse) *RelayReply {
-	return &RelayReply{Response: response, Leaving: response.Leaving, Limit: response.Load.Limit, LimitWait: response.Load.LimitWait}
+	load := &response.Load
+	return &RelayReply{Response: response, Leaving: response.Leaving, Limit: load.Limit, LimitWait: load.LimitWait, Fraction: load.Fraction}
 }
 
 // Unpack returns the response, nil if the message has none.
 func (r *RelayReply) Unpack() *RelayResponse {
 	if r.Response != nil {
-		r.Response.Leaving, r.Response.Load.Limit, r.Response.Load.LimitWait = r.Leaving, r.Limit, r.LimitWait
+		load := &r.Response.Load
+		r.Response.Leaving, load.Limit, load.LimitWait, load.Fraction = r.Leaving, r.Limit, r.LimitWait, r.Fraction
 	}
 	return r.Response
 }
--- a/router/estimator/estimator.go
+++ b/router/estimator/estimator.go
@@ -146,6 +146,11 @@
 	e.observed = load
 }
 
+// Use returns the share of the link's rate that was used in the last second.
+func (e *Estimator) Use(now time.Duration) float64 {
+	return e.sent.rate(now) / e.rate
+}
+
 // Expected returns the expected size in bytes of the answers of the requests that run.
 func (e *Estimator) Expected() int64 {
 	sum := 0.0
--- a/router/queuer/admission.go
+++ b/router/queuer/admission.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/router/throttler"
 )
 
 // Admission blocks requests until a Queue starts them or refuses them. Its methods are
@@ -22,6 +23,8 @@
 	updated     time.Duration
 	// limitNamed is when the backend server first named the limit that is in force.
 	limitNamed time.Time
+	// controller computes which fraction of the requests entry routers should send.
+	controller *throttler.Controller
 	// startTimer runs when a job can start that waits for the limit.
 	startTimer *time.Timer
 }
@@ -73,7 +76,7 @@
 
 // NewAdmission returns an Admission for a backend server with the given number of slots.
 func NewAdmission(slots int) *Admission {
-	return &Admission{start: time.Now(), queue: NewQueue(slots), waiters: make(map[*Entry]chan outcome)}
+	return &Admission{start: time.Now(), queue: NewQueue(slots), waiters: make(map[*Entry]chan outcome), controller: throttler.NewController()}
 }
 
 // Slot is the right to run one request.
@@ -177,6 +180,14 @@
 		Limit: float32(a.queue.Limit()), LimitWait: a.queue.LimitWait(a.Now())}
 }
 
+// Fraction returns the fraction of the requests of a rank that entry routers should send,
+// see [throttler.Controller].
+func (a *Admission) Fraction(rank int) float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.Fraction(rank)
+}
+
 // Check returns the refusal that a job would get now, or nil.
 func (a *Admission) Check(job Job) *Refusal {
 	a.mu.Lock()
@@ -202,6 +213,7 @@
 	a.totals.Offered++
 	a.refuseLate(now)
 	entry, refusal := a.queue.Offer(now, job)
+	a.controller.Observe(now, job.Rank, refusal == nil)
 	if refusal != nil {
 		a.totals.Refused++
 		a.countCold(refusal)
--- a/router/queuer/delay.go
+++ b/router/queuer/delay.go
@@ -15,7 +15,7 @@
 	if delay <= 0 {
 		return nil
 	}
-	target := j.Aim
+	target := j.latest()
 	if now+wait+cost > target {
 		target = j.Deadline
 	}
--- a/router/queuer/prediction.go
+++ b/router/queuer/prediction.go
@@ -18,12 +18,20 @@
 	if limitWait := q.expectedLimitWait(now, entry); limitWait > expectedWait {
 		reason, expectedWait, cold = messenger.ReasonLimit, limitWait, q.isColdLimit(now, q.countAhead(entry))
 	}
-	if len(q.waiting) >= maxWaitingPerSlot*q.slots || now+expectedWait+entry.cost > entry.Aim {
+	if len(q.waiting) >= maxWaitingPerSlot*q.slots || now+expectedWait+entry.cost > entry.latest() {
 		return &Refusal{Reason: reason, RetryAfter: q.retryAfter(now, entry.Job, expectedWait+entry.cost), Cold: cold}
 	}
 	return entry.CheckDelay(now, expectedWait, entry.cost)
 }
 
+// latest returns when a job must be expected to finish to be admitted.
+func (j Job) latest() time.Duration {
+	if j.Final {
+		return j.Deadline
+	}
+	return j.Aim
+}
+
 // expectedWait predicts how long a job would wait: until the next slot is free, plus
 // the time for the work ahead of it.
 func (q *Queue) expectedWait(now time.Duration, entry *Entry) time.Duration {
--- a/router/queuer/queue.go
+++ b/router/queuer/queue.go
@@ -63,6 +63,9 @@
 	// Delay is how long the answer is expected to take on the VM's link after the run if
 	// the job starts at once; 0 if the link is idle then.
 	Delay time.Duration
+	// Final is set if the caller has no time left for a retry. Such a job is admitted if it
+	// can meet its deadline.
+	Final bool
 }
 
 // Entry is a waiting or running job.
--- a/router/relayer/delivery.go
+++ b/router/relayer/delivery.go
@@ -14,7 +14,7 @@
 // deliver sends a request to the router of a server, which may be this one.
 func (c *routedCall) deliver(ctx context.Context, server *mapper.Server, relay *messenger.Relay) (*messenger.RelayResponse, io.ReadCloser) {
 	if server.Session == c.entry.options.Session() {
-		return c.entry.options.Owner.Run(ctx, relay, c.body.reader())
+		return c.entry.options.Owner.RunLocal(ctx, relay, c.body.reader())
 	}
 	stream, run, err := c.open(ctx, server.Address)
 	if err != nil {
--- a/router/relayer/entry.go
+++ b/router/relayer/entry.go
@@ -39,6 +39,7 @@
 	"marigoldhill/router/budgeter"
 	"marigoldhill/router/chooser"
 	"marigoldhill/router/mapper"
+	"marigoldhill/router/throttler"
 )
 
 // Error is the class of all errors of this package.
@@ -135,6 +136,7 @@
 type Entry struct {
 	options  EntryOptions
 	balancer *chooser.Balancer
+	gate     *throttler.Gate
 	leavers  *leavers
 	started  time.Time
 	duration *metrics.Histogram
@@ -150,6 +152,7 @@
 	return &Entry{
 		options:   options,
 		balancer:  chooser.New(),
+		gate:      throttler.NewGate(),
 		leavers:   newLeavers(),
 		started:   time.Now(),
 		duration:  options.Metrics.GetOrCreateHistogram("marigold_request_seconds"),
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -136,19 +136,31 @@
 // Run runs a request or refuses it. The returned body must be closed unless it is
 // nil.
 func (o *Owner) Run(ctx context.Context, relay *messenger.Relay, body io.Reader) (*messenger.RelayResponse, io.ReadCloser) {
+	return o.serve(ctx, relay, body, o.link)
+}
+
+// RunLocal runs a request of the entry router on the same VM, whose answer does not cross
+// the VM's link.
+func (o *Owner) RunLocal(ctx context.Context, relay *messenger.Relay, body io.Reader) (*messenger.RelayResponse, io.ReadCloser) {
+	return o.serve(ctx, relay, body, nil)
+}
+
+// serve runs a request or refuses it. link is nil if the answer does not cross the VM's link.
+func (o *Owner) serve(ctx context.Context, relay *messenger.Relay, body io.Reader, link *ownerLink) (*messenger.RelayResponse, io.ReadCloser) {
 	started := timer.Now()
 	if relay.Key != messenger.NoKey {
 		o.options.Sampler.Arrived(uint32(relay.Key))
 	}
-	response, responseBody := o.run(ctx, started, relay, body)
+	response, responseBody := o.run(ctx, started, relay, body, link)
 	response.ID = relay.ID
 	response.Load = o.options.Admission.Work()
-	o.link.tighten(&response.Load)
+	link.tighten(&response.Load)
+	response.Load.Fraction = link.fraction(relay.Rank)
 	response.Leaving = o.options.Server.View().State == messenger.ServerLeaving
 	return response, responseBody
 }
 
-func (o *Owner) run(ctx context.Context, started timer.Instant, relay *messenger.Relay, body io.Reader) (*messenger.RelayResponse, io.ReadCloser) {
+func (o *Owner) run(ctx context.Context, started timer.Instant, relay *messenger.Relay, body io.Reader, link *ownerLink) (*messenger.RelayResponse, io.ReadCloser) {
 	if _, reason := o.admit(ctx, started, relay); reason != messenger.ReasonNone {
 		return refusedResponse(reason, 0), nil
 	}
@@ -160,7 +172,8 @@
 		Aim:      now + min(relay.Aim, relay.Left),
 		Deadline: now + relay.Left,
 	}
-	job.Delay = o.link.arrive(job)
+	job.Delay = link.arrive(job)
+	job.Final = relay.Left < finalTimeLeft && link.isBusy()
 	if isInline(relay.Length) && relay.Fingerprint == "" {
 		data := make([]byte, relay.Length)
 		if _, err := io.ReadFull(body, data); err != nil {
@@ -182,7 +195,7 @@
 		defer received.release()
 		body = received
 	}
-	slot, refused := o.link.acquire(ctx, o.options.Admission, job)
+	slot, refused := link.acquire(ctx, o.options.Admission, job)
 	if refused != nil {
 		return refusedResponse(refused.Reason, refused.RetryAfter), nil
 	}
@@ -198,7 +211,7 @@
 		slot.Release(false)
 		return refusedResponse(contextReason(ctx), 0), nil
 	}
-	ready := o.link.start(relay)
+	ready := link.start(relay)
 	response, responseBody := o.send(ctx, started, relay, view.Row, slot, pass, body)
 	return response, ready(response, responseBody)
 }
--- a/router/relayer/routed_call.go
+++ b/router/relayer/routed_call.go
@@ -102,6 +102,12 @@
 			}
 			continue
 		}
+		if answer, throttled := c.throttle(server); throttled {
+			if answer == nil {
+				continue
+			}
+			return *answer
+		}
 		answer, retry := c.send(ctx, server)
 		if !retry {
 			return answer
@@ -119,6 +125,7 @@
 	c.entry.balancer.Begin(server.Session)
 	response, body := c.deliver(ctx, server, relay)
 	c.entry.balancer.End(c.entry.now(), server.Session, &response.Load, isFailure(response))
+	c.updateGate(server, response)
 	if response.Ran {
 		c.sends++
 	}
