--- a/router/queuer/prediction.go
+++ b/router/queuer/prediction.go
@@ -12,16 +12,24 @@
 		return &Refusal{Reason: messenger.ReasonDeadline}
 	}
 	if q.canStart(now) && len(q.waiting) == 0 {
-		return nil
+		return entry.CheckDelay(now, 0, entry.cost)
 	}
 	reason, expectedWait, cold := messenger.ReasonQueue, q.expectedWait(now, entry), false
 	if limitWait := q.expectedLimitWait(now, entry); limitWait > expectedWait {
 		reason, expectedWait, cold = messenger.ReasonLimit, limitWait, q.isColdLimit(now, q.countAhead(entry))
 	}
-	if len(q.waiting) >= maxWaitingPerSlot*q.slots || now+expectedWait+entry.cost > entry.Aim {
+	if len(q.waiting) >= maxWaitingPerSlot*q.slots || now+expectedWait+entry.cost > entry.latest() {
 		return &Refusal{Reason: reason, RetryAfter: q.retryAfter(now, entry.Job, expectedWait+entry.cost), Cold: cold}
 	}
-	return nil
+	return entry.CheckDelay(now, expectedWait, entry.cost)
+}
+
+// latest returns when a job must be expected to finish to be admitted.
+func (j Job) latest() time.Duration {
+	if j.Final {
+		return j.Deadline
+	}
+	return j.Aim
 }
 
 // expectedWait predicts how long a job would wait: until the next slot is free, plus
