Read a small body before the last checks of a request

The entry router computes the fingerprint of a small body, so the owner left the body unread until the courier sent the request. A body that arrives late on a slow link was thus sent after the checks: a request of an evacuated domain was sent 6 s after the order (bound 5 s), and a cold server with a bound of one start per second got two requests 100 ms apart, because the first was counted 1.2 s before it was sent.

The owner now reads the rest of a small body while it holds the slot, before the last checks. A body that can't be read is refused as canceled instead of as a server that is down.

--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -154,12 +154,13 @@
 		Aim:      now + min(relay.Aim, relay.Left),
 		Deadline: now + relay.Left,
 	}
+	isRead := false
 	if isInline(relay.Length) && relay.Fingerprint == "" {
-		data := make([]byte, relay.Length)
-		if _, err := io.ReadFull(body, data); err != nil {
+		data, err := readInline(relay, body)
+		if err != nil {
 			return refusedResponse(messenger.ReasonCanceled, 0), nil
 		}
-		body = bytes.NewReader(data)
+		body, isRead = bytes.NewReader(data), true
 		relay.Fingerprint = fingerprint(relay, data)
 	} else if relay.Fingerprint == "" {
 		relay.Fingerprint = fingerprint(relay, nil)
@@ -179,6 +180,16 @@
 	if refused != nil {
 		return refusedResponse(refused.Reason, refused.RetryAfter), nil
 	}
+	if isInline(relay.Length) && !isRead {
+		// The body may arrive late. The checks and the count of requests to a cold server
+		// must be those of the time at which the request is sent.
+		data, err := readInline(relay, body)
+		if err != nil {
+			slot.Release(false)
+			return refusedResponse(messenger.ReasonCanceled, 0), nil
+		}
+		body = bytes.NewReader(data)
+	}
 	// The state of the server and its keys may have changed while the request waited.
 	view, reason := o.admit(ctx, started, relay)
 	if reason != messenger.ReasonNone {
@@ -194,6 +205,18 @@
 	return o.send(ctx, started, relay, view.Row, slot, pass, body)
 }
 
+// readInline reads the whole body of a request whose body is inline.
+func readInline(relay *messenger.Relay, body io.Reader) ([]byte, error) {
+	if relay.Length == 0 {
+		return nil, nil
+	}
+	data := make([]byte, relay.Length)
+	if _, err := io.ReadFull(body, data); err != nil {
+		return nil, Error.New("reading the body of the caller's request: %w", err)
+	}
+	return data, nil
+}
+
 // check returns the state of the server beside this router if the server may run the
 // request now, else the reason for refusing it.
 func (o *Owner) check(now timer.Instant, relay *messenger.Relay) (*attendant.View, messenger.Reason) {
