Don't count an incomplete body as a broken connection

A small body that ends early makes the courier report a request that was not sent, with the reason down. It was then reported as a broken connection of the backend server, and a warm server was treated as cold.

Such a result is no longer reported.

--- a/router/courier/conn.go
+++ b/router/courier/conn.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"marigoldhill/kernel/messenger"
 )
 
@@ -260,7 +262,7 @@
 	if relay.Length >= 0 && relay.Length <= maxInlineBodyBytes {
 		if relay.Length > 0 {
 			if _, err := io.CopyN(&buffer, body, relay.Length); err != nil {
-				return 0, Error.New("reading the body of the caller's request: %w", err)
+				return 0, Error.New("%w: %w", errBody, err)
 			}
 		}
 		sent, err := c.raw.Write(buffer.Bytes())
@@ -276,6 +278,9 @@
 	return sent, nil
 }
 
+// errBody means that the body of the caller's request could not be read.
+var errBody = errs.New("reading the body of the caller's request")
+
 func wrapSendError(err error) error {
 	if err == nil {
 		return nil
--- a/router/courier/courier.go
+++ b/router/courier/courier.go
@@ -175,7 +175,7 @@
 	}
 	stop := context.AfterFunc(ctx, conn.interrupt)
 	result := conn.roundTrip(c, serverRequest, body)
-	if !result.Sent && result.Reason == messenger.ReasonDown && ctx.Err() == nil {
+	if !result.Sent && result.Reason == messenger.ReasonDown && ctx.Err() == nil && !errors.Is(result.Err, errBody) {
 		c.reportBroken()
 	}
 	if result.Outcome == messenger.OutcomeDone {
