Notice disconnected clients before an evacuation is proposed

A call that was delayed arrives together with the end of its connection. A delayed order could thus be in force again after its withdrawal, as calls of the platform have no Idempotency-Key.

Evacuations and withdrawals are now proposed after 20 ms in which the client stayed connected. An end of the connection that arrives later than that still goes unnoticed.

--- a/control/proposer/proposer.go
+++ b/control/proposer/proposer.go
@@ -90,6 +90,9 @@
 // committed and applied. It proposes nothing if ctx has ended. Verdicts other than
 // invalid values are part of the result.
 func (p *Proposer) Commit(ctx context.Context, command *assigner.Command) (Committed, error) {
+	if command.Evacuate != nil {
+		awaitDisconnect(ctx)
+	}
 	if err := p.CheckLeader(); err != nil {
 		return Committed{}, err
 	}
@@ -123,6 +126,22 @@
 	return Committed{Index: proposal.Index, Result: result}, nil
 }
 
+// disconnectWait is the time in which a server notices that the client of a call has
+// disconnected, if the end of its connection arrived along with the call.
+const disconnectWait = 20 * time.Millisecond
+
+// awaitDisconnect waits until ctx has ended or disconnectWait has passed. A call that was
+// delayed on its way, or in the listen queue of a process that was stopped, arrives
+// together with the end of its connection. Its handler starts before ctx has ended.
+func awaitDisconnect(ctx context.Context) {
+	expiry := time.NewTimer(disconnectWait)
+	defer expiry.Stop()
+	select {
+	case <-ctx.Done():
+	case <-expiry.C:
+	}
+}
+
 // CheckLeader returns an error unless this replica is a confirmed leader of a group
 // that is large enough for [Options.ToleratedLosses].
 func (p *Proposer) CheckLeader() error {
