Start a new share for a cold server that was no candidate

The shares of all routers become due while a cold server is away, so they all sent to it at once when it returned cold.

A router that has not had the server as a candidate for a second now starts a new share at a random phase. A router that chooses less than once a second does so each time, and so sends a cold server less than its share while others are better.

--- a/router/chooser/cold_share.go
+++ b/router/chooser/cold_share.go
@@ -13,8 +13,14 @@
 	interval time.Duration
 	// next is when the router may send the next request.
 	next time.Duration
+	// seen is when the server was last a candidate.
+	seen time.Duration
 }
 
+// shareMemory is how long the phase of a share is kept while its server is no candidate. A
+// server that crashed or was evacuated again is away for longer.
+const shareMemory = time.Second
+
 // wait returns the time until the share of the router allows one more request to a
 // candidate, 0 if the candidate is warm.
 func (s *coldShare) wait(now time.Duration, candidate Candidate, routers int) time.Duration {
@@ -23,10 +29,10 @@
 		return 0
 	}
 	interval := time.Duration(float64(max(routers, 1)) / candidate.ColdRate * float64(time.Second))
-	if s.interval == 0 {
+	if s.interval == 0 || now-s.seen > shareMemory {
 		s.next = now + time.Duration(rand.Float64()*float64(interval))
 	}
-	s.interval = interval
+	s.interval, s.seen = interval, now
 	return max(s.next-now, 0)
 }
 
