--- a/control/assigner/evacuation.go
+++ b/control/assigner/evacuation.go
@@ -21,10 +21,10 @@
 // sessions: its routers may all be down, and their next sessions are opened as leaving.
 // An order that changes nothing is answered with the revision of the order in force.
 func (s *State) evacuate(command *Evacuate) Result {
-	if !profiler.IsValidName(command.Domain) {
+	current, evacuated := s.evacuations[command.Domain]
+	if !evacuated && !profiler.IsValidName(command.Domain) && !s.hasDomain(command.Domain) {
 		return invalid("domain", profiler.NameRule)
 	}
-	current, evacuated := s.evacuations[command.Domain]
 	switch {
 	case command.On && evacuated:
 		return applied(current.Revision, 0)
@@ -53,6 +53,17 @@
 	return applied(s.applied, count)
 }
 
+// hasDomain reports whether a session belongs to a failure domain. The settings of routers
+// allow domains that are no valid names.
+func (s *State) hasDomain(domain string) bool {
+	for _, session := range s.sessions {
+		if session.Row.Domain == domain {
+			return true
+		}
+	}
+	return false
+}
+
 // withdrawalRevision is the revision at which the evacuation of a domain was last
 // withdrawn. If that is not known, it is the revision of the routing table: routers
 // reach it, while the revision of a command that changes nothing is never sent to them.
--- a/control/assigner/evacuation_test.go
+++ b/control/assigner/evacuation_test.go
@@ -91,6 +91,21 @@
 }
 
 // Without a bound, names that no router uses would fill all full deltas.
+// Guards against a failure domain that the settings of a router allow and that can't be
+// evacuated, or whose evacuation can't be withdrawn when its routers are down.
+func TestDomainsOfRoutersCanBeEvacuated(t *testing.T) {
+	for _, domain := range []string{"Rack_2", "zone.1"} {
+		l := newHarness(t)
+		qt.Check(t, l.evacuate(domain, true, "").Verdict, qt.Equals, assigner.VerdictInvalid, qt.Commentf(domain))
+		session := l.apply(assigner.Command{Open: &assigner.Open{Router: "r9", Instance: 1, Domain: domain}}).Revision
+		qt.Check(t, l.evacuate(domain, true, "").Verdict, qt.Equals, assigner.VerdictApplied, qt.Commentf(domain))
+		qt.Check(t, l.leaving(), qt.DeepEquals, []string{"r9"})
+		l.close(session)
+		qt.Check(t, l.evacuate(domain, false, "").Verdict, qt.Equals, assigner.VerdictApplied, qt.Commentf(domain))
+		qt.Check(t, l.evacuated(), qt.HasLen, 0)
+	}
+}
+
 func TestEvacuationsAreBounded(t *testing.T) {
 	l := newHarness(t)
 	for n := range assigner.MaxEvacuations {
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
-	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -23,7 +21,6 @@
 	"marigoldhill/router/inviter"
 	"marigoldhill/router/isolator"
 	"marigoldhill/router/queuer"
-	"marigoldhill/router/stripper"
 )
 
 const (
@@ -174,12 +171,13 @@
 	}
 	job.Delay = link.arrive(job)
 	job.Final = relay.Left < finalTimeLeft && link.isBusy()
+	isRead := false
 	if isInline(relay.Length) && relay.Fingerprint == "" {
-		data := make([]byte, relay.Length)
-		if _, err := io.ReadFull(body, data); err != nil {
+		data, err := readInline(relay, body)
+		if err != nil {
 			return refusedResponse(messenger.ReasonCanceled, 0), nil
 		}
-		body = bytes.NewReader(data)
+		body, isRead = bytes.NewReader(data), true
 		relay.Fingerprint = fingerprint(relay, data)
 	} else if relay.Fingerprint == "" {
 		relay.Fingerprint = fingerprint(relay, nil)
@@ -199,6 +197,16 @@
 	if refused != nil {
 		return refusedResponse(refused.Reason, refused.RetryAfter), nil
 	}
+	if isInline(relay.Length) && !isRead {
+		// The body may arrive late. The checks and the count of requests to a cold server
+		// must be those of the time at which the request is sent.
+		data, err := readInline(relay, body)
+		if err != nil {
+			slot.Release(false)
+			return refusedResponse(messenger.ReasonCanceled, 0), nil
+		}
+		body = bytes.NewReader(data)
+	}
 	// The state of the server and its keys may have changed while the request waited.
 	view, reason := o.admit(ctx, started, relay)
 	if reason != messenger.ReasonNone {
@@ -216,6 +224,18 @@
 	return response, ready(response, responseBody)
 }
 
+// readInline reads the whole body of a request whose body is inline.
+func readInline(relay *messenger.Relay, body io.Reader) ([]byte, error) {
+	if relay.Length == 0 {
+		return nil, nil
+	}
+	data := make([]byte, relay.Length)
+	if _, err := io.ReadFull(body, data); err != nil {
+		return nil, Error.New("reading the body of the caller's request: %w", err)
+	}
+	return data, nil
+}
+
 // check returns the state of the server beside this router if the server may run the
 // request now, else the reason for refusing it.
 func (o *Owner) check(now timer.Instant, relay *messenger.Relay) (*attendant.View, messenger.Reason) {
@@ -242,123 +262,6 @@
 	return view, messenger.ReasonNone
 }
 
-// send sends a request to the backend server.
-func (o *Owner) send(ctx context.Context, started timer.Instant, relay *messenger.Relay, row *messenger.ServerRow, slot *queuer.Slot, pass *isolator.Pass, body io.Reader) (*messenger.RelayResponse, io.ReadCloser) {
-	left := relay.Left - timer.Now().Since(started)
-	ctx, cancel := context.WithTimeout(ctx, left+relay.Grace)
-	sentAt := time.Now()
-	slot.Sending()
-	result := o.options.Backend.Send(ctx, row.URL, &courier.ServerRequest{
-		Relay:    relay,
-		Deadline: sentAt.Add(left),
-		Server:   row.Name,
-	}, body)
-	o.reportServer(row, result)
-	o.updateLimit(row, sentAt, result)
-	if result.ResponseInfo.Leaving {
-		o.options.Server.Leave(timer.Now(), row)
-	}
-	if errors.Is(result.Err, courier.ErrExcess) {
-		o.options.Log.Emit(logger.ResponseOversized, "id", relay.ID, "service", relay.Service, "server", row.Name, "address", row.URL, "error", result.Err)
-	}
-	if result.Outcome != messenger.OutcomeDone {
-		cancel()
-		pass.Leave()
-		slot.Release(false)
-		if isServerFailure(result) {
-			o.options.Sampler.Judged(true)
-		}
-		if isTimeout(result) {
-			// Unanswered requests count too. Otherwise a server that has become too
-			// slow to answer would not be measured as slow.
-			o.options.Sampler.Finished(time.Since(sentAt))
-		}
-		response := &messenger.RelayResponse{Outcome: result.Outcome, Reason: result.Reason, Ran: result.Sent}
-		o.logFailure(relay, response, "no answer from the backend server", result.Err)
-		return response, nil
-	}
-	finish := func(complete bool, readErr error) {
-		left := errors.Is(ctx.Err(), context.Canceled)
-		cancel()
-		if readErr != nil && !left {
-			o.options.Detector.ConnectionBroken(row.URL)
-		}
-		duration := time.Since(sentAt)
-		succeeded := complete && result.Status < http.StatusInternalServerError
-		if succeeded {
-			pass.Complete()
-		}
-		pass.Leave()
-		slot.Release(succeeded)
-		if complete || (readErr != nil && !left) {
-			o.options.Sampler.Judged(!succeeded)
-		}
-		if complete {
-			o.options.Sampler.Finished(duration)
-			o.duration.Update(duration.Seconds())
-		}
-	}
-	response := &messenger.RelayResponse{
-		Outcome: messenger.OutcomeDone,
-		Ran:     true,
-		Status:  result.Status,
-		Header:  stripper.EndToEndFields(result.Header, nil),
-		Length:  result.Length,
-	}
-	if result.Length < 0 || result.Length > maxBufferedBytes {
-		return response, &unbufferedBody{ReadCloser: result.Body, finish: finish}
-	}
-	content, err := io.ReadAll(result.Body)
-	_ = result.Body.Close()
-	finish(err == nil, err)
-	if err != nil {
-		response = &messenger.RelayResponse{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonTruncated, Ran: true}
-		o.logFailure(relay, response, "answer body of the backend server truncated", err)
-		return response, nil
-	}
-	return response, io.NopCloser(bytes.NewReader(content))
-}
-
-// isServerFailure reports whether a result without an answer counts as a failure of
-// the server. Refused connections do not count, since the attendant handles a server
-// that is gone, nor do canceled requests and deadlines that passed before the request
-// was sent.
-func isServerFailure(result courier.Result) bool {
-	switch result.Reason {
-	case messenger.ReasonExpired, messenger.ReasonCrashed, messenger.ReasonTruncated, messenger.ReasonShed:
-		return true
-	}
-	return false
-}
-
-// isTimeout reports whether a request that was sent got no answer by its deadline.
-func isTimeout(result courier.Result) bool {
-	return result.Outcome == messenger.OutcomeUnknown && result.Reason == messenger.ReasonExpired
-}
-
-// updateLimit applies the limit that the server named in its response.
-func (o *Owner) updateLimit(row *messenger.ServerRow, sentAt time.Time, result courier.Result) {
-	if result.ResponseInfo.ID == "" || o.options.Server.View().Row != row {
-		return
-	}
-	if o.options.Admission.SetLimit(result.ResponseInfo.Limit, sentAt) {
-		o.options.Log.Emit(logger.ServerLimitChanged, "server", row.Name, "service", row.Service, "limit", o.options.Admission.Limit())
-	}
-}
-
-// reportServer reports whether the server answered, refused the connection or ended it
-// while the request ran.
-func (o *Owner) reportServer(row *messenger.ServerRow, result courier.Result) {
-	switch {
-	case result.Reason == messenger.ReasonCrashed || result.Reason == messenger.ReasonTruncated:
-		o.options.Detector.ConnectionBroken(row.URL)
-	case result.Outcome == messenger.OutcomeDone || result.ResponseInfo.ID != "":
-		o.options.Server.ResponseReceived()
-	case !result.Sent && isConnectionRefused(result.Err):
-		o.options.Server.DialRefused(timer.Now())
-	}
-}
-
 // keyText returns a numeric key as text, or nothing for messenger.NoKey.
 func keyText(key int32) string {
 	if key == messenger.NoKey {
@@ -375,34 +278,3 @@
 func refusedResponse(reason messenger.Reason, retryAfter time.Duration) *messenger.RelayResponse {
 	return &messenger.RelayResponse{Outcome: messenger.OutcomeRefused, Reason: reason, RetryAfter: retryAfter}
 }
-
-// unbufferedBody is the body of a large answer. When it is closed, it calls finish
-// once, with the read error of the server's connection, if any.
-type unbufferedBody struct {
-	io.ReadCloser
-	finish  func(complete bool, readErr error)
-	readErr error
-	eof     bool
-	closed  bool
-}
-
-// Read implements io.Reader.
-func (b *unbufferedBody) Read(data []byte) (int, error) {
-	n, err := b.ReadCloser.Read(data)
-	if err != nil && !errors.Is(err, io.EOF) {
-		b.readErr = err
-	}
-	b.eof = b.eof || errors.Is(err, io.EOF)
-	return n, err
-}
-
-// Close implements io.Closer.
-func (b *unbufferedBody) Close() error {
-	if b.closed {
-		return nil
-	}
-	b.closed = true
-	err := b.ReadCloser.Close()
-	b.finish(b.eof, b.readErr)
-	return err
-}
