Send no health checks to servers of an evacuated failure domain

Cause: a broken connection made the router send a check although nothing new may reach the server; found in review. Change: checks wait until the server gets new work again, when one is sent in any case. TestRelayReplyCarriesAll covers the fraction too; two comments are wrapped. Result: TestNoHealthCheckDuringEvacuation fails before and passes after.

--- a/control/assembler/assembler.go
+++ b/control/assembler/assembler.go
@@ -45,8 +45,8 @@
 	// set.
 	Metrics *metrics.Set
 	// OperatorHandler returns an HTTP handler through which operators replace whole
-	// configurations and commit other changes. It serves all paths except /v1, /metrics and /health. If
-	// nil, the handler of /v1 serves these paths too.
+	// configurations and commit other changes. It serves all paths except /v1, /metrics
+	// and /health. If nil, the handler of /v1 serves these paths too.
 	OperatorHandler func(configurations *configurer.Configurer, changes *proposer.Proposer) http.Handler
 }
 
--- a/control/balancer/evacuation.go
+++ b/control/balancer/evacuation.go
@@ -14,7 +14,8 @@
 // Each range that moves makes its requests wait for the handover and delivers them to the
 // new owner together. When all ranges of a domain move at once, all its requests wait at
 // the same time and arrive within one heartbeat. In steps, the other servers work off the
-// requests of one part before the next arrives. The hottest ranges are in different steps; a range with more than half of a step's load is split.
+// requests of one part before the next arrives. The hottest ranges are in different steps;
+// a range with more than half of a step's load is split.
 //
 // Ranges of draining servers are left to [Drain]. Nothing moves while no server accepts
 // ranges.
--- a/kernel/messenger/messenger_test.go
+++ b/kernel/messenger/messenger_test.go
@@ -128,7 +128,7 @@
 }
 
 func TestRelayReplyCarriesAll(t *testing.T) {
-	response := messenger.RelayResponse{ID: "7", Outcome: messenger.OutcomeDone, Leaving: true, Load: messenger.ServerWork{Slots: 6, Limit: 8.5, LimitWait: time.Second}}
+	response := messenger.RelayResponse{ID: "7", Outcome: messenger.OutcomeDone, Leaving: true, Load: messenger.ServerWork{Slots: 6, Limit: 8.5, LimitWait: time.Second, Fraction: 0.25}}
 	var data bytes.Buffer
 	encoder := msgpack.NewEncoder(&data)
 	encoder.UseArrayEncodedStructs(true)
--- a/router/assembler/routed_cold.go
+++ b/router/assembler/routed_cold.go
@@ -216,11 +216,11 @@
 	return target, left
 }
 
-// target returns where to send a health check, nil if the server or its path is unknown,
-// or no check is of use.
+// target returns where to send a health check, nil if the server or its path is unknown, no
+// check is of use, or the server gets no new work. The caller holds mu.
 func (w *coldWatch) target() *checkTarget {
 	service, view := w.options.Service(), w.options.View()
-	if service == nil || service.ColdRate <= 0 || service.Health == "" || view.Row == nil || view.State == messenger.ServerDown {
+	if w.leaving || service == nil || service.ColdRate <= 0 || service.Health == "" || view.Row == nil || view.State == messenger.ServerDown {
 		return nil
 	}
 	return &checkTarget{address: view.Row.URL, path: service.Health, server: view.Row.Name}
--- a/router/assembler/routed_cold_test.go
+++ b/router/assembler/routed_cold_test.go
@@ -318,6 +318,23 @@
 	}
 }
 
+// Guards against health checks of a server whose failure domain is evacuated: nothing new
+// may reach it before the withdrawal.
+func TestNoHealthCheckDuringEvacuation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newColdHarness(t, coldRate, false)
+		time.Sleep(2 * time.Second)
+		h.setLeaving(true)
+		h.backend.setSilent(false)
+		h.watch.happened(warmer.ConnectionBroken)
+		time.Sleep(5 * time.Second)
+		qt.Check(t, h.backend.checks, qt.HasLen, 0)
+		h.setLeaving(false)
+		time.Sleep(time.Second)
+		qt.Check(t, h.backend.checks, qt.HasLen, 1)
+	})
+}
+
 // A service without a rate must be served as before: no check, no bound, the row as it was
 // announced.
 func TestNoRateNoEffect(t *testing.T) {
