Charge bodies of callers on the VM to the inbound link again

Cause: since only traffic that leaves the VM counts on its link, so many large bodies were invited that other requests missed their aims. Change: the inbound link counts all that is received, as before; what is sent within the VM stays uncounted.

--- a/router/inviter/network.go
+++ b/router/inviter/network.go
@@ -7,8 +7,9 @@
 	"marigoldhill/kernel/networker"
 )
 
-// Network is a network whose connections charge the bytes that they receive to a Link.
-// Connections within the VM do not use the link and are not charged.
+// Network is a network whose connections charge the bytes that they receive to a Link, those
+// within the VM too: without them, so many large bodies are invited that the requests
+// behind them miss their aims.
 type Network struct {
 	inner networker.Network
 	link  *Link
@@ -39,9 +40,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if networker.IsLocal(wrapped) {
-		return wrapped, nil
-	}
 	return &conn{Conn: wrapped, link: n.link}, nil
 }
 
@@ -56,9 +54,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if networker.IsLocal(wrapped) {
-		return wrapped, nil
-	}
 	return &conn{Conn: wrapped, link: l.link}, nil
 }
 
