Measure a kind of request that is refused for its expected cost

Cause: a router that has just started takes 100 ms for the cost of a route without samples. Calls with an aim of 120 ms were refused by a full server whenever they had to wait, so none ran and the cost was never measured: 4 s after the restart of all routers 1,100 runs of other servers had failed with their calls. Change: a job that is refused for its expected cost alone is admitted if its kind has no sample of the last second and no other job of the kind is running or waiting.

--- a/router/queuer/prediction.go
+++ b/router/queuer/prediction.go
@@ -18,7 +18,8 @@
 	if limitWait := q.expectedLimitWait(now, entry); limitWait > expectedWait {
 		reason, expectedWait, cold = messenger.ReasonLimit, limitWait, q.isColdLimit(now, q.countAhead(entry))
 	}
-	if len(q.waiting) >= maxWaitingPerSlot*q.slots || now+expectedWait+entry.cost > entry.latest() {
+	isTooLate := now+expectedWait+entry.cost > entry.latest() && !q.isTrial(now, expectedWait, entry)
+	if len(q.waiting) >= maxWaitingPerSlot*q.slots || isTooLate {
 		return &Refusal{Reason: reason, RetryAfter: q.retryAfter(now, entry.Job, expectedWait+entry.cost), Cold: cold}
 	}
 	return entry.CheckDelay(now, expectedWait, entry.cost)
--- a/router/queuer/queue.go
+++ b/router/queuer/queue.go
@@ -86,6 +86,8 @@
 	running map[*Entry]struct{}
 	waiting []*Entry
 	costs   map[string]time.Duration
+	// measured is when the cost of each kind was last updated.
+	measured map[string]time.Duration
 	// aims is the longest time from arrival to aim per kind. Retries of refused
 	// requests arrive with less time left.
 	aims    map[string]time.Duration
@@ -100,7 +102,7 @@
 
 // NewQueue returns a Queue for a backend server with the given number of slots.
 func NewQueue(slots int) *Queue {
-	return &Queue{slots: slots, running: make(map[*Entry]struct{}), costs: make(map[string]time.Duration), aims: make(map[string]time.Duration), offered: make(map[int]*offeredLoad), totals: make(map[string]*KindTotals)}
+	return &Queue{slots: slots, running: make(map[*Entry]struct{}), costs: make(map[string]time.Duration), measured: make(map[string]time.Duration), aims: make(map[string]time.Duration), offered: make(map[int]*offeredLoad), totals: make(map[string]*KindTotals)}
 }
 
 // Refusal is the reason why a job was refused and the delay after which to retry.
@@ -216,6 +218,7 @@
 	q.countEnd(now, entry, served)
 	if elapsed := now - entry.started; served || elapsed > q.Cost(entry.Kind) {
 		q.updateCost(entry.Kind, elapsed)
+		q.measured[entry.Kind] = now
 	}
 	return q.StartWaiting(now)
 }
