Let calls of backend servers go before other requests of their rank

Cause: a call that a full server refuses fails the run that waits for it, after the run took its slot. Calls were refused when they could not meet their aim, as if their caller could come back. Change: an owner takes the requests of a route for calls if nearly all come from routers of one service while other routes are used at several (router/attributor).

--- a/router/queuer/prediction.go
+++ b/router/queuer/prediction.go
@@ -27,7 +27,7 @@
 
 // latest returns when a job must be expected to finish to be admitted.
 func (j Job) latest() time.Duration {
-	if j.Final {
+	if j.Final || j.Call {
 		return j.Deadline
 	}
 	return j.Aim
@@ -55,9 +55,9 @@
 			ahead += other.cost
 		}
 	}
-	// Jobs of lower ranks that arrive in the meantime run first as well.
+	// Jobs of lower ranks, and calls, that arrive in the meantime run first as well.
 	expectedWait := float64(max(nextFree, 0)) + float64(ahead)/float64(q.slots)
-	return time.Duration(expectedWait / (1 - q.urgentShare(now, entry.Rank)))
+	return time.Duration(expectedWait / q.availableShare(now, entry))
 }
 
 // expectedLimitWait predicts how long a job would wait for the limit, with the jobs ahead
@@ -81,9 +81,10 @@
 	return ahead
 }
 
-// isAheadOf reports whether a waiting job runs before another one that arrives.
+// isAheadOf reports whether a waiting job runs before another one that arrives. Calls and
+// other jobs of a rank share the slots, see [Queue.availableShare].
 func (e *Entry) isAheadOf(other *Entry) bool {
-	return e.Rank < other.Rank || (e.Rank == other.Rank && e.Aim <= other.Aim)
+	return e.Rank < other.Rank || (e.Rank == other.Rank && e.Call == other.Call && e.Aim <= other.Aim)
 }
 
 // retryAfter estimates when the queue will be short enough for a job like the refused
--- a/router/queuer/queue.go
+++ b/router/queuer/queue.go
@@ -66,6 +66,9 @@
 	// Final is set if the caller has no time left for a retry. Such a job is admitted if it
 	// can meet its deadline.
 	Final bool
+	// Call is set if a run at another server waits for the job. Such a job is admitted if it
+	// can meet its deadline, and mostly goes before others of its rank; see callTurns.
+	Call bool
 }
 
 // Entry is a waiting or running job.
@@ -90,10 +93,13 @@
 	measured map[string]time.Duration
 	// aims is the longest time from arrival to aim per kind. Retries of refused
 	// requests arrive with less time left.
-	aims    map[string]time.Duration
-	offered map[int]*offeredLoad
-	limiter limiter
-	window  window
+	aims map[string]time.Duration
+	// offered is the load by rank, offeredCalls that of calls in it.
+	offered      map[int]*offeredLoad
+	offeredCalls map[int]*offeredLoad
+	turns        callTurns
+	limiter      limiter
+	window       window
 	// coldStarts counts the jobs that started under the bound of window.
 	coldStarts uint64
 	// totals are the counters since the last call of TakeKindTotals.
@@ -102,7 +108,7 @@
 
 // NewQueue returns a Queue for a backend server with the given number of slots.
 func NewQueue(slots int) *Queue {
-	return &Queue{slots: slots, running: make(map[*Entry]struct{}), costs: make(map[string]time.Duration), measured: make(map[string]time.Duration), aims: make(map[string]time.Duration), offered: make(map[int]*offeredLoad), totals: make(map[string]*KindTotals)}
+	return &Queue{slots: slots, running: make(map[*Entry]struct{}), costs: make(map[string]time.Duration), measured: make(map[string]time.Duration), aims: make(map[string]time.Duration), offered: make(map[int]*offeredLoad), offeredCalls: make(map[int]*offeredLoad), totals: make(map[string]*KindTotals)}
 }
 
 // Refusal is the reason why a job was refused and the delay after which to retry.
@@ -182,6 +188,12 @@
 		q.offered[job.Rank] = new(offeredLoad)
 	}
 	q.offered[job.Rank].add(now, entry.cost)
+	if job.Call {
+		if q.offeredCalls[job.Rank] == nil {
+			q.offeredCalls[job.Rank] = new(offeredLoad)
+		}
+		q.offeredCalls[job.Rank].add(now, entry.cost)
+	}
 	q.aims[job.Kind] = max(q.aims[job.Kind], job.Aim-now)
 	if refusal := q.check(now, entry); refusal != nil {
 		q.kindTotals(job).Refused++
@@ -206,6 +218,7 @@
 	entry.running = true
 	q.count(now)
 	q.running[entry] = struct{}{}
+	q.turns.start(entry, q.slots)
 }
 
 // Done removes a running job and returns the jobs started in its place. The running
@@ -267,6 +280,9 @@
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
+	if a.Call != b.Call {
+		return a.Call == q.turns.prefersCalls()
+	}
 	aInTime, bInTime := now+a.cost <= a.Aim, now+b.cost <= b.Aim
 	if aInTime != bInTime {
 		return aInTime
@@ -286,7 +302,7 @@
 	}
 	var late []*Entry
 	q.waiting = slices.DeleteFunc(q.waiting, func(entry *Entry) bool {
-		displaced := inTime >= q.slots && now+entry.cost > entry.Aim
+		displaced := inTime >= q.slots && now+entry.cost > entry.Aim && !entry.Call
 		if now+entry.cost <= entry.Deadline && !displaced {
 			return false
 		}
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -16,6 +16,7 @@
 	"marigoldhill/kernel/pacer"
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/attendant"
+	"marigoldhill/router/attributor"
 	"marigoldhill/router/courier"
 	"marigoldhill/router/evacuator"
 	"marigoldhill/router/inviter"
@@ -94,12 +95,14 @@
 	options  OwnerOptions
 	duration *metrics.Histogram
 	link     *ownerLink
+	// origins tells which routes are calls of backend servers.
+	origins *attributor.Attributor
 	// held is how many bytes of bodies are in memory at most.
 	held atomic.Int64
 }
 
 func NewOwner(options OwnerOptions) *Owner {
-	return &Owner{options: options, link: newOwnerLink(options), duration: options.Metrics.GetOrCreateHistogram("marigold_backend_seconds")}
+	return &Owner{options: options, origins: attributor.New(), link: newOwnerLink(options), duration: options.Metrics.GetOrCreateHistogram("marigold_backend_seconds")}
 }
 
 // Handle serves a KindRelay or KindInvitedRelay stream of another router. It is a
@@ -169,6 +172,8 @@
 		Aim:      now + min(relay.Aim, relay.Left),
 		Deadline: now + relay.Left,
 	}
+	o.origins.Observe(now, relay.Route, relay.Caller)
+	job.Call = o.origins.IsCall(relay.Route)
 	job.Delay = link.arrive(job)
 	job.Final = relay.Left < finalTimeLeft && link.isBusy()
 	isRead := false
