Prefer smaller bodies while the link of a VM is overloaded

Cause: in the grown fleet of branch news the links of seven VMs receive uploads at up to twice their rate. Change: a body that has to wait must leave three times its own duration until its aim. Bodies that only this refuses have 0.15 of the link, and the time for which it was idle.

--- a/router/inviter/inviter.go
+++ b/router/inviter/inviter.go
@@ -12,6 +12,12 @@
 // arrive in time is refused at once, before any of its body was sent. All other bytes that
 // arrive are charged to the same account, so that bodies use what small requests leave.
 //
+// Under overload the smaller bodies are preferred, since more callers are served with the
+// same bytes: a body is accepted if the link would be free early enough for several of its
+// size. Bodies that only this rule refuses have a reserved share of the link and the time for
+// which it was idle, so that large ones are not excluded, and hardly any is refused for its
+// size while the link keeps up.
+//
 // # Usage
 //
 //	link := inviter.New(5.5e6 / 8)
@@ -32,6 +38,14 @@
 	// maxLead is how long before the link is free the next body is invited, so that the
 	// link is not idle while the invitation travels.
 	maxLead = 20 * time.Millisecond
+	// sizeWeight is how many times its own duration a body that has to wait must leave until
+	// its aim.
+	sizeWeight = 3
+	// largeShare is the share of the link reserved for bodies that sizeWeight refuses.
+	// maxLargeCredit is how much of it, and of the time for which the link was idle, is
+	// saved up.
+	largeShare     = 0.15
+	maxLargeCredit = time.Second
 	// minRetryAfter is the minimum delay after which a refused caller is asked to retry.
 	minRetryAfter = 50 * time.Millisecond
 )
@@ -61,11 +75,14 @@
 	mu sync.Mutex
 	// idleAt is when the link will have received all that is charged to it.
 	idleAt time.Duration
+	// largeCredit is the link time that is saved up for large bodies, as of creditedAt.
+	largeCredit time.Duration
+	creditedAt  time.Duration
 }
 
 // New returns a Link that receives rate bytes per second; 0 means no limit.
 func New(rate float64) *Link {
-	return &Link{rate: rate * usableShare, start: time.Now()}
+	return &Link{rate: rate * usableShare, start: time.Now(), largeCredit: maxLargeCredit}
 }
 
 // Now returns the time since the creation of the Link.
@@ -81,6 +98,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.updateLargeCredit(now)
 	start := max(l.idleAt, now)
 	end := start + l.duration(body.Bytes)
 	wait = max(start-now-maxLead, 0)
@@ -91,10 +109,34 @@
 	if end > latest {
 		return 0, &Refusal{RetryAfter: max(end-latest, minRetryAfter)}
 	}
+	if wait > 0 {
+		if excess := start + sizeWeight*l.duration(body.Bytes) - latest; excess > 0 && !l.takeLargeCredit(l.duration(body.Bytes)) {
+			return 0, &Refusal{RetryAfter: max(excess, minRetryAfter)}
+		}
+	}
 	l.idleAt = end
 	return wait, nil
 }
 
+// updateLargeCredit adds the share of the time since the last update, and the time for
+// which the link was idle. The caller holds mu.
+func (l *Link) updateLargeCredit(now time.Duration) {
+	share := time.Duration(largeShare * float64(now-l.creditedAt))
+	idle := max(now-max(l.idleAt, l.creditedAt), 0)
+	l.largeCredit = min(l.largeCredit+share+idle, maxLargeCredit)
+	l.creditedAt = now
+}
+
+// takeLargeCredit takes the duration of a body from the time that is saved up for large
+// bodies, if there is as much. The caller holds mu.
+func (l *Link) takeLargeCredit(duration time.Duration) bool {
+	if l.largeCredit < min(duration, maxLargeCredit) {
+		return false
+	}
+	l.largeCredit -= duration
+	return true
+}
+
 // Charge adds size bytes that have arrived. A negative size returns bytes of a reservation
 // that were also charged on arrival, or were not needed.
 func (l *Link) Charge(now time.Duration, size int64) {
@@ -103,6 +145,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.updateLargeCredit(now)
 	l.idleAt = max(l.idleAt, now) + l.duration(size)
 }
 
--- a/router/inviter/inviter_test.go
+++ b/router/inviter/inviter_test.go
@@ -16,6 +16,8 @@
 	ms = time.Millisecond
 	// linkRate is the rate of the link of a small VM in bytes per second.
 	linkRate = 5.5e6 / 8
+	// bigBytes is twice the median size of the large bodies.
+	bigBytes = 100_000
 )
 
 // arrival is a request whose body is sent over the receiving link of a VM.
@@ -42,8 +44,41 @@
 	return arrivals
 }
 
+// link accepts or refuses bodies. [inviter.Link] implements it.
+type link interface {
+	Reserve(now time.Duration, body inviter.Body) (time.Duration, *inviter.Refusal)
+	Charge(now time.Duration, size int64)
+}
+
+// fifoLink is a baseline: it accepts each body that arrives in time, whatever its size.
+type fifoLink struct{ idleAt time.Duration }
+
+func (f *fifoLink) Reserve(now time.Duration, body inviter.Body) (time.Duration, *inviter.Refusal) {
+	start := max(f.idleAt, now)
+	end := start + linkTime(body.Bytes)
+	if end > body.Aim {
+		return 0, &inviter.Refusal{}
+	}
+	f.idleAt = end
+	return start - now, nil
+}
+
+func (f *fifoLink) Charge(now time.Duration, size int64) {
+	f.idleAt = max(f.idleAt, now) + linkTime(size)
+}
+
+func linkTime(size int64) time.Duration {
+	return time.Duration(float64(size) / (0.92 * linkRate) * float64(time.Second))
+}
+
 // outcome is what became of a load.
 type outcome struct {
+	// biggest counts the bodies of at least bigBytes, biggestInTime those of them that
+	// arrived in time.
+	biggest       int
+	biggestInTime int
+	// waited is the sum of the times for which accepted bodies waited.
+	waited time.Duration
 	// smallDelays are how long small requests took to arrive.
 	smallDelays []time.Duration
 	large       int
@@ -58,7 +93,7 @@
 
 // simulate sends a load over a link that takes bytes in the order in which they were
 // sent. Without an inviter, every body is sent at once.
-func simulate(arrivals []arrival, link *inviter.Link, aim, deadline time.Duration) outcome {
+func simulate(arrivals []arrival, link link, aim, deadline time.Duration) outcome {
 	type transfer struct {
 		asked, sent time.Duration
 		arrival     arrival
@@ -69,6 +104,9 @@
 		sent := a.at
 		if a.large {
 			result.large++
+			if a.size >= bigBytes {
+				result.biggest++
+			}
 		}
 		if link != nil && !a.large {
 			link.Charge(a.at, a.size)
@@ -80,6 +118,7 @@
 				continue
 			}
 			sent += wait
+			result.waited += wait
 		}
 		transfers = append(transfers, transfer{asked: a.at, sent: sent, arrival: a})
 	}
@@ -93,6 +132,9 @@
 		}
 		if idleAt-t.asked <= aim {
 			result.inTime++
+			if t.arrival.size >= bigBytes {
+				result.biggestInTime++
+			}
 		}
 	}
 	return result
@@ -119,6 +161,32 @@
 	}
 }
 
+// Replays bodies of different sizes at more than the link takes. Guards against a link that
+// accepts bodies regardless of their size: its backlog is then always near the aim, so that
+// each body waits longest and fewer are served. Guards also against a link that never serves
+// large bodies.
+func TestSmallerBodiesArePreferredUnderOverload(t *testing.T) {
+	const (
+		aim, deadline = 860 * ms, 1860 * ms
+		// reservedPercent is the share of the link that is reserved for large bodies.
+		reservedPercent = 15
+	)
+	biggest, biggestInTime, sizedInTime, blindInTime := 0, 0, 0, 0
+	for seed := range uint64(10) {
+		arrivals := generateArrivals(seed, 14, 80)
+		sized := simulate(arrivals, inviter.New(linkRate), aim, deadline)
+		blind := simulate(arrivals, new(fifoLink), aim, deadline)
+		sizedWait, blindWait := sized.waited/time.Duration(sized.inTime), blind.waited/time.Duration(blind.inTime)
+		t.Logf("seed %d: %d of %d in time (large %d of %d) after %v; regardless of size %d (large %d) after %v", seed,
+			sized.inTime, sized.large, sized.biggestInTime, sized.biggest, sizedWait, blind.inTime, blind.biggestInTime, blindWait)
+		sizedInTime, blindInTime = sizedInTime+sized.inTime, blindInTime+blind.inTime
+		qt.Check(t, sizedWait < blindWait, qt.IsTrue, qt.Commentf("seed %d: %v, %v regardless of size", seed, sizedWait, blindWait))
+		biggest, biggestInTime = biggest+sized.biggest, biggestInTime+sized.biggestInTime
+	}
+	qt.Check(t, sizedInTime > blindInTime, qt.IsTrue, qt.Commentf("%d in time, %d regardless of size", sizedInTime, blindInTime))
+	qt.Check(t, 100*biggestInTime >= reservedPercent*biggest, qt.IsTrue, qt.Commentf("%d of %d large ones", biggestInTime, biggest))
+}
+
 // A load that the link takes is not refused.
 func TestLoadWithinTheLinkIsAccepted(t *testing.T) {
 	for seed := range uint64(10) {
