Ask all members of the control group for the leader at once

Cause: a member that knows no leader answers a heartbeat with a redirect to nobody, and the router asked the next member only at its next heartbeat, 300 ms later. After a power loss in which two replicas lost their disks, all 70 routers asked these two first, in step, and had no lease for 0.84 s after the election. Change: after such an answer the next member is asked at once, each member once an interval.

--- a/router/keeper/statemachine.go
+++ b/router/keeper/statemachine.go
@@ -205,7 +205,10 @@
 	case messenger.HeartbeatRedirect:
 		result.reason = "redirect"
 		if response.Leader == "" || response.Leader == pending.address {
+			// Only some members may know the leader, such as after the loss of several
+			// disks. All are asked at once, not one in each interval.
 			m.selectNextMember()
+			result.sendHeartbeat = m.attempts < len(m.members)
 			return result
 		}
 		m.leader = response.Leader
--- a/router/keeper/statemachine_test.go
+++ b/router/keeper/statemachine_test.go
@@ -143,6 +143,24 @@
 	qt.Assert(t, tried, qt.DeepEquals, []string{"a", "b", "c"})
 }
 
+// Guards against routers that take an interval for each member without a leader to name:
+// after a power loss in which replicas lost their disks, all routers had no lease for
+// 0.8 s after the election, as they asked the replicas that were not members yet.
+func TestMembersThatKnowNoLeaderAreSkipped(t *testing.T) {
+	machine := newStateMachine([]string{"a", "b", "c"}, messenger.Timing{})
+	machine.tick(at(0))
+	var tried []string
+	for {
+		attempt := machine.recordAttempt(at(0))
+		tried = append(tried, attempt.address)
+		response := &messenger.HeartbeatResponse{Status: messenger.HeartbeatRedirect}
+		if !machine.handleResponse(at(0), attempt.sequence, response).sendHeartbeat {
+			break
+		}
+	}
+	qt.Assert(t, tried, qt.DeepEquals, []string{"a", "b", "c"})
+}
+
 func TestRenewalKeepsDoneOpen(t *testing.T) {
 	granted := NewTestLease(7, at(0))
 	renewed := granted.successor(7, at(300*time.Millisecond))
