Rename package attendant to monitor

Cause: newcomers stop at a name that is not a usual term of the field. Change: the package that tracks the state of the backend server is called monitor; nothing else changes. Measured: builds and passes go vet.

--- a/bench/searcher/host_test.go
+++ b/bench/searcher/host_test.go
@@ -14,10 +14,10 @@
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/attendant"
 	"marigoldhill/router/holder"
 	"marigoldhill/router/keeper"
 	"marigoldhill/router/mapper"
+	"marigoldhill/router/monitor"
 )
 
 // host is a VM with a router and a backend server. world.mu guards it.
@@ -53,7 +53,7 @@
 	log         *logger.Log
 	pool        *linker.Pool
 	mapper      *mapper.Mapper
-	server      *attendant.Attendant
+	server      *monitor.Monitor
 	keeper      *keeper.Keeper
 	holder      *holder.Holder
 	handingOver atomic.Bool
@@ -101,7 +101,7 @@
 	p.log = logger.New(traceWriter{p}, logger.FormatText, "router", h.name)
 	hello := messenger.Hello{Cluster: "search", Version: messenger.Version, Role: messenger.RoleRouter, Name: h.name}
 	p.pool = linker.NewPool(w.network.Node(h.name), linker.Options{Hello: hello})
-	p.server = attendant.New(attendant.Options{
+	p.server = monitor.New(monitor.Options{
 		Address:     h.address,
 		OnChange:    p.serverChanged,
 		IsConnected: p.isConnected,
@@ -225,7 +225,7 @@
 	return p.keeper.Lease()
 }
 
-func (p *process) serverChanged(*attendant.View) {
+func (p *process) serverChanged(*monitor.View) {
 	p.updateRanges()
 	p.keeper.RequestHeartbeat()
 }
--- a/bench/searcher/world_test.go
+++ b/bench/searcher/world_test.go
@@ -12,8 +12,8 @@
 	"marigoldhill/kernel/disrupter"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/attendant"
 	"marigoldhill/router/holder"
+	"marigoldhill/router/monitor"
 )
 
 const (
@@ -482,7 +482,7 @@
 func (w *world) sendAnnouncement(s *server) {
 	h := s.host
 	s.sequence++
-	announcement := attendant.Announcement{Row: s.row(), Sequence: s.sequence, Leaving: s.draining}
+	announcement := monitor.Announcement{Row: s.row(), Sequence: s.sequence, Leaving: s.draining}
 	delay, copies := time.Duration(h.announce.IntN(3))*time.Millisecond, 1
 	if w.isDisturbed() {
 		switch h.announce.IntN(12) {
@@ -503,7 +503,7 @@
 	}
 }
 
-func (w *world) deliverAnnouncement(s *server, announcement attendant.Announcement) {
+func (w *world) deliverAnnouncement(s *server, announcement monitor.Announcement) {
 	w.mu.Lock()
 	p, up := s.host.process, s.up
 	w.mu.Unlock()
@@ -523,7 +523,7 @@
 	w.trace(s.host.number, "%s ends", s)
 	if s.host.announce.IntN(3) == 0 {
 		s.sequence++
-		announcement := attendant.Announcement{Row: s.row(), Sequence: s.sequence, Leaving: s.draining}
+		announcement := monitor.Announcement{Row: s.row(), Sequence: s.sequence, Leaving: s.draining}
 		delay := time.Duration(s.host.announce.IntN(5000)) * time.Millisecond
 		go func() {
 			if w.sleep(delay) {
--- a/router/announcer/routed.go
+++ b/router/announcer/routed.go
@@ -10,7 +10,7 @@
 
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/attendant"
+	"marigoldhill/router/monitor"
 )
 
 // attended is the body of an announcement to a router that serves the routes of a
@@ -43,7 +43,7 @@
 
 // NewRoutedHandler returns the HTTP handler for announcements to a router in routed
 // mode. rangeCount returns the number of key ranges that the backend server holds.
-func NewRoutedHandler(router string, server *attendant.Attendant, rangeCount func() int) http.Handler {
+func NewRoutedHandler(router string, server *monitor.Monitor, rangeCount func() int) http.Handler {
 	response := func() messenger.AnnounceResponse {
 		return messenger.AnnounceResponse{Router: router, State: server.View().State, Ranges: rangeCount()}
 	}
@@ -60,7 +60,7 @@
 		}
 		announcement.URL = strings.TrimSuffix(strings.TrimPrefix(announcement.URL, "http://"), "/")
 		left, _ := announcement.coldLeft() // validated
-		server.Announce(timer.Now(), attendant.Announcement{Row: announcement.ServerRow, Sequence: announcement.Sequence, ColdLeft: left})
+		server.Announce(timer.Now(), monitor.Announcement{Row: announcement.ServerRow, Sequence: announcement.Sequence, ColdLeft: left})
 		return call.JSON(http.StatusOK, response())
 	})
 	handler.DELETE(messenger.PathAnnounce, func(call echo.Context) error {
--- a/router/announcer/routed_test.go
+++ b/router/announcer/routed_test.go
@@ -12,7 +12,7 @@
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/router/announcer"
-	"marigoldhill/router/attendant"
+	"marigoldhill/router/monitor"
 )
 
 // Guards against an announcement that is taken for one of a warm server because it does not
@@ -33,10 +33,10 @@
 		{name: "below 0", fields: `"coldleft":"-1s"`, status: http.StatusBadRequest},
 	}
 	for _, test := range tests {
-		var got []attendant.Announcement
-		server := attendant.New(attendant.Options{
-			Address: "127.0.0.1:9001", OnChange: func(*attendant.View) {}, Log: logger.Discard(),
-			OnAnnounced: func(announcement attendant.Announcement) { got = append(got, announcement) },
+		var got []monitor.Announcement
+		server := monitor.New(monitor.Options{
+			Address: "127.0.0.1:9001", OnChange: func(*monitor.View) {}, Log: logger.Discard(),
+			OnAnnounced: func(announcement monitor.Announcement) { got = append(got, announcement) },
 		})
 		handler := announcer.NewRoutedHandler("r1", server, func() int { return 0 })
 		body := `{"name":"d1","service":"findings","url":"http://127.0.0.1:9001","slots":6,"born":5,"sequence":1,` + test.fields + `}`
--- a/router/assembler/assembler.go
+++ b/router/assembler/assembler.go
@@ -6,7 +6,7 @@
 //     locator and recorder implement this mode.
 //   - In routed mode, [Routed], it serves the routes of a configuration, whose services
 //     may be partitioned by ranges of keys. Packages relayer, queuer, courier,
-//     attendant, budgeter, sampler, chooser, mapper and holder implement this mode.
+//     monitor, budgeter, sampler, chooser, mapper and holder implement this mode.
 //
 // Packages keeper, granter and listener are used in both modes.
 //
--- a/router/assembler/evacuation_test.go
+++ b/router/assembler/evacuation_test.go
@@ -12,7 +12,7 @@
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/attendant"
+	"marigoldhill/router/monitor"
 )
 
 // evacuationDelta evacuates the failure domain a, or withdraws that.
@@ -27,7 +27,7 @@
 			Name: "r1", Domain: "a", Service: "findings", Server: "r1:9000", Peer: "r1:7001", ControlPeers: []string{"c1:7000"}, Grace: time.Second,
 		}, RoutedOptions{Network: disrupter.New(0).Node("r1"), Log: logger.Discard()})
 		qt.Assert(t, err, qt.IsNil)
-		p.server.Announce(timer.Now(), attendant.Announcement{Row: messenger.ServerRow{Name: "s1", Service: "findings", URL: "r1:9000", Slots: 1, Born: 1}})
+		p.server.Announce(timer.Now(), monitor.Announcement{Row: messenger.ServerRow{Name: "s1", Service: "findings", URL: "r1:9000", Slots: 1, Born: 1}})
 		run := func() messenger.Reason {
 			response, _ := p.owner.Run(t.Context(), &messenger.Relay{Service: "findings", Key: messenger.NoKey, Left: time.Second, Aim: time.Second}, nil)
 			return response.Reason
--- a/router/assembler/link_test.go
+++ b/router/assembler/link_test.go
@@ -13,7 +13,7 @@
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/attendant"
+	"marigoldhill/router/monitor"
 )
 
 // Guards against key ranges that move to, or stay at, a server whose VM has a full link: its
@@ -42,7 +42,7 @@
 				}, RoutedOptions{Network: network.Node("r1"), Log: logger.Discard()})
 				qt.Assert(t, err, qt.IsNil)
 				stop := serveAnswers(t, network, answerSize)
-				p.server.Announce(timer.Now(), attendant.Announcement{Row: messenger.ServerRow{Name: "d1", Service: "findings", URL: "r1:9000", Slots: 6, Born: 1}})
+				p.server.Announce(timer.Now(), monitor.Announcement{Row: messenger.ServerRow{Name: "d1", Service: "findings", URL: "r1:9000", Slots: 6, Born: 1}})
 				caller, err := p.pacedNetwork.Dial(t.Context(), "e1:80")
 				qt.Assert(t, err, qt.IsNil)
 				answered := 0
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -16,7 +16,6 @@
 	"marigoldhill/kernel/pacer"
 	"marigoldhill/kernel/registrar"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/attendant"
 	"marigoldhill/router/budgeter"
 	"marigoldhill/router/courier"
 	"marigoldhill/router/evacuator"
@@ -27,6 +26,7 @@
 	"marigoldhill/router/keeper"
 	"marigoldhill/router/listener"
 	"marigoldhill/router/mapper"
+	"marigoldhill/router/monitor"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
 	"marigoldhill/router/reporter"
@@ -77,7 +77,7 @@
 	// Callers and Backend return the HTTP handlers for callers and for announcements
 	// of the backend server; nil means the default interfaces.
 	Callers func(entry *relayer.Entry) http.Handler
-	Backend func(server *attendant.Attendant) http.Handler
+	Backend func(server *monitor.Monitor) http.Handler
 	// Reload reads the settings again; nil when they never change.
 	Reload func() (*RoutedSettings, error)
 }
@@ -95,7 +95,7 @@
 	cancelKeeper context.CancelFunc
 
 	mapper    *mapper.Mapper
-	server    *attendant.Attendant
+	server    *monitor.Monitor
 	admission *queuer.Admission
 	cold      *coldWatch
 	backend   *courier.Client
@@ -164,7 +164,7 @@
 	})
 	p.sampler = sampler.New()
 	rangeClient := granter.NewRangeClient(options.Network, *options.RangeProtocol, func() { p.server.DialRefused(timer.Now()) })
-	p.server = attendant.New(attendant.Options{
+	p.server = monitor.New(monitor.Options{
 		Address:     p.settings.Server,
 		OnChange:    p.serverChanged,
 		IsConnected: func() bool { return rangeClient.IsConnected() || p.backend.IsConnected() },
--- a/router/assembler/routed_cold.go
+++ b/router/assembler/routed_cold.go
@@ -9,8 +9,8 @@
 
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
-	"marigoldhill/router/attendant"
 	"marigoldhill/router/mapper"
+	"marigoldhill/router/monitor"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
 	"marigoldhill/router/warmer"
@@ -33,7 +33,7 @@
 	Admission *queuer.Admission
 	// View returns the state of the server, Service its service in the configuration, nil
 	// if there is none.
-	View    func() *attendant.View
+	View    func() *monitor.View
 	Service func() *messenger.RoutedService
 	// Check sends a health check; see [courier.Client.CheckHealth].
 	Check func(ctx context.Context, address, path, server string) (*time.Duration, error)
@@ -89,7 +89,7 @@
 }
 
 // announced records an announcement of the server.
-func (w *coldWatch) announced(announcement attendant.Announcement) {
+func (w *coldWatch) announced(announcement monitor.Announcement) {
 	if announcement.ColdLeft != nil {
 		w.change(func(now time.Duration) { w.warmer.Announced(now, *announcement.ColdLeft) })
 	}
@@ -258,7 +258,7 @@
 	return newColdWatch(coldOptions{
 		Settings:  p.settings.Cold,
 		Admission: p.admission,
-		View:      func() *attendant.View { return p.server.View() },
+		View:      func() *monitor.View { return p.server.View() },
 		Service: func() *messenger.RoutedService {
 			return p.mapper.Load().Configuration.Service(p.serviceName())
 		},
--- a/router/assembler/routed_cold_test.go
+++ b/router/assembler/routed_cold_test.go
@@ -16,11 +16,11 @@
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/attendant"
 	"marigoldhill/router/courier"
 	"marigoldhill/router/inviter"
 	"marigoldhill/router/isolator"
 	"marigoldhill/router/mapper"
+	"marigoldhill/router/monitor"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
 	"marigoldhill/router/warmer"
@@ -160,7 +160,7 @@
 	t        *testing.T
 	backend  *coldBackend
 	watch    *coldWatch
-	server   *attendant.Attendant
+	server   *monitor.Monitor
 	owner    *relayer.Owner
 	routes   *mapper.Mapper
 	revision uint64
@@ -178,16 +178,16 @@
 	admission, set := queuer.NewAdmission(13), metrics.NewSet()
 	h.watch = newColdWatch(coldOptions{
 		Settings: ColdSettings{Overage: 1.5, Slack: 8}, Admission: admission,
-		View: func() *attendant.View { return h.server.View() },
+		View: func() *monitor.View { return h.server.View() },
 		Service: func() *messenger.RoutedService {
 			return &messenger.RoutedService{Name: "findings", Health: "/health", Cold: coldTime, ColdRate: rate}
 		},
 		Check: h.backend.check, OnChange: func() {}, Log: logger.Discard(), Metrics: set,
 	})
 	born := int64(0)
-	h.server = attendant.New(attendant.Options{
+	h.server = monitor.New(monitor.Options{
 		Address: coldHost,
-		OnChange: func(view *attendant.View) {
+		OnChange: func(view *monitor.View) {
 			if view.Row.Born != born {
 				born = view.Row.Born
 				h.watch.happened(warmer.ServerStarted)
@@ -218,7 +218,7 @@
 // announce sends an announcement with the time left.
 func (h *coldHarness) announce(left time.Duration) {
 	h.sequence++
-	h.server.Announce(timer.Now(), attendant.Announcement{
+	h.server.Announce(timer.Now(), monitor.Announcement{
 		Row: messenger.ServerRow{Name: "s1", Service: "findings", URL: coldHost, Slots: 13, Born: 1}, Sequence: h.sequence, ColdLeft: &left,
 	})
 }
--- a/router/assembler/routed_evacuation_test.go
+++ b/router/assembler/routed_evacuation_test.go
@@ -17,9 +17,9 @@
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/attendant"
 	"marigoldhill/router/budgeter"
 	"marigoldhill/router/evacuator"
+	"marigoldhill/router/monitor"
 )
 
 // fakeGroup is a control group of one replica that knows one session and evacuations.
@@ -110,7 +110,7 @@
 	r.Routed, err = NewRouted(settings, RoutedOptions{Network: simulatedNetwork.Node("r1"), Log: logger.Discard(), Metrics: metrics.NewSet()})
 	qt.Assert(t, err, qt.IsNil)
 	announce := func(sequence uint64) {
-		r.server.Announce(timer.Now(), attendant.Announcement{
+		r.server.Announce(timer.Now(), monitor.Announcement{
 			Row: messenger.ServerRow{Name: "s1", Service: "findings", URL: "r1:9000", Slots: 1, Born: 1}, Sequence: sequence})
 	}
 	announce(1)
--- a/router/assembler/routed_interfaces.go
+++ b/router/assembler/routed_interfaces.go
@@ -5,9 +5,9 @@
 
 	"marigoldhill/router/acceptor"
 	"marigoldhill/router/announcer"
-	"marigoldhill/router/attendant"
 	"marigoldhill/router/dispatcher"
 	"marigoldhill/router/granter"
+	"marigoldhill/router/monitor"
 	"marigoldhill/router/relayer"
 )
 
@@ -25,7 +25,7 @@
 		options.Callers = func(entry *relayer.Entry) http.Handler { return acceptor.Routed(p.settings.Name, entry) }
 	}
 	if options.Backend == nil {
-		options.Backend = func(server *attendant.Attendant) http.Handler {
+		options.Backend = func(server *monitor.Monitor) http.Handler {
 			return announcer.NewRoutedHandler(p.settings.Name, server, p.holder.RangeCount)
 		}
 	}
--- a/router/assembler/routed_server.go
+++ b/router/assembler/routed_server.go
@@ -9,13 +9,13 @@
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/attendant"
+	"marigoldhill/router/monitor"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/warmer"
 )
 
 // serverChanged handles a change of the backend server.
-func (p *Routed) serverChanged(view *attendant.View) {
+func (p *Routed) serverChanged(view *monitor.View) {
 	if view.Row.Slots > 0 {
 		p.admission.SetSlots(view.Row.Slots)
 	}
--- a/router/attendant/attendant.go
+++ b/router/monitor/monitor.go
@@ -1,4 +1,4 @@
-// Package attendant tracks the backend server on the VM of the router: its
+// Package monitor tracks the backend server on the VM of the router: its
 // identity, its state and whether it accepts new requests.
 //
 // A server announces itself periodically. Announcements that arrive late, out of
@@ -9,11 +9,11 @@
 //
 // # Usage
 //
-//	server := attendant.New(attendant.Options{Address: "10.0.0.1:8080", OnChange: onChange, Log: log})
-//	server.Announce(timer.Now(), attendant.Announcement{Row: row, Sequence: 4})
+//	server := monitor.New(monitor.Options{Address: "10.0.0.1:8080", OnChange: onChange, Log: log})
+//	server.Announce(timer.Now(), monitor.Announcement{Row: row, Sequence: 4})
 //	view := server.View()
 //	if !view.Accepts(timer.Now(), ranged) { ... }
-package attendant
+package monitor
 
 import (
 	"sync"
@@ -79,7 +79,7 @@
 	return false
 }
 
-// Options are the dependencies of an Attendant.
+// Options are the dependencies of an Monitor.
 type Options struct {
 	// Address is the address that the server must announce, host:port.
 	Address string
@@ -97,8 +97,8 @@
 	Log         *logger.Log
 }
 
-// Attendant tracks one backend server. It is safe for concurrent use.
-type Attendant struct {
+// Monitor tracks one backend server. It is safe for concurrent use.
+type Monitor struct {
 	options Options
 	view    atomic.Pointer[View]
 
@@ -112,21 +112,21 @@
 	firstRefused  timer.Instant
 }
 
-// New returns an Attendant whose server is absent until it is announced.
-func New(options Options) *Attendant {
-	a := &Attendant{options: options}
+// New returns an Monitor whose server is absent until it is announced.
+func New(options Options) *Monitor {
+	a := &Monitor{options: options}
 	a.view.Store(&View{State: messenger.ServerAbsent})
 	return a
 }
 
 // View returns the current state of the server.
-func (a *Attendant) View() *View {
+func (a *Monitor) View() *View {
 	return a.view.Load()
 }
 
 // Announce applies an announcement. It returns false when the announcement was
 // ignored because it is late or does not name a server at Options.Address.
-func (a *Attendant) Announce(now timer.Instant, announcement Announcement) bool {
+func (a *Monitor) Announce(now timer.Instant, announcement Announcement) bool {
 	if announcement.Row.URL != a.options.Address || announcement.Row.Service == "" || announcement.Row.Name == "" {
 		a.logIgnored(announcement, "it names no server of this VM")
 		return false
@@ -161,13 +161,13 @@
 }
 
 // logIgnored logs an announcement that was ignored.
-func (a *Attendant) logIgnored(announcement Announcement, cause string) {
+func (a *Monitor) logIgnored(announcement Announcement, cause string) {
 	a.options.Log.Emit(logger.AnnouncementIgnored, "server", announcement.Row.Name, "service", announcement.Row.Service,
 		"address", announcement.Row.URL, "born", announcement.Row.Born, "sequence", announcement.Sequence, "cause", cause)
 }
 
 // supersedes reports whether an announcement is newer than the current state.
-func (a *Attendant) supersedes(before *View, announcement Announcement) bool {
+func (a *Monitor) supersedes(before *View, announcement Announcement) bool {
 	if announcement.Row.Born < a.withdrawnBorn || (announcement.Row.Born == a.withdrawnBorn && a.withdrawnBorn != 0) {
 		return false
 	}
@@ -182,7 +182,7 @@
 
 // Withdraw marks the server called name as leaving and ignores further
 // announcements of its current incarnation.
-func (a *Attendant) Withdraw(now timer.Instant, name string) {
+func (a *Monitor) Withdraw(now timer.Instant, name string) {
 	a.mu.Lock()
 	before := a.view.Load()
 	if before.Row == nil || before.Row.Name != name {
@@ -200,7 +200,7 @@
 
 // Leave marks a start of a server as leaving, as it said in a response. Unlike after
 // Withdraw, its announcements still count.
-func (a *Attendant) Leave(now timer.Instant, row *messenger.ServerRow) {
+func (a *Monitor) Leave(now timer.Instant, row *messenger.ServerRow) {
 	a.mu.Lock()
 	before := a.view.Load()
 	if before.Row == nil || before.Row.Name != row.Name || before.Row.Born != row.Born || before.State != messenger.ServerReady {
@@ -214,7 +214,7 @@
 }
 
 // DialRefused records a dial that the port of the server refused.
-func (a *Attendant) DialRefused(now timer.Instant) {
+func (a *Monitor) DialRefused(now timer.Instant) {
 	if a.options.OnRefused != nil {
 		a.options.OnRefused()
 	}
@@ -240,14 +240,14 @@
 
 // ResponseReceived resets the count of refused dials. It is called when the server
 // responded.
-func (a *Attendant) ResponseReceived() {
+func (a *Monitor) ResponseReceived() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refusedDials = 0
 }
 
 // Tick marks a ready server as frozen when its announcements have stopped.
-func (a *Attendant) Tick(now timer.Instant) {
+func (a *Monitor) Tick(now timer.Instant) {
 	a.mu.Lock()
 	before := a.view.Load()
 	if before.State != messenger.ServerReady || now.SinceMonotonic(a.lastAnnounced) < announcementTimeout {
@@ -261,7 +261,7 @@
 
 // publish stores a view, unlocks mu and reports the change, if any, to the log and
 // to Options.OnChange.
-func (a *Attendant) publish(before, after *View) {
+func (a *Monitor) publish(before, after *View) {
 	a.view.Store(after)
 	a.mu.Unlock()
 	if before.State == after.State && before.Row == after.Row {
--- a/router/attendant/attendant_test.go
+++ b/router/monitor/monitor_test.go
@@ -1,4 +1,4 @@
-package attendant_test
+package monitor_test
 
 import (
 	"testing"
@@ -9,7 +9,7 @@
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/attendant"
+	"marigoldhill/router/monitor"
 )
 
 const address = "10.0.0.1:8080"
@@ -19,16 +19,16 @@
 }
 
 type fixture struct {
-	*attendant.Attendant
+	*monitor.Monitor
 	downCalls int
 	connected bool
 }
 
 func newFixture() *fixture {
 	f := new(fixture)
-	f.Attendant = attendant.New(attendant.Options{
+	f.Monitor = monitor.New(monitor.Options{
 		Address: address,
-		OnChange: func(view *attendant.View) {
+		OnChange: func(view *monitor.View) {
 			if view.State == messenger.ServerDown {
 				f.downCalls++
 			}
@@ -39,14 +39,14 @@
 	return f
 }
 
-func announcement(name string, born int64, sequence uint64) attendant.Announcement {
-	return attendant.Announcement{
+func announcement(name string, born int64, sequence uint64) monitor.Announcement {
+	return monitor.Announcement{
 		Row:      messenger.ServerRow{Name: name, Service: "findings", URL: address, Slots: 6, Born: born},
 		Sequence: sequence,
 	}
 }
 
-func leaving(a attendant.Announcement) attendant.Announcement {
+func leaving(a monitor.Announcement) monitor.Announcement {
 	a.Leaving = true
 	return a
 }
@@ -56,7 +56,7 @@
 	foreign.Row.URL = "10.0.0.2:8080"
 	tests := []struct {
 		name         string
-		announcement attendant.Announcement
+		announcement monitor.Announcement
 		applied      bool
 		state        messenger.ServerState
 		born         int64
--- a/router/prober/prober.go
+++ b/router/prober/prober.go
@@ -3,7 +3,7 @@
 // The state is derived from announcements, probes of the health endpoint and the
 // outcomes of real requests, which take precedence. [StateMachine] makes the decisions. It
 // is owned by one goroutine; request handlers read an immutable [View]. In routed mode a
-// router uses package attendant instead.
+// router uses package monitor instead.
 //
 // # Usage
 //
--- a/router/relayer/entry_test.go
+++ b/router/relayer/entry_test.go
@@ -14,10 +14,10 @@
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/attendant"
 	"marigoldhill/router/budgeter"
 	"marigoldhill/router/courier"
 	"marigoldhill/router/mapper"
+	"marigoldhill/router/monitor"
 	"marigoldhill/router/relayer"
 )
 
@@ -289,7 +289,7 @@
 		// The announcement of a server that has just started stands for a router that has.
 		announce := func(born int64) {
 			row := messenger.ServerRow{Name: "s1", Service: "findings", URL: serverAddress, Slots: 1, Born: born}
-			o.server.Announce(timer.Now(), attendant.Announcement{Row: row, Sequence: 1})
+			o.server.Announce(timer.Now(), monitor.Announcement{Row: row, Sequence: 1})
 		}
 		announce(2)
 		time.Sleep(time.Second)
--- a/router/relayer/evacuation.go
+++ b/router/relayer/evacuation.go
@@ -5,13 +5,13 @@
 
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/attendant"
 	"marigoldhill/router/mapper"
+	"marigoldhill/router/monitor"
 )
 
 // admit is check with the evacuation of the failure domain. A request that the server may
 // run otherwise is held while the router may have missed an order.
-func (o *Owner) admit(ctx context.Context, started timer.Instant, relay *messenger.Relay) (*attendant.View, messenger.Reason) {
+func (o *Owner) admit(ctx context.Context, started timer.Instant, relay *messenger.Relay) (*monitor.View, messenger.Reason) {
 	now := timer.Now()
 	if _, reason := o.check(now, relay); reason != messenger.ReasonNone {
 		return nil, reason
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -15,12 +15,12 @@
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/pacer"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/attendant"
 	"marigoldhill/router/attributor"
 	"marigoldhill/router/courier"
 	"marigoldhill/router/evacuator"
 	"marigoldhill/router/inviter"
 	"marigoldhill/router/isolator"
+	"marigoldhill/router/monitor"
 	"marigoldhill/router/queuer"
 )
 
@@ -64,7 +64,7 @@
 
 // OwnerOptions are the dependencies of an Owner.
 type OwnerOptions struct {
-	Server     *attendant.Attendant
+	Server     *monitor.Monitor
 	KeyChecker KeyChecker
 	Admission  *queuer.Admission
 	Backend    Backend
@@ -243,7 +243,7 @@
 
 // check returns the state of the server beside this router if the server may run the
 // request now, else the reason for refusing it.
-func (o *Owner) check(now timer.Instant, relay *messenger.Relay) (*attendant.View, messenger.Reason) {
+func (o *Owner) check(now timer.Instant, relay *messenger.Relay) (*monitor.View, messenger.Reason) {
 	view := o.options.Server.View()
 	ranged := relay.Key != messenger.NoKey
 	switch {
--- a/router/relayer/owner_link_test.go
+++ b/router/relayer/owner_link_test.go
@@ -20,10 +20,10 @@
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/pacer"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/attendant"
 	"marigoldhill/router/courier"
 	"marigoldhill/router/inviter"
 	"marigoldhill/router/isolator"
+	"marigoldhill/router/monitor"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
 )
@@ -52,8 +52,8 @@
 func newLinkOwner(outbound *pacer.Bucket) *linkOwner {
 	o := &linkOwner{metrics: metrics.NewSet(), lines: new(bytes.Buffer)}
 	o.log = logger.New(o.lines, logger.FormatJSON, "router", "r1")
-	server := attendant.New(attendant.Options{Address: serverAddress, OnChange: func(*attendant.View) {}, IsConnected: func() bool { return false }, Log: o.log})
-	server.Announce(timer.Now(), attendant.Announcement{Row: messenger.ServerRow{Name: "s1", Service: "findings", URL: serverAddress, Slots: 6, Born: 1}})
+	server := monitor.New(monitor.Options{Address: serverAddress, OnChange: func(*monitor.View) {}, IsConnected: func() bool { return false }, Log: o.log})
+	server.Announce(timer.Now(), monitor.Announcement{Row: messenger.ServerRow{Name: "s1", Service: "findings", URL: serverAddress, Slots: 6, Born: 1}})
 	o.Owner = relayer.NewOwner(relayer.OwnerOptions{
 		Server: server, KeyChecker: &fakeKeys{}, Admission: queuer.NewAdmission(6), Sampler: discardingSampler{},
 		Backend: &fakeBackend{run: func(context.Context) courier.Result {
--- a/router/relayer/owner_send.go
+++ b/router/relayer/owner_send.go
@@ -95,7 +95,7 @@
 }
 
 // isServerFailure reports whether a result without an answer counts as a failure of
-// the server. Refused connections do not count, since the attendant handles a server
+// the server. Refused connections do not count, since the monitor handles a server
 // that is gone, nor do canceled requests and deadlines that passed before the request
 // was sent.
 func isServerFailure(result courier.Result) bool {
--- a/router/relayer/owner_test.go
+++ b/router/relayer/owner_test.go
@@ -18,10 +18,10 @@
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/attendant"
 	"marigoldhill/router/courier"
 	"marigoldhill/router/inviter"
 	"marigoldhill/router/isolator"
+	"marigoldhill/router/monitor"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
 )
@@ -73,7 +73,7 @@
 	backend   *fakeBackend
 	keys      *fakeKeys
 	sampler   *fakeSampler
-	server    *attendant.Attendant
+	server    *monitor.Monitor
 	admission *queuer.Admission
 	isolation *isolator.Isolator
 	// quarantined is OwnerOptions.IsQuarantined, if it is set.
@@ -94,8 +94,8 @@
 // newTestOwnerWith returns a testOwner with a backend of another kind.
 func newTestOwnerWith(backend relayer.Backend) *testOwner {
 	o := &testOwner{keys: &fakeKeys{}, sampler: &fakeSampler{}, admission: queuer.NewAdmission(1), isolation: isolator.New()}
-	o.server = attendant.New(attendant.Options{Address: serverAddress, OnChange: func(*attendant.View) {}, IsConnected: func() bool { return false }, Log: logger.Discard()})
-	o.server.Announce(timer.Now(), attendant.Announcement{Row: messenger.ServerRow{Name: "s1", Service: "findings", URL: serverAddress, Slots: 1, Born: 1}})
+	o.server = monitor.New(monitor.Options{Address: serverAddress, OnChange: func(*monitor.View) {}, IsConnected: func() bool { return false }, Log: logger.Discard()})
+	o.server.Announce(timer.Now(), monitor.Announcement{Row: messenger.ServerRow{Name: "s1", Service: "findings", URL: serverAddress, Slots: 1, Born: 1}})
 	o.Owner = relayer.NewOwner(relayer.OwnerOptions{
 		Server: o.server, KeyChecker: o.keys, Admission: o.admission, Backend: backend, Sampler: o.sampler,
 		Isolator: o.isolation, Detector: fakeDetector{},
