Rename package courier to requester

Cause: newcomers stop at a name that is not a usual term of the field. Change: the HTTP client for the backend server is called requester, like the one of the command line; nothing else changes.

--- a/router/assembler/assembler.go
+++ b/router/assembler/assembler.go
@@ -5,7 +5,7 @@
 //     Packages forwarder, executor, admitter, dispatcher, prober, retrier, tallier,
 //     locator and recorder implement this mode.
 //   - In routed mode, [Routed], it serves the routes of a configuration, whose services
-//     may be partitioned by ranges of keys. Packages relayer, queuer, courier,
+//     may be partitioned by ranges of keys. Packages relayer, queuer, requester,
 //     monitor, budgeter, sampler, chooser, mapper and holder implement this mode.
 //
 // Packages keeper, granter and listener are used in both modes.
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -17,7 +17,6 @@
 	"marigoldhill/kernel/registrar"
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/budgeter"
-	"marigoldhill/router/courier"
 	"marigoldhill/router/evacuator"
 	"marigoldhill/router/granter"
 	"marigoldhill/router/holder"
@@ -30,6 +29,7 @@
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
 	"marigoldhill/router/reporter"
+	"marigoldhill/router/requester"
 	"marigoldhill/router/sampler"
 	"marigoldhill/router/warmer"
 )
@@ -72,7 +72,7 @@
 	Metrics *metrics.Set
 	// HeaderCodec and RangeProtocol define the protocols for requests to the backend
 	// server and for grants of key ranges; nil means the default protocols.
-	HeaderCodec   courier.HeaderCodec
+	HeaderCodec   requester.HeaderCodec
 	RangeProtocol *granter.RangeProtocol
 	// Callers and Backend return the HTTP handlers for callers and for announcements
 	// of the backend server; nil means the default interfaces.
@@ -98,7 +98,7 @@
 	server    *monitor.Monitor
 	admission *queuer.Admission
 	cold      *coldWatch
-	backend   *courier.Client
+	backend   *requester.Client
 	holder    *holder.Holder
 	// rangesMu makes each update of the holder a step of its own: one that reads the map
 	// and the server before another one, and passes them on after it, would grant ranges
@@ -156,7 +156,7 @@
 	p.mapper = mapper.New()
 	p.admission = queuer.NewAdmission(0)
 	p.cold = p.newColdWatch()
-	p.backend = courier.New(courier.Options{
+	p.backend = requester.New(requester.Options{
 		Network:     options.Network,
 		HeaderCodec: options.HeaderCodec,
 		Metrics:     options.Metrics,
--- a/router/assembler/routed_cold.go
+++ b/router/assembler/routed_cold.go
@@ -35,7 +35,7 @@
 	// if there is none.
 	View    func() *monitor.View
 	Service func() *messenger.RoutedService
-	// Check sends a health check; see [courier.Client.CheckHealth].
+	// Check sends a health check; see [requester.Client.CheckHealth].
 	Check func(ctx context.Context, address, path, server string) (*time.Duration, error)
 	// OnChange is called when the server has become cold or warm. It must not block.
 	OnChange func()
--- a/router/assembler/routed_cold_test.go
+++ b/router/assembler/routed_cold_test.go
@@ -16,13 +16,13 @@
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/courier"
 	"marigoldhill/router/inviter"
 	"marigoldhill/router/isolator"
 	"marigoldhill/router/mapper"
 	"marigoldhill/router/monitor"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
+	"marigoldhill/router/requester"
 	"marigoldhill/router/warmer"
 )
 
@@ -50,7 +50,7 @@
 }
 
 // Send implements [relayer.Backend].
-func (b *coldBackend) Send(ctx context.Context, _ string, serverRequest *courier.ServerRequest, _ io.Reader) courier.Result {
+func (b *coldBackend) Send(ctx context.Context, _ string, serverRequest *requester.ServerRequest, _ io.Reader) requester.Result {
 	b.mu.Lock()
 	now, broken := time.Now(), b.broken
 	work := 160 * time.Millisecond
@@ -63,11 +63,11 @@
 	select {
 	case <-time.After(work):
 		body := io.NopCloser(http.NoBody)
-		return courier.Result{Outcome: messenger.OutcomeDone, Sent: true, Status: http.StatusOK, Header: http.Header{}, Body: body, ResponseInfo: courier.ResponseInfo{ID: serverRequest.Relay.ID}}
+		return requester.Result{Outcome: messenger.OutcomeDone, Sent: true, Status: http.StatusOK, Header: http.Header{}, Body: body, ResponseInfo: requester.ResponseInfo{ID: serverRequest.Relay.ID}}
 	case <-broken:
-		return courier.Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonCrashed, Sent: true, Err: io.ErrUnexpectedEOF}
+		return requester.Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonCrashed, Sent: true, Err: io.ErrUnexpectedEOF}
 	case <-ctx.Done():
-		return courier.Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonExpired, Sent: true, Err: ctx.Err()}
+		return requester.Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonExpired, Sent: true, Err: ctx.Err()}
 	}
 }
 
--- a/router/dispatcher/dispatcher.go
+++ b/router/dispatcher/dispatcher.go
@@ -1,6 +1,6 @@
 // Package dispatcher sends requests to the backend server beside the router and
 // reports whether a request may have run. Package executor uses it in sharded mode; in
-// routed mode package relayer uses package courier, by default with the [HeaderCodec]
+// routed mode package relayer uses package requester, by default with the [HeaderCodec]
 // of this package.
 //
 // A request counts as not run only if no byte of it was handed to a connection, or
--- a/router/dispatcher/header_codec.go
+++ b/router/dispatcher/header_codec.go
@@ -5,17 +5,17 @@
 	"strconv"
 
 	"marigoldhill/kernel/messenger"
-	"marigoldhill/router/courier"
+	"marigoldhill/router/requester"
 )
 
 // HeaderCodec implements the Marigold header fields between a router and the backend
 // servers of a configuration; docs/BACKEND.md specifies them.
 type HeaderCodec struct{}
 
-var _ courier.HeaderCodec = HeaderCodec{}
+var _ requester.HeaderCodec = HeaderCodec{}
 
-// SetHeader implements [courier.HeaderCodec].
-func (HeaderCodec) SetHeader(header http.Header, serverRequest *courier.ServerRequest) {
+// SetHeader implements [requester.HeaderCodec].
+func (HeaderCodec) SetHeader(header http.Header, serverRequest *requester.ServerRequest) {
 	header[messenger.HeaderRequestNumber] = []string{serverRequest.Relay.ID}
 	header[messenger.HeaderDeadline] = []string{strconv.FormatInt(serverRequest.Deadline.UnixMilli(), 10)}
 	header[messenger.HeaderServer] = []string{serverRequest.Server}
@@ -27,15 +27,15 @@
 	}
 }
 
-// ParseHeader implements [courier.HeaderCodec].
-func (HeaderCodec) ParseHeader(_ int, header http.Header) courier.ResponseInfo {
+// ParseHeader implements [requester.HeaderCodec].
+func (HeaderCodec) ParseHeader(_ int, header http.Header) requester.ResponseInfo {
 	refusal := messenger.Refusal(header.Get(messenger.HeaderRefused))
-	return courier.ResponseInfo{
+	return requester.ResponseInfo{
 		ID:          header.Get(messenger.HeaderRequestNumber),
 		NotExecuted: refusal != "",
 		Misdirected: refusal == messenger.RefusalFence,
 		Leaving:     header.Get(messenger.HeaderLeaving) == "1",
-		Limit:       courier.ParseLimit(header.Get(messenger.HeaderLimit)),
-		ColdLeft:    courier.ParseMillis(header.Get(messenger.HeaderCold)),
+		Limit:       requester.ParseLimit(header.Get(messenger.HeaderLimit)),
+		ColdLeft:    requester.ParseMillis(header.Get(messenger.HeaderCold)),
 	}
 }
--- a/router/relayer/entry_test.go
+++ b/router/relayer/entry_test.go
@@ -15,10 +15,10 @@
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/budgeter"
-	"marigoldhill/router/courier"
 	"marigoldhill/router/mapper"
 	"marigoldhill/router/monitor"
 	"marigoldhill/router/relayer"
+	"marigoldhill/router/requester"
 )
 
 const ownSession = 7
@@ -94,7 +94,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				o := newTestOwner(func(context.Context) courier.Result { return doneResult(200, strings.NewReader("ok"), 2) })
+				o := newTestOwner(func(context.Context) requester.Result { return doneResult(200, strings.NewReader("ok"), 2) })
 				if test.released {
 					o.keys.set(messenger.ReasonMoving)
 				}
@@ -113,27 +113,27 @@
 // A request whose answer was lost is sent again only if it is idempotent, and only as
 // often as its route allows. A request that the server shed did not run.
 func TestEntryRetries(t *testing.T) {
-	lost := courier.Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonCrashed, Sent: true}
-	shed := courier.Result{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonShed, Sent: true}
+	lost := requester.Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonCrashed, Sent: true}
+	shed := requester.Result{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonShed, Sent: true}
 	tests := []struct {
 		name    string
 		path    string
-		results []courier.Result
+		results []requester.Result
 		want    messenger.Outcome
 		sent    int
 	}{
-		{name: "lost, idempotent", path: "/find/x", results: []courier.Result{lost}, want: messenger.OutcomeDone, sent: 2},
-		{name: "lost twice, idempotent", path: "/find/x", results: []courier.Result{lost, lost}, want: messenger.OutcomeUnknown, sent: 2},
-		{name: "lost, not idempotent", path: "/issue/x", results: []courier.Result{lost}, want: messenger.OutcomeUnknown, sent: 1},
-		{name: "shed twice, not idempotent", path: "/issue/x", results: []courier.Result{shed, shed}, want: messenger.OutcomeRefused, sent: 2},
-		{name: "lost, then shed", path: "/find/x", results: []courier.Result{lost, shed}, want: messenger.OutcomeUnknown, sent: 2},
+		{name: "lost, idempotent", path: "/find/x", results: []requester.Result{lost}, want: messenger.OutcomeDone, sent: 2},
+		{name: "lost twice, idempotent", path: "/find/x", results: []requester.Result{lost, lost}, want: messenger.OutcomeUnknown, sent: 2},
+		{name: "lost, not idempotent", path: "/issue/x", results: []requester.Result{lost}, want: messenger.OutcomeUnknown, sent: 1},
+		{name: "shed twice, not idempotent", path: "/issue/x", results: []requester.Result{shed, shed}, want: messenger.OutcomeRefused, sent: 2},
+		{name: "lost, then shed", path: "/find/x", results: []requester.Result{lost, shed}, want: messenger.OutcomeUnknown, sent: 2},
 		{name: "answered", path: "/issue/x", want: messenger.OutcomeDone, sent: 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				results := test.results
-				o := newTestOwner(func(context.Context) courier.Result {
+				o := newTestOwner(func(context.Context) requester.Result {
 					if len(results) == 0 {
 						return doneResult(200, strings.NewReader("ok"), 2)
 					}
@@ -159,7 +159,7 @@
 // A request for a moving key is sent to the new owner as soon as the map has it.
 func TestEntryWaitsForNewOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := newTestOwner(func(context.Context) courier.Result { return doneResult(200, strings.NewReader("ok"), 2) })
+		o := newTestOwner(func(context.Context) requester.Result { return doneResult(200, strings.NewReader("ok"), 2) })
 		o.keys.set(messenger.ReasonMoving)
 		entry, routes := newEntry(t, o, true)
 		time.AfterFunc(200*time.Millisecond, func() {
@@ -181,7 +181,7 @@
 // newer map.
 func TestEntryWaitsForDelayedOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := newTestOwner(func(context.Context) courier.Result { return doneResult(200, strings.NewReader("ok"), 2) })
+		o := newTestOwner(func(context.Context) requester.Result { return doneResult(200, strings.NewReader("ok"), 2) })
 		o.keys.set(messenger.ReasonMisrouted)
 		time.AfterFunc(150*time.Millisecond, func() { o.keys.set(messenger.ReasonNone) })
 		entry, _ := newEntry(t, o, true)
@@ -197,7 +197,7 @@
 // A moving key is served by its owner until the owner has released it.
 func TestEntryServesMovingKey(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := newTestOwner(func(context.Context) courier.Result { return doneResult(200, strings.NewReader("ok"), 2) })
+		o := newTestOwner(func(context.Context) requester.Result { return doneResult(200, strings.NewReader("ok"), 2) })
 		entry, _ := newEntry(t, o, true)
 		started := time.Now()
 		answer := entry.Serve(t.Context(), call("/issue/x", 250))
@@ -211,7 +211,7 @@
 func TestQuarantinedRequestDoesNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		run := make(chan struct{})
-		o := newTestOwner(func(context.Context) courier.Result {
+		o := newTestOwner(func(context.Context) requester.Result {
 			<-run
 			return doneResult(200, strings.NewReader("ok"), 2)
 		})
@@ -245,7 +245,7 @@
 
 // Copies of a request have one fingerprint whoever sends them, and other requests do not.
 func TestFingerprintsOfRequests(t *testing.T) {
-	o := newTestOwner(func(context.Context) courier.Result { return doneResult(200, strings.NewReader("ok"), 2) })
+	o := newTestOwner(func(context.Context) requester.Result { return doneResult(200, strings.NewReader("ok"), 2) })
 	entry, _ := newEntry(t, o, true)
 	fingerprint := func(change func(call *relayer.Call)) string {
 		c := call("/find/x", 7)
@@ -278,9 +278,9 @@
 // and entries sent it requests again.
 func TestEntryRemembersServersThatLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := newTestOwner(func(context.Context) courier.Result {
+		o := newTestOwner(func(context.Context) requester.Result {
 			result := doneResult(200, strings.NewReader("ok"), 2)
-			result.ResponseInfo = courier.ResponseInfo{ID: "1", Leaving: true}
+			result.ResponseInfo = requester.ResponseInfo{ID: "1", Leaving: true}
 			return result
 		})
 		entry, routes := newEntry(t, o, true)
--- a/router/relayer/evacuated_entry_test.go
+++ b/router/relayer/evacuated_entry_test.go
@@ -16,10 +16,10 @@
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/router/budgeter"
-	"marigoldhill/router/courier"
 	"marigoldhill/router/mapper"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
+	"marigoldhill/router/requester"
 )
 
 // threeDomains is an entry router in failure domain a and routers with servers of one
@@ -34,7 +34,7 @@
 
 // newThreeDomains starts the routers with an entry that knows of evacuations. run is the
 // server in each domain.
-func newThreeDomains(t *testing.T, isRanged bool, run func(domain string) courier.Result, evacuated ...string) *threeDomains {
+func newThreeDomains(t *testing.T, isRanged bool, run func(domain string) requester.Result, evacuated ...string) *threeDomains {
 	f := &threeDomains{routes: mapper.New(), owners: make(map[string]*domainOwner)}
 	simulatedNetwork := disrupter.New(time.Millisecond)
 	hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleRouter, Name: "r", Invites: true, Replies: true}
@@ -54,7 +54,7 @@
 		},
 	}
 	for n, domain := range []string{"a", "b", "c"} {
-		o := newConfirmedOwner(func(context.Context) courier.Result { return run(domain) })
+		o := newConfirmedOwner(func(context.Context) requester.Result { return run(domain) })
 		f.owners[domain] = o
 		server, err := linker.Listen(simulatedNetwork.Node(domain), domain+":1", linker.Options{Hello: hello, Handler: func(ctx context.Context, link *linker.Link, stream *linker.Stream) { o.Handle(ctx, link, stream) }})
 		qt.Assert(t, err, qt.IsNil)
@@ -101,7 +101,7 @@
 // Guards against callers' requests, among them those of servers, that fail because their
 // router is in an evacuated domain, and against requests and resends that reach its server.
 func TestRouterOfEvacuatedDomainSendsElsewhere(t *testing.T) {
-	lost := courier.Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonCrashed, Sent: true}
+	lost := requester.Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonCrashed, Sent: true}
 	tests := []struct {
 		name     string
 		isRanged bool
@@ -122,7 +122,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				isLost := test.isLost
-				f := newThreeDomains(t, test.isRanged, func(string) courier.Result {
+				f := newThreeDomains(t, test.isRanged, func(string) requester.Result {
 					if isLost {
 						isLost = false
 						return lost
@@ -145,7 +145,7 @@
 // Guards against requests for a key that are refused while the key moves out of the domain.
 func TestKeyMovesOutOfEvacuatedDomain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newThreeDomains(t, true, func(string) courier.Result { return done(t.Context()) }, "a")
+		f := newThreeDomains(t, true, func(string) requester.Result { return done(t.Context()) }, "a")
 		a := f.owners["a"]
 		a.order(false)
 		answer := f.serve(t, call("/find/x", 7))
@@ -188,7 +188,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newThreeDomains(t, test.isRanged, func(string) courier.Result { return done(t.Context()) }, test.evacuated...)
+				f := newThreeDomains(t, test.isRanged, func(string) requester.Result { return done(t.Context()) }, test.evacuated...)
 				for _, domain := range test.evacuated {
 					f.owners[domain].order(true)
 				}
@@ -225,7 +225,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newThreeDomains(t, false, func(string) courier.Result { return done(t.Context()) }, "a")
+				f := newThreeDomains(t, false, func(string) requester.Result { return done(t.Context()) }, "a")
 				backends := make(map[string]*bodyBackend)
 				slots := make(map[string]*queuer.Slot)
 				for _, domain := range []string{"b", "c"} {
--- a/router/relayer/evacuation_test.go
+++ b/router/relayer/evacuation_test.go
@@ -14,12 +14,12 @@
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/courier"
 	"marigoldhill/router/evacuator"
 	"marigoldhill/router/inviter"
 	"marigoldhill/router/keeper"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
+	"marigoldhill/router/requester"
 )
 
 // domainOwner is a testOwner in failure domain a, with the lease and the order that the test
@@ -33,7 +33,7 @@
 }
 
 // newDomainOwner returns a domainOwner whose process has just started.
-func newDomainOwner(run func(ctx context.Context) courier.Result) *domainOwner {
+func newDomainOwner(run func(ctx context.Context) requester.Result) *domainOwner {
 	o := &domainOwner{testOwner: newTestOwner(run)}
 	o.lease.Store(keeper.NewTestLease(0, timer.Instant{}))
 	set := metrics.NewSet()
@@ -54,7 +54,7 @@
 }
 
 // newConfirmedOwner returns a domainOwner that has been confirmed for some time.
-func newConfirmedOwner(run func(ctx context.Context) courier.Result) *domainOwner {
+func newConfirmedOwner(run func(ctx context.Context) requester.Result) *domainOwner {
 	o := newDomainOwner(run)
 	o.confirm()
 	return o
@@ -84,7 +84,7 @@
 	return response.Reason
 }
 
-func done(context.Context) courier.Result {
+func done(context.Context) requester.Result {
 	return doneResult(200, strings.NewReader("ok"), 2)
 }
 
@@ -125,7 +125,7 @@
 func TestRunningRequestCompletesDuringEvacuation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		proceed := make(chan struct{})
-		o := newConfirmedOwner(func(context.Context) courier.Result {
+		o := newConfirmedOwner(func(context.Context) requester.Result {
 			<-proceed
 			return doneResult(200, strings.NewReader("ok"), 2)
 		})
@@ -153,7 +153,7 @@
 	for _, key := range []int32{7, messenger.NoKey} {
 		synctest.Test(t, func(t *testing.T) {
 			thaw := make(chan struct{})
-			o := newConfirmedOwner(func(context.Context) courier.Result {
+			o := newConfirmedOwner(func(context.Context) requester.Result {
 				<-thaw
 				return doneResult(200, strings.NewReader("ok"), 2)
 			})
@@ -211,9 +211,9 @@
 // A request that was held has less time left at the server and in its queue.
 func TestHeldRequestKeepsItsDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := newConfirmedOwner(func(ctx context.Context) courier.Result {
+		o := newConfirmedOwner(func(ctx context.Context) requester.Result {
 			<-ctx.Done()
-			return courier.Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonExpired, Sent: true}
+			return requester.Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonExpired, Sent: true}
 		})
 		time.Sleep(20 * time.Second)
 		time.AfterFunc(300*time.Millisecond, o.confirm)
--- a/router/relayer/late_body_test.go
+++ b/router/relayer/late_body_test.go
@@ -13,10 +13,10 @@
 	qt "github.com/frankban/quicktest"
 
 	"marigoldhill/kernel/messenger"
-	"marigoldhill/router/courier"
+	"marigoldhill/router/requester"
 )
 
-// readingBackend reads the body of a request before it sends it, as [courier.Client] does with
+// readingBackend reads the body of a request before it sends it, as [requester.Client] does with
 // small bodies, and records when it sends.
 type readingBackend struct {
 	mu   sync.Mutex
@@ -24,14 +24,14 @@
 }
 
 // Send implements [relayer.Backend].
-func (b *readingBackend) Send(_ context.Context, _ string, request *courier.ServerRequest, body io.Reader) courier.Result {
+func (b *readingBackend) Send(_ context.Context, _ string, request *requester.ServerRequest, body io.Reader) requester.Result {
 	if _, err := io.CopyN(io.Discard, body, request.Relay.Length); err != nil {
-		return courier.Result{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonDown, Err: err}
+		return requester.Result{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonDown, Err: err}
 	}
 	b.mu.Lock()
 	b.sent = append(b.sent, time.Now())
 	b.mu.Unlock()
-	return courier.Result{Outcome: messenger.OutcomeDone, Sent: true, Status: http.StatusOK, Header: http.Header{}, Body: http.NoBody, ResponseInfo: courier.ResponseInfo{ID: request.Relay.ID}}
+	return requester.Result{Outcome: messenger.OutcomeDone, Sent: true, Status: http.StatusOK, Header: http.Header{}, Body: http.NoBody, ResponseInfo: requester.ResponseInfo{ID: request.Relay.ID}}
 }
 
 // lateBody is a body that arrives after some time.
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -16,12 +16,12 @@
 	"marigoldhill/kernel/pacer"
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/attributor"
-	"marigoldhill/router/courier"
 	"marigoldhill/router/evacuator"
 	"marigoldhill/router/inviter"
 	"marigoldhill/router/isolator"
 	"marigoldhill/router/monitor"
 	"marigoldhill/router/queuer"
+	"marigoldhill/router/requester"
 )
 
 const (
@@ -53,7 +53,7 @@
 
 // Backend sends requests to the backend server.
 type Backend interface {
-	Send(ctx context.Context, address string, serverRequest *courier.ServerRequest, body io.Reader) courier.Result
+	Send(ctx context.Context, address string, serverRequest *requester.ServerRequest, body io.Reader) requester.Result
 }
 
 // Detector determines whether the backend server crashed when a connection to it ended
--- a/router/relayer/owner_link_test.go
+++ b/router/relayer/owner_link_test.go
@@ -20,12 +20,12 @@
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/pacer"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/courier"
 	"marigoldhill/router/inviter"
 	"marigoldhill/router/isolator"
 	"marigoldhill/router/monitor"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
+	"marigoldhill/router/requester"
 )
 
 // discardingSampler is a Sampler that may be called concurrently.
@@ -56,7 +56,7 @@
 	server.Announce(timer.Now(), monitor.Announcement{Row: messenger.ServerRow{Name: "s1", Service: "findings", URL: serverAddress, Slots: 6, Born: 1}})
 	o.Owner = relayer.NewOwner(relayer.OwnerOptions{
 		Server: server, KeyChecker: &fakeKeys{}, Admission: queuer.NewAdmission(6), Sampler: discardingSampler{},
-		Backend: &fakeBackend{run: func(context.Context) courier.Result {
+		Backend: &fakeBackend{run: func(context.Context) requester.Result {
 			time.Sleep(linkWork)
 			return doneResult(200, strings.NewReader(strings.Repeat("a", linkAnswerSize)), linkAnswerSize)
 		}},
--- a/router/relayer/owner_send.go
+++ b/router/relayer/owner_send.go
@@ -11,9 +11,9 @@
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/courier"
 	"marigoldhill/router/isolator"
 	"marigoldhill/router/queuer"
+	"marigoldhill/router/requester"
 	"marigoldhill/router/stripper"
 )
 
@@ -23,7 +23,7 @@
 	ctx, cancel := context.WithTimeout(ctx, left+relay.Grace)
 	sentAt := time.Now()
 	slot.Sending()
-	result := o.options.Backend.Send(ctx, row.URL, &courier.ServerRequest{
+	result := o.options.Backend.Send(ctx, row.URL, &requester.ServerRequest{
 		Relay:    relay,
 		Deadline: sentAt.Add(left),
 		Server:   row.Name,
@@ -33,7 +33,7 @@
 	if result.ResponseInfo.Leaving {
 		o.options.Server.Leave(timer.Now(), row)
 	}
-	if errors.Is(result.Err, courier.ErrExcess) {
+	if errors.Is(result.Err, requester.ErrExcess) {
 		o.options.Log.Emit(logger.ResponseOversized, "id", relay.ID, "service", relay.Service, "server", row.Name, "address", row.URL, "error", result.Err)
 	}
 	if result.Outcome != messenger.OutcomeDone {
@@ -98,7 +98,7 @@
 // the server. Refused connections do not count, since the monitor handles a server
 // that is gone, nor do canceled requests and deadlines that passed before the request
 // was sent.
-func isServerFailure(result courier.Result) bool {
+func isServerFailure(result requester.Result) bool {
 	switch result.Reason {
 	case messenger.ReasonExpired, messenger.ReasonCrashed, messenger.ReasonTruncated, messenger.ReasonShed:
 		return true
@@ -107,12 +107,12 @@
 }
 
 // isTimeout reports whether a request that was sent got no answer by its deadline.
-func isTimeout(result courier.Result) bool {
+func isTimeout(result requester.Result) bool {
 	return result.Outcome == messenger.OutcomeUnknown && result.Reason == messenger.ReasonExpired
 }
 
 // updateLimit applies the limit that the server named in its response.
-func (o *Owner) updateLimit(row *messenger.ServerRow, sentAt time.Time, result courier.Result) {
+func (o *Owner) updateLimit(row *messenger.ServerRow, sentAt time.Time, result requester.Result) {
 	if result.ResponseInfo.ID == "" || o.options.Server.View().Row != row {
 		return
 	}
@@ -123,7 +123,7 @@
 
 // reportServer reports whether the server answered, refused the connection or ended it
 // while the request ran.
-func (o *Owner) reportServer(row *messenger.ServerRow, result courier.Result) {
+func (o *Owner) reportServer(row *messenger.ServerRow, result requester.Result) {
 	switch {
 	case result.Reason == messenger.ReasonCrashed || result.Reason == messenger.ReasonTruncated:
 		o.options.Detector.ConnectionBroken(row.URL)
--- a/router/relayer/owner_test.go
+++ b/router/relayer/owner_test.go
@@ -18,24 +18,24 @@
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/courier"
 	"marigoldhill/router/inviter"
 	"marigoldhill/router/isolator"
 	"marigoldhill/router/monitor"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
+	"marigoldhill/router/requester"
 )
 
 // fakeBackend counts the requests and calls run for each.
 type fakeBackend struct {
-	run  func(ctx context.Context) courier.Result
+	run  func(ctx context.Context) requester.Result
 	mu   sync.Mutex
 	sent int
 	// lastFingerprint is that of the last request.
 	lastFingerprint string
 }
 
-func (f *fakeBackend) Send(ctx context.Context, _ string, request *courier.ServerRequest, _ io.Reader) courier.Result {
+func (f *fakeBackend) Send(ctx context.Context, _ string, request *requester.ServerRequest, _ io.Reader) requester.Result {
 	f.mu.Lock()
 	f.sent++
 	f.lastFingerprint = request.Relay.Fingerprint
@@ -84,7 +84,7 @@
 
 const serverAddress = "10.0.0.1:8080"
 
-func newTestOwner(run func(ctx context.Context) courier.Result) *testOwner {
+func newTestOwner(run func(ctx context.Context) requester.Result) *testOwner {
 	backend := &fakeBackend{run: run}
 	o := newTestOwnerWith(backend)
 	o.backend = backend
@@ -111,8 +111,8 @@
 	return &messenger.Relay{ID: "1", Service: "findings", Route: "find", Key: key, Aim: 400 * time.Millisecond, Left: time.Second}
 }
 
-func doneResult(status int, body io.Reader, length int64) courier.Result {
-	return courier.Result{Outcome: messenger.OutcomeDone, Sent: true, Status: status, Header: http.Header{}, Length: length, Body: io.NopCloser(body)}
+func doneResult(status int, body io.Reader, length int64) requester.Result {
+	return requester.Result{Outcome: messenger.OutcomeDone, Sent: true, Status: status, Header: http.Header{}, Length: length, Body: io.NopCloser(body)}
 }
 
 // brokenReader fails where its source ends.
@@ -131,7 +131,7 @@
 		name    string
 		key     int32
 		prepare func(o *testOwner)
-		result  courier.Result
+		result  requester.Result
 		want    messenger.Outcome
 		reason  messenger.Reason
 		body    string
@@ -141,13 +141,13 @@
 		{name: "answered", key: 7, result: doneResult(200, strings.NewReader("body"), 4), want: messenger.OutcomeDone, body: "body", sent: 1, judged: []bool{false}},
 		{name: "server error", key: 7, result: doneResult(500, strings.NewReader("no"), 2), want: messenger.OutcomeDone, body: "no", sent: 1, judged: []bool{true}},
 		{name: "answer truncated", key: 7, result: doneResult(200, brokenReader{strings.NewReader("bo")}, 4), want: messenger.OutcomeUnknown, reason: messenger.ReasonTruncated, sent: 1, judged: []bool{true}},
-		{name: "shed", key: 7, result: courier.Result{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonShed, Sent: true}, want: messenger.OutcomeRefused, reason: messenger.ReasonShed, sent: 1, judged: []bool{true}},
+		{name: "shed", key: 7, result: requester.Result{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonShed, Sent: true}, want: messenger.OutcomeRefused, reason: messenger.ReasonShed, sent: 1, judged: []bool{true}},
 		{name: "key is not held", key: 7, prepare: func(o *testOwner) { o.keys.set(messenger.ReasonMoving) }, want: messenger.OutcomeRefused, reason: messenger.ReasonMoving},
 		{name: "withdrawn server, no key", key: messenger.NoKey, prepare: func(o *testOwner) { o.server.Withdraw(timer.Now(), "s1") }, result: doneResult(200, strings.NewReader("body"), 4), want: messenger.OutcomeDone, body: "body", sent: 1, judged: []bool{false}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			o := newTestOwner(func(context.Context) courier.Result { return test.result })
+			o := newTestOwner(func(context.Context) requester.Result { return test.result })
 			if test.prepare != nil {
 				test.prepare(o)
 			}
@@ -171,7 +171,7 @@
 // A leaving server is sent no new requests after a short time.
 func TestOwnerRefusesForLeavingServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := newTestOwner(func(context.Context) courier.Result { return doneResult(200, strings.NewReader("body"), 4) })
+		o := newTestOwner(func(context.Context) requester.Result { return doneResult(200, strings.NewReader("body"), 4) })
 		o.server.Withdraw(timer.Now(), "s1")
 		time.Sleep(1300 * time.Millisecond)
 		response, _ := o.Run(t.Context(), relay(7), nil)
@@ -183,9 +183,9 @@
 // Requests that a slow server does not answer count in its reported pace.
 func TestOwnerMeasuresUnansweredRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o := newTestOwner(func(ctx context.Context) courier.Result {
+		o := newTestOwner(func(ctx context.Context) requester.Result {
 			<-ctx.Done()
-			return courier.Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonExpired, Sent: true}
+			return requester.Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonExpired, Sent: true}
 		})
 		response, _ := o.Run(t.Context(), relay(7), nil)
 		qt.Assert(t, response.Outcome, qt.Equals, messenger.OutcomeUnknown)
@@ -198,7 +198,7 @@
 func TestOwnerDropsCanceledRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		proceed := make(chan struct{})
-		o := newTestOwner(func(context.Context) courier.Result {
+		o := newTestOwner(func(context.Context) requester.Result {
 			<-proceed
 			return doneResult(200, strings.NewReader("body"), 4)
 		})
@@ -234,7 +234,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			o := newTestOwner(func(context.Context) courier.Result { return doneResult(200, test.body, -1) })
+			o := newTestOwner(func(context.Context) requester.Result { return doneResult(200, test.body, -1) })
 			_, body := o.Run(t.Context(), relay(7), nil)
 			if test.read {
 				_, _ = io.ReadAll(body)
--- a/router/relayer/upload_test.go
+++ b/router/relayer/upload_test.go
@@ -19,10 +19,10 @@
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
 	"marigoldhill/router/budgeter"
-	"marigoldhill/router/courier"
 	"marigoldhill/router/mapper"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
+	"marigoldhill/router/requester"
 )
 
 // bodyBackend reads the whole body of each request and keeps it.
@@ -31,11 +31,11 @@
 	sent     atomic.Int32
 }
 
-func (b *bodyBackend) Send(_ context.Context, _ string, _ *courier.ServerRequest, body io.Reader) courier.Result {
+func (b *bodyBackend) Send(_ context.Context, _ string, _ *requester.ServerRequest, body io.Reader) requester.Result {
 	b.sent.Add(1)
 	data, err := io.ReadAll(body)
 	if err != nil {
-		return courier.Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonCrashed, Sent: true, Err: err}
+		return requester.Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonCrashed, Sent: true, Err: err}
 	}
 	b.received.Store(&data)
 	return doneResult(http.StatusOK, strings.NewReader("ok"), 2)
--- a/router/courier/body_failure_test.go
+++ b/router/requester/body_failure_test.go
@@ -1,4 +1,4 @@
-package courier_test
+package requester_test
 
 import (
 	"strings"
@@ -9,7 +9,7 @@
 
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
-	"marigoldhill/router/courier"
+	"marigoldhill/router/requester"
 )
 
 // Guards against counting a body that its caller did not send completely as a broken
@@ -17,7 +17,7 @@
 func TestIncompleteBodyIsNoBrokenConnection(t *testing.T) {
 	address, _ := startServer(t, respond(completeResponse))
 	var broken atomic.Int64
-	client := courier.New(courier.Options{Network: networker.TCP{}, HeaderCodec: headerCodec{}, OnBroken: func() { broken.Add(1) }})
+	client := requester.New(requester.Options{Network: networker.TCP{}, HeaderCodec: headerCodec{}, OnBroken: func() { broken.Add(1) }})
 	request := newServerRequest("1")
 	request.Relay.Method, request.Relay.Length = "POST", 8
 	result := client.Send(t.Context(), address, request, strings.NewReader("half"))
--- a/router/courier/endless_test.go
+++ b/router/requester/endless_test.go
@@ -1,4 +1,4 @@
-package courier_test
+package requester_test
 
 import (
 	"io"
@@ -13,7 +13,7 @@
 
 	"marigoldhill/kernel/disrupter"
 	"marigoldhill/kernel/messenger"
-	"marigoldhill/router/courier"
+	"marigoldhill/router/requester"
 )
 
 // Guards against a server that exhausts the memory of its router, or keeps a request past
@@ -63,7 +63,7 @@
 			qt.Check(t, server.Written() < maxKernelBytes, qt.IsTrue)
 			qt.Check(t, after.TotalAlloc-before.TotalAlloc < maxHeapBytes, qt.IsTrue, qt.Commentf("allocated %d bytes", after.TotalAlloc-before.TotalAlloc))
 			if test.metric != "" {
-				qt.Check(t, result.Err, qt.ErrorIs, courier.ErrExcess)
+				qt.Check(t, result.Err, qt.ErrorIs, requester.ErrExcess)
 				qt.Check(t, set.GetOrCreateCounter(`marigold_backend_excess_total{part="`+test.metric+`"}`).Get(), qt.Equals, uint64(1))
 			}
 			qt.Check(t, client.IsConnected(), qt.IsFalse)
--- a/router/courier/health.go
+++ b/router/requester/health.go
@@ -1,4 +1,4 @@
-package courier
+package requester
 
 import (
 	"context"
--- a/router/courier/health_test.go
+++ b/router/requester/health_test.go
@@ -1,4 +1,4 @@
-package courier_test
+package requester_test
 
 import (
 	"context"
@@ -13,18 +13,18 @@
 
 	"marigoldhill/kernel/disrupter"
 	"marigoldhill/kernel/networker"
-	"marigoldhill/router/courier"
+	"marigoldhill/router/requester"
 )
 
 // coldCodec is a headerCodec with the time left.
 type coldCodec struct{ headerCodec }
 
-func (coldCodec) ParseHeader(_ int, header http.Header) courier.ResponseInfo {
-	return courier.ResponseInfo{ColdLeft: courier.ParseMillis(header.Get("Cold"))}
+func (coldCodec) ParseHeader(_ int, header http.Header) requester.ResponseInfo {
+	return requester.ResponseInfo{ColdLeft: requester.ParseMillis(header.Get("Cold"))}
 }
 
 func checkHealth(t *testing.T, address string, timeout time.Duration) (*time.Duration, error) {
-	client := courier.New(courier.Options{Network: networker.TCP{}, HeaderCodec: coldCodec{}})
+	client := requester.New(requester.Options{Network: networker.TCP{}, HeaderCodec: coldCodec{}})
 	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	defer cancel()
 	return client.CheckHealth(ctx, address, "/health", "s1")
@@ -104,7 +104,7 @@
 		}
 		address, _ := startServer(t, scripts...)
 		var broken atomic.Int64
-		client := courier.New(courier.Options{Network: networker.TCP{}, HeaderCodec: headerCodec{}, OnBroken: func() { broken.Add(1) }})
+		client := requester.New(requester.Options{Network: networker.TCP{}, HeaderCodec: headerCodec{}, OnBroken: func() { broken.Add(1) }})
 		for range 2 {
 			result := client.Send(t.Context(), address, newServerRequest("1"), nil)
 			qt.Assert(t, result.Err, qt.IsNil, qt.Commentf(test.name))
--- a/router/courier/courier.go
+++ b/router/requester/requester.go
@@ -1,4 +1,4 @@
-// Package courier is the HTTP/1.1 client for the backend server on the VM of the
+// Package requester is the HTTP/1.1 client for the backend server on the VM of the
 // router. It reports whether a request was executed, was not, or may have been.
 // It is used in routed mode; in sharded mode a router uses package dispatcher.
 //
@@ -14,12 +14,12 @@
 //
 // # Usage
 //
-//	backend := courier.New(courier.Options{Network: network, HeaderCodec: codec})
-//	result := backend.Send(ctx, address, &courier.ServerRequest{Relay: relay, Deadline: deadline, Server: "d1"}, body)
+//	backend := requester.New(requester.Options{Network: network, HeaderCodec: codec})
+//	result := backend.Send(ctx, address, &requester.ServerRequest{Relay: relay, Deadline: deadline, Server: "d1"}, body)
 //	if result.Outcome == messenger.OutcomeDone {
 //		defer result.Body.Close()
 //	}
-package courier
+package requester
 
 import (
 	"context"
@@ -39,7 +39,7 @@
 )
 
 // Error is the class of all errors of this package.
-var Error = errs.Class("courier")
+var Error = errs.Class("requester")
 
 const (
 	// dialTimeout limits a dial. It is short because the server is on the same VM.
--- a/router/courier/courier_test.go
+++ b/router/requester/requester_test.go
@@ -1,4 +1,4 @@
-package courier_test
+package requester_test
 
 import (
 	"bufio"
@@ -16,18 +16,18 @@
 
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
-	"marigoldhill/router/courier"
+	"marigoldhill/router/requester"
 )
 
-// headerCodec is a minimal [courier.HeaderCodec].
+// headerCodec is a minimal [requester.HeaderCodec].
 type headerCodec struct{}
 
-func (headerCodec) SetHeader(header http.Header, serverRequest *courier.ServerRequest) {
+func (headerCodec) SetHeader(header http.Header, serverRequest *requester.ServerRequest) {
 	header.Set("Server-Wanted", serverRequest.Server)
 }
 
-func (headerCodec) ParseHeader(status int, header http.Header) courier.ResponseInfo {
-	return courier.ResponseInfo{ID: header.Get("Id"), NotExecuted: header.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
+func (headerCodec) ParseHeader(status int, header http.Header) requester.ResponseInfo {
+	return requester.ResponseInfo{ID: header.Get("Id"), NotExecuted: header.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
 }
 
 // script handles one request that the server read from conn.
@@ -80,19 +80,19 @@
 	}
 }
 
-func newClient() *courier.Client {
+func newClient() *requester.Client {
 	client, _ := newCountedClient()
 	return client
 }
 
 // newCountedClient also returns the metrics of the client.
-func newCountedClient() (*courier.Client, *metrics.Set) {
+func newCountedClient() (*requester.Client, *metrics.Set) {
 	set := metrics.NewSet()
-	return courier.New(courier.Options{Network: networker.TCP{}, HeaderCodec: headerCodec{}, Metrics: set}), set
+	return requester.New(requester.Options{Network: networker.TCP{}, HeaderCodec: headerCodec{}, Metrics: set}), set
 }
 
-func newServerRequest(id string) *courier.ServerRequest {
-	return &courier.ServerRequest{
+func newServerRequest(id string) *requester.ServerRequest {
+	return &requester.ServerRequest{
 		Relay:    &messenger.Relay{ID: id, Method: "GET", Target: "/a/b?c=d", Host: "desk.example", Header: []messenger.Header{{Name: "Id", Values: []string{id}}}},
 		Deadline: time.Now().Add(time.Second),
 		Server:   "s1",
@@ -250,9 +250,9 @@
 		w.Header().Set("Id", "7")
 	})}
 	go func() { _ = server.Serve(socket) }()
-	client := courier.New(courier.Options{Network: networker.TCP{}, HeaderCodec: headerCodec{}})
-	send := func() courier.Result {
-		return client.Send(t.Context(), address, &courier.ServerRequest{Relay: &messenger.Relay{ID: "7", Method: "GET", Target: "/", Host: "h"}}, strings.NewReader(""))
+	client := requester.New(requester.Options{Network: networker.TCP{}, HeaderCodec: headerCodec{}})
+	send := func() requester.Result {
+		return client.Send(t.Context(), address, &requester.ServerRequest{Relay: &messenger.Relay{ID: "7", Method: "GET", Target: "/", Host: "h"}}, strings.NewReader(""))
 	}
 	qt.Check(t, client.IsConnected(), qt.IsFalse)
 	result := send()
