Rename package stripper to sanitizer

Cause: newcomers stop at a name that is not a usual term of the field. Change: the package that removes connection-specific header fields is called sanitizer; nothing else changes. Measured: builds and passes go vet.

--- a/router/acceptor/header.go
+++ b/router/acceptor/header.go
@@ -8,7 +8,7 @@
 	"github.com/zeebo/errs"
 
 	"marigoldhill/kernel/messenger"
-	"marigoldhill/router/stripper"
+	"marigoldhill/router/sanitizer"
 )
 
 // MaxIdempotencyKeyBytes is the maximum length of an Idempotency-Key in bytes.
@@ -21,7 +21,7 @@
 // endToEnd returns the header fields of a request to forward: the end-to-end ones
 // without the reserved ones and the Idempotency-Key.
 func endToEnd(header http.Header) []messenger.Header {
-	return stripper.EndToEndFields(header, func(name string) bool {
+	return sanitizer.EndToEndFields(header, func(name string) bool {
 		return strings.HasPrefix(name, reservedPrefix) || name == messenger.HeaderIdempotencyKey
 	})
 }
@@ -29,7 +29,7 @@
 // filterResponseHeader removes the hop-by-hop and the reserved header fields from the
 // response of a backend server.
 func filterResponseHeader(header http.Header) {
-	stripper.Strip(header)
+	sanitizer.Strip(header)
 	for name := range header {
 		if strings.HasPrefix(name, reservedPrefix) {
 			header.Del(name)
--- a/router/dispatcher/exchange.go
+++ b/router/dispatcher/exchange.go
@@ -12,7 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"marigoldhill/kernel/messenger"
-	"marigoldhill/router/stripper"
+	"marigoldhill/router/sanitizer"
 )
 
 // errReadBody wraps errors of reading the caller's body.
@@ -32,7 +32,7 @@
 	for _, field := range source.Header {
 		request.Header[http.CanonicalHeaderKey(field.Name)] = field.Values
 	}
-	stripper.Strip(request.Header)
+	sanitizer.Strip(request.Header)
 	if request.Header.Get("User-Agent") == "" {
 		request.Header.Set("User-Agent", "")
 	}
@@ -88,7 +88,7 @@
 		_ = response.Body.Close()
 		return Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonTruncated, Cause: CauseNone}
 	}
-	stripper.Strip(response.Header)
+	sanitizer.Strip(response.Header)
 	header := messenger.Response{
 		Outcome: messenger.OutcomeDone,
 		Status:  response.StatusCode,
--- a/router/relayer/owner_send.go
+++ b/router/relayer/owner_send.go
@@ -14,7 +14,7 @@
 	"marigoldhill/router/isolator"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/requester"
-	"marigoldhill/router/stripper"
+	"marigoldhill/router/sanitizer"
 )
 
 // send sends a request to the backend server.
@@ -77,7 +77,7 @@
 		Outcome: messenger.OutcomeDone,
 		Ran:     true,
 		Status:  result.Status,
-		Header:  stripper.EndToEndFields(result.Header, nil),
+		Header:  sanitizer.EndToEndFields(result.Header, nil),
 		Length:  result.Length,
 	}
 	if result.Length < 0 || result.Length > maxBufferedBytes {
--- a/router/stripper/stripper.go
+++ b/router/sanitizer/sanitizer.go
@@ -1,11 +1,11 @@
-// Package stripper separates connection-specific header fields from the end-to-end
+// Package sanitizer separates connection-specific header fields from the end-to-end
 // fields that are forwarded with a request or a response.
 //
 // # Usage
 //
-//	stripper.Strip(header)
-//	fields := stripper.EndToEndFields(header, func(name string) bool { return name == "Host" })
-package stripper
+//	sanitizer.Strip(header)
+//	fields := sanitizer.EndToEndFields(header, func(name string) bool { return name == "Host" })
+package sanitizer
 
 import (
 	"net/http"
