Rename package tallier to aggregator

Cause: newcomers stop at a name that is not a usual term of the field. Change: the package that aggregates the load of shards and keys is called aggregator; nothing else changes. Measured: builds and passes go vet.

--- a/router/tallier/tallier.go
+++ b/router/aggregator/aggregator.go
@@ -1,12 +1,12 @@
-// Package tallier aggregates the load of shards and keys for heartbeats. In routed
+// Package aggregator aggregates the load of shards and keys for heartbeats. In routed
 // mode package sampler aggregates by key range.
 //
 // # Usage
 //
-//	tally := tallier.New()
+//	tally := aggregator.New()
 //	tally.Add("findings", 7, "door-17", 12*time.Millisecond)
 //	tally.Report(timer.Now(), &heartbeat)
-package tallier
+package aggregator
 
 import (
 	"cmp"
--- a/router/tallier/tallier_test.go
+++ b/router/aggregator/aggregator_test.go
@@ -1,4 +1,4 @@
-package tallier_test
+package aggregator_test
 
 import (
 	"fmt"
@@ -10,19 +10,19 @@
 
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/tallier"
+	"marigoldhill/router/aggregator"
 )
 
 func TestReportsHotKeys(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tally := tallier.New()
+		tally := aggregator.New()
 		for i := range 10_000 {
 			tally.Add("findings", uint32(i%100), fmt.Sprint(i), time.Millisecond)
 			tally.Add("findings", 7, "hot", time.Millisecond)
 		}
 		var first messenger.Heartbeat
 		tally.Report(timer.Now(), &first)
-		qt.Assert(t, first.Loads, qt.HasLen, tallier.MaxLoads)
+		qt.Assert(t, first.Loads, qt.HasLen, aggregator.MaxLoads)
 		qt.Assert(t, first.Loads[0].Shard, qt.Equals, uint32(7))
 		qt.Assert(t, first.Loads[0].Requests, qt.Equals, uint64(10_100))
 		qt.Assert(t, first.Keys[0].Key, qt.Equals, "hot")
--- a/router/assembler/assembler.go
+++ b/router/assembler/assembler.go
@@ -2,7 +2,7 @@
 // of two modes:
 //
 //   - In sharded mode, [Process], it serves services whose keys are hashed to shards.
-//     Packages forwarder, executor, admitter, dispatcher, prober, retrier, tallier,
+//     Packages forwarder, executor, admitter, dispatcher, prober, retrier, aggregator,
 //     locator and recorder implement this mode.
 //   - In routed mode, [Routed], it serves the routes of a configuration, whose services
 //     may be partitioned by ranges of keys. Packages relayer, queuer, requester,
@@ -33,6 +33,7 @@
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/acceptor"
 	"marigoldhill/router/admitter"
+	"marigoldhill/router/aggregator"
 	"marigoldhill/router/announcer"
 	"marigoldhill/router/dispatcher"
 	"marigoldhill/router/drainer"
@@ -47,7 +48,6 @@
 	"marigoldhill/router/prober"
 	"marigoldhill/router/recorder"
 	"marigoldhill/router/reporter"
-	"marigoldhill/router/tallier"
 )
 
 // Error is the class of all errors of this package.
@@ -133,7 +133,7 @@
 		LeaseSource: keeperLease{p},
 		Metrics:     options.Metrics,
 	})
-	tally := tallier.New()
+	tally := aggregator.New()
 	isolation := isolator.New()
 	p.detector = isolator.NewDetector(options.Network, isolation, p.serverCrashed)
 	p.evacuation = evacuator.New(evacuator.Options{
--- a/router/assembler/heartbeat.go
+++ b/router/assembler/heartbeat.go
@@ -11,6 +11,7 @@
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/admitter"
+	"marigoldhill/router/aggregator"
 	"marigoldhill/router/drainer"
 	"marigoldhill/router/evacuator"
 	"marigoldhill/router/granter"
@@ -19,7 +20,6 @@
 	"marigoldhill/router/prober"
 	"marigoldhill/router/recorder"
 	"marigoldhill/router/reporter"
-	"marigoldhill/router/tallier"
 )
 
 // stalledReportInterval is the minimum time between two reports of stalled requests.
@@ -34,7 +34,7 @@
 	recorder *recorder.Recorder
 	admitter *admitter.Admitter
 	granter  *granter.Granter
-	tally    *tallier.Tally
+	tally    *aggregator.Tally
 	reporter *reporter.Reporter
 	pool     *linker.Pool
 	log      *logger.Log
--- a/router/executor/executor.go
+++ b/router/executor/executor.go
@@ -12,6 +12,7 @@
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/admitter"
+	"marigoldhill/router/aggregator"
 	"marigoldhill/router/dispatcher"
 	"marigoldhill/router/drainer"
 	"marigoldhill/router/evacuator"
@@ -20,7 +21,6 @@
 	"marigoldhill/router/locator"
 	"marigoldhill/router/prober"
 	"marigoldhill/router/recorder"
-	"marigoldhill/router/tallier"
 )
 
 // Error is the class of all errors of this package.
@@ -62,7 +62,7 @@
 	Detector     Detector
 	// Evacuation refuses requests while the failure domain is evacuated; nil never does.
 	Evacuation *evacuator.Guard
-	Tally      *tallier.Tally
+	Tally      *aggregator.Tally
 	Metrics    *metrics.Set
 }
 
--- a/router/executor/harness_test.go
+++ b/router/executor/harness_test.go
@@ -17,6 +17,7 @@
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/admitter"
+	"marigoldhill/router/aggregator"
 	"marigoldhill/router/dispatcher"
 	"marigoldhill/router/drainer"
 	"marigoldhill/router/isolator"
@@ -24,7 +25,6 @@
 	"marigoldhill/router/locator"
 	"marigoldhill/router/prober"
 	"marigoldhill/router/recorder"
-	"marigoldhill/router/tallier"
 )
 
 const (
@@ -148,7 +148,7 @@
 	s.Executor = New(Options{
 		Locator: s.locator, LeaseSource: &s.leaseSource, Server: &s.server, Backend: &s.backend, Tracker: s.tracker,
 		Recorder: records, OutcomeStore: recorder.NewOutcomeStore(), Admitter: admission, Isolator: s.isolation,
-		Detector: &s.server, Tally: tallier.New(), Metrics: set,
+		Detector: &s.server, Tally: aggregator.New(), Metrics: set,
 	})
 	s.row = messenger.ShardRow{Service: service, Phase: messenger.PhaseOwned, Owner: session, Fence: 9}
 	s.delta = messenger.TableDelta{
--- a/router/sampler/sampler.go
+++ b/router/sampler/sampler.go
@@ -1,6 +1,6 @@
 // Package sampler counts the requests for the keys of a backend server and aggregates
 // them into a few key ranges of about equal load. It is used in routed mode; in
-// sharded mode package tallier aggregates by shard.
+// sharded mode package aggregator aggregates by shard.
 //
 // # Usage
 //
