Split the link and the connection to the backend server by direction

Change: reading and writing of a link are in read.go and write.go, the request and the body of the response in request.go and body.go; no code changes. Measured: the tests of both packages pass.

--- a/kernel/linker/link.go
+++ b/kernel/linker/link.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"time"
 
@@ -17,10 +16,6 @@
 	"marigoldhill/kernel/networker"
 )
 
-// writeChunkSize is the size in bytes of the chunks in which a batch is written.
-// It is small enough that a network link under load takes a chunk within WriteTimeout.
-const writeChunkSize = 32 << 10
-
 // Link is one connection with its streams. Its methods are safe for concurrent
 // use.
 type Link struct {
@@ -173,185 +168,6 @@
 	return nil
 }
 
-func (l *Link) readLoop() {
-	for {
-		frame, err := l.reader.Read()
-		if err != nil {
-			l.countReadError(err)
-			l.fail(Error.New("reading from %s: %w", l.peer.Name, err))
-			return
-		}
-		if err := l.handleInSequence(frame); err != nil {
-			l.options.count("refusals", "protocol")
-			l.fail(err)
-			return
-		}
-	}
-}
-
-func (l *Link) countReadError(err error) {
-	switch {
-	case errors.Is(err, framer.ErrOversize):
-		l.options.count("refusals", "oversize")
-	case errors.Is(err, framer.ErrUnknownType):
-		l.options.count("refusals", "garbage")
-	}
-}
-
-// handleInSequence handles one frame, or drops it if it is a duplicate. A gap in
-// the sequence means that frames were lost and closes the connection at once.
-func (l *Link) handleInSequence(frame framer.Frame) error {
-	switch offset := int32(frame.Sequence - l.nextSequence); {
-	case offset < 0:
-		l.options.count("late_frames", "doubled")
-		return nil
-	case offset > 0:
-		l.options.count("closures", "gap")
-		return Error.New("sequence gap of %d frames from %s: %w", offset, l.peer.Name, ErrProtocolViolation)
-	}
-	l.nextSequence++
-	return l.handleFrame(frame)
-}
-
-// handleFrame handles one frame. An error closes the connection.
-func (l *Link) handleFrame(frame framer.Frame) error {
-	switch frame.Type {
-	case framer.TypePing:
-		l.send(framer.Frame{Type: framer.TypePong})
-		return nil
-	case framer.TypePong:
-		l.keepalive.pongs.Add(1)
-		return nil
-	case framer.TypeOpen:
-		return l.acceptStream(frame)
-	case framer.TypeHello:
-		return Error.New("unexpected second hello frame: %w", ErrProtocolViolation)
-	}
-	l.mu.Lock()
-	stream, ok := l.streams[frame.Stream]
-	wasOpened := frame.Stream <= l.lastStream
-	l.mu.Unlock()
-	if !ok {
-		if !wasOpened {
-			return Error.New("frame for stream %d, which has not been opened: %w", frame.Stream, ErrProtocolViolation)
-		}
-		l.options.count("late_frames", "closed")
-		return nil
-	}
-	return stream.handleFrame(frame)
-}
-
-func (l *Link) acceptStream(frame framer.Frame) error {
-	if l.dialed || l.options.Handler == nil {
-		return Error.New("peer is not allowed to open streams: %w", ErrProtocolViolation)
-	}
-	if len(frame.Payload) != 1 {
-		return Error.New("open frame has a payload of %d bytes, want 1: %w", len(frame.Payload), ErrProtocolViolation)
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.ctx.Err() != nil {
-		return nil
-	}
-	if frame.Stream <= l.lastStream {
-		l.options.count("late_frames", "reopened")
-		return Error.New("stream number %d is not above the last one: %w", frame.Stream, ErrProtocolViolation)
-	}
-	l.lastStream = frame.Stream
-	if len(l.streams) >= MaxConcurrentStreams {
-		l.options.count("refusals", "streams")
-		l.send(framer.Frame{Type: framer.TypeReset, Stream: frame.Stream, Payload: []byte("too many streams")})
-		return nil
-	}
-	stream := newAcceptedStream(l, frame.Stream, messenger.Kind(frame.Payload[0]))
-	l.streams[stream.number] = stream
-	l.keepalive.start()
-	l.tasks.Go(func() { l.serveStream(stream) })
-	return nil
-}
-
-func (l *Link) serveStream(stream *Stream) {
-	defer stream.Close()
-	l.options.Handler(stream.ctx, l, stream)
-}
-
-// send appends a frame to the send queue. It never blocks. If the queue exceeds its
-// limit, because the peer keeps requesting responses without reading any, the
-// connection is closed.
-func (l *Link) send(frame framer.Frame) {
-	if !l.queue.add(frame) {
-		return
-	}
-	l.options.count("closures", "overflow")
-	// In a goroutine, since the caller may hold locks that fail acquires.
-	go l.fail(Error.New("send queue limit exceeded, the peer is not reading: %w", ErrProtocolViolation))
-}
-
-func (l *Link) writeLoop() {
-	var batch []byte
-	for {
-		select {
-		case <-l.queue.ready:
-		case <-l.ctx.Done():
-			return
-		}
-		batch = l.queue.takeBatch(batch)
-		if len(batch) == 0 {
-			continue
-		}
-		if err := l.write(batch); err != nil {
-			l.fail(Error.New("writing to %s: %w", l.peer.Name, err))
-			return
-		}
-	}
-}
-
-// write writes a batch in chunks. It fails if a chunk is not written within
-// WriteTimeout, so that no writer waits forever. A slow connection stays open as long
-// as each chunk is written in time.
-func (l *Link) write(batch []byte) error {
-	for len(batch) > 0 {
-		chunk := batch[:min(len(batch), writeChunkSize)]
-		if err := l.conn.SetWriteDeadline(time.Now().Add(WriteTimeout)); err != nil {
-			return Error.New("setting the write deadline: %w", err)
-		}
-		if _, err := l.conn.Write(chunk); err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				l.options.count("closures", "stuck")
-			}
-			return err
-		}
-		batch = batch[len(chunk):]
-	}
-	return nil
-}
-
-// drainPollInterval is the interval at which drain checks the state of a link.
-const drainPollInterval = 10 * time.Millisecond
-
-// drain waits until no stream is open and the peer has answered a ping sent after
-// that, which shows that it has read everything sent before the ping.
-func (l *Link) drain(ctx context.Context) {
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	targetPongs := uint64(0)
-	for {
-		switch {
-		case targetPongs > 0 && l.keepalive.pongs.Load() >= targetPongs:
-			return
-		case targetPongs == 0 && !l.hasOpenStreams():
-			targetPongs = l.ping()
-		}
-		select {
-		case <-ticker.C:
-		case <-l.ctx.Done():
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // ping sends a ping and returns the number of pings sent so far.
 func (l *Link) ping() uint64 {
 	count := l.keepalive.pings.Add(1)
