Count what calls take only while other jobs wait

Cause: each call raised the account of the calls, also when nobody else needed the slots, and nothing bounded it. At a server that runs mostly calls they would have lost their turn for long; found by reading. Measured: TestCallsKeepTheirTurnAfterTheyWereAlone fails without the change.

--- a/router/inviter/inviter.go
+++ b/router/inviter/inviter.go
@@ -100,8 +100,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.updateLargeCredit(now)
+	duration := l.duration(body.Bytes)
 	start := max(l.idleAt, now)
-	end := start + l.duration(body.Bytes)
+	end := start + duration
 	wait = max(start-now-maxLead, 0)
 	latest := body.Deadline
 	if wait > 0 {
@@ -110,10 +111,8 @@
 	if end > latest {
 		return 0, &Refusal{RetryAfter: max(end-latest, minRetryAfter)}
 	}
-	if wait > 0 {
-		if excess := start + sizeWeight*l.duration(body.Bytes) - latest; excess > 0 && !l.takeLargeCredit(l.duration(body.Bytes)) {
-			return 0, &Refusal{RetryAfter: max(excess, minRetryAfter)}
-		}
+	if weighted := start + sizeWeight*duration; wait > 0 && weighted > latest && !l.takeLargeCredit(duration) {
+		return 0, &Refusal{RetryAfter: max(weighted-latest, minRetryAfter)}
 	}
 	l.idleAt = end
 	return wait, nil
--- a/router/queuer/call_test.go
+++ b/router/queuer/call_test.go
@@ -65,3 +65,27 @@
 		qt.Check(t, 10*(upload.inTime+upload.late) >= upload.arrived, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, *upload))
 	}
 }
+
+// Guards against calls that lose their turn for what they took while nobody else needed the
+// slots: at a server that runs hardly anything else, all calls would wait for the clients.
+func TestCallsKeepTheirTurnAfterTheyWereAlone(t *testing.T) {
+	queue := queuer.NewQueue(1)
+	now := time.Duration(0)
+	offer := func(kind string) *queuer.Entry {
+		entry, refusal := queue.Offer(now, queuer.Job{Kind: kind, Rank: 1, Aim: now + time.Second, Deadline: now + 2*time.Second, Call: kind == "call"})
+		qt.Assert(t, refusal, qt.IsNil)
+		return entry
+	}
+	running := offer("call")
+	for range 500 {
+		now += 20 * ms
+		queue.Done(now, running, true)
+		running = offer("call")
+	}
+	offer("upload")
+	call := offer("call")
+	now += 20 * ms
+	started := queue.Done(now, running, true)
+	qt.Assert(t, started, qt.HasLen, 1)
+	qt.Assert(t, started[0], qt.Equals, call)
+}
--- a/router/queuer/queue.go
+++ b/router/queuer/queue.go
@@ -226,7 +226,7 @@
 	entry.running = true
 	q.count(now)
 	q.running[entry] = struct{}{}
-	q.turns.start(entry, q.slots)
+	q.turns.start(entry, q.slots, entry.Call && q.othersWait())
 }
 
 // Done removes a running job and returns the jobs started in its place. The running
