--- a/router/assembler/routed_server.go
+++ b/router/assembler/routed_server.go
@@ -85,12 +85,14 @@
 
 // routeLoad is the load of one route in event 314.
 type routeLoad struct {
-	Route   string `json:"route"`
-	Rank    int    `json:"rank"`
-	Offered int    `json:"offered"`
-	Refused int    `json:"refused"`
-	Served  int    `json:"served"`
-	Failed  int    `json:"failed"`
+	Route string `json:"route"`
+	Rank  int    `json:"rank"`
+	// Call is set if the requests are taken for calls of backend servers.
+	Call    bool `json:"call"`
+	Offered int  `json:"offered"`
+	Refused int  `json:"refused"`
+	Served  int  `json:"served"`
+	Failed  int  `json:"failed"`
 	// Wait and Run are the mean times before and in a slot, in milliseconds.
 	Wait int64 `json:"wait"`
 	Run  int64 `json:"run"`
@@ -105,7 +107,7 @@
 	for _, kind := range totals[:min(len(totals), maxLoggedRoutes)] {
 		ended := int64(max(kind.Ended(), 1))
 		loads = append(loads, routeLoad{
-			Route: kind.Kind, Rank: kind.Rank, Offered: kind.Offered, Refused: kind.Refused, Served: kind.Served, Failed: kind.Failed,
+			Route: kind.Kind, Rank: kind.Rank, Call: kind.Call, Offered: kind.Offered, Refused: kind.Refused, Served: kind.Served, Failed: kind.Failed,
 			Wait: kind.Wait.Milliseconds() / ended, Run: kind.Run.Milliseconds() / ended,
 		})
 	}
--- a/router/queuer/kind_totals.go
+++ b/router/queuer/kind_totals.go
@@ -9,8 +9,10 @@
 
 // KindTotals counts the jobs of one kind. Wait and Run are sums over the jobs that ended.
 type KindTotals struct {
-	Kind    string
-	Rank    int
+	Kind string
+	Rank int
+	// Call is set if the last job was a call.
+	Call    bool
 	Offered int
 	// Refused counts the jobs that got no slot, Served those released as served, and Failed
 	// the others that had a slot.
@@ -34,7 +36,7 @@
 		totals = &KindTotals{Kind: job.Kind}
 		q.totals[job.Kind] = totals
 	}
-	totals.Rank = job.Rank
+	totals.Rank, totals.Call = job.Rank, job.Call
 	return totals
 }
 
