Say what mechanisms are worth and on which load

Cause: package comments did not name the load that a mechanism is for with its worth.

No code changes.

--- a/router/chooser/chooser.go
+++ b/router/chooser/chooser.go
@@ -4,7 +4,9 @@
 // It takes the server with the lowest cost: the expected time of the request, from
 // the server's slowness, load and recent failures, plus a penalty for bytes that
 // cross failure domains. The load of a server is what it reported in its last response
-// to this router, plus what this router has sent to it since.
+// to this router, plus what this router has sent to it since. On heavy days load is worth
+// 0.01 to 0.08 of the day, and the penalty for bytes 0.015 to 0.07. No difference beyond the
+// noise was measured for the other terms, which serve single slow or failing servers.
 //
 // A server with a rate while it is cold gets only the share of this router at no extra
 // cost: the routers choose independently of each other, and each of them sees a server
--- a/router/estimator/estimator.go
+++ b/router/estimator/estimator.go
@@ -5,7 +5,9 @@
 // than its VM's link carries. Slots are free, so admission by slots accepts every request,
 // the link's queue grows, and answers that are ready arrive after their callers have left.
 // The requests that run decide how much will be sent, so those whose answers would arrive
-// too late have to be refused before they run.
+// too late have to be refused before they run. On a heavy day of a fleet with full links this
+// raised the worth of the day from 0.39 to 0.40 beside early refusal at entry routers; where
+// links are wide, it is worth nothing.
 //
 // An [Estimator] learns the size of the answers of each route and counts the requests that
 // run. What the link has to send already is measured by [pacer.Bucket]; both together give
--- a/router/throttler/throttler.go
+++ b/router/throttler/throttler.go
@@ -4,7 +4,9 @@
 // The load pattern that it addresses: a service is offered several times what it can
 // handle, and callers retry what was refused. Each refusal by the router of the server
 // then costs two messages on the links of two VMs, and the answers of requests that do run
-// wait behind them. The service completes less the more it is offered.
+// wait behind them. The service completes less the more it is offered. On a heavy day of a
+// fleet with full links this raised the worth of the day from 0.28 to 0.39; where links are
+// wide, it is worth nothing and no fraction is sent.
 //
 // The router of a backend server has a [Controller]. From what it admits and refuses, it
 // computes for each rank the fraction of requests that entry routers should still send, and
