Rename package attributor to classifier

Cause: the package decides to which of two classes the requests of a route belong; classifier is the usual word. Change: the name; nothing else. Measured: builds, go vet, tests of the package.

--- a/router/attributor/attributor.go
+++ b/router/classifier/classifier.go
@@ -1,4 +1,4 @@
-// Package attributor tells the calls of backend servers from the requests of clients.
+// Package classifier tells the calls of backend servers from the requests of clients.
 // Package relayer uses it in routed mode.
 //
 // The load pattern that it answers: servers make calls to another service while they run
@@ -14,10 +14,10 @@
 //
 // # Usage
 //
-//	routes := attributor.New()
+//	routes := classifier.New()
 //	routes.Observe(now, relay.Route, relay.Caller)
 //	job.Call = routes.IsCall(relay.Route)
-package attributor
+package classifier
 
 import (
 	"math"
@@ -51,9 +51,9 @@
 	updated   time.Duration
 }
 
-// Attributor remembers which routers the requests of each route came from. It is safe for
+// Classifier remembers which routers the requests of each route came from. It is safe for
 // concurrent use.
-type Attributor struct {
+type Classifier struct {
 	mu     sync.Mutex
 	routes map[string]*origin
 	// calls are the routes whose requests are calls, as of refreshed.
@@ -61,55 +61,55 @@
 	refreshed time.Duration
 }
 
-// New returns an Attributor without observations, which takes nothing for a call.
-func New() *Attributor {
-	return &Attributor{routes: make(map[string]*origin), calls: make(map[string]bool)}
+// New returns a Classifier without observations, which takes nothing for a call.
+func New() *Classifier {
+	return &Classifier{routes: make(map[string]*origin), calls: make(map[string]bool)}
 }
 
 // Observe counts a request of a route from a router of a service.
-func (a *Attributor) Observe(now time.Duration, route, service string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	known := a.routes[route]
+func (c *Classifier) Observe(now time.Duration, route, service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.routes[route]
 	if known == nil {
-		if len(a.routes) >= maxRoutes {
-			clear(a.routes)
+		if len(c.routes) >= maxRoutes {
+			clear(c.routes)
 		}
 		known = &origin{byService: make(map[string]float64), updated: now}
-		a.routes[route] = known
+		c.routes[route] = known
 	}
 	known.decay(now)
 	known.byService[service]++
-	if now-a.refreshed >= refreshInterval {
-		a.refresh(now)
+	if now-c.refreshed >= refreshInterval {
+		c.refresh(now)
 	}
 }
 
 // IsCall reports whether the requests of a route are calls of backend servers.
-func (a *Attributor) IsCall(route string) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.calls[route]
+func (c *Classifier) IsCall(route string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls[route]
 }
 
 // refresh evaluates all routes. The caller holds mu.
-func (a *Attributor) refresh(now time.Duration) {
-	a.refreshed = now
-	clear(a.calls)
+func (c *Classifier) refresh(now time.Duration) {
+	c.refreshed = now
+	clear(c.calls)
 	hasClients := false
-	for route, known := range a.routes {
+	for route, known := range c.routes {
 		known.decay(now)
 		share, sum := known.largest()
 		switch {
 		case sum < minRequests:
 		case share >= callShare:
-			a.calls[route] = true
+			c.calls[route] = true
 		case share < clientShare:
 			hasClients = true
 		}
 	}
 	if !hasClients {
-		clear(a.calls)
+		clear(c.calls)
 	}
 }
 
--- a/router/attributor/attributor_test.go
+++ b/router/classifier/classifier_test.go
@@ -1,4 +1,4 @@
-package attributor_test
+package classifier_test
 
 import (
 	"strconv"
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"marigoldhill/router/attributor"
+	"marigoldhill/router/classifier"
 )
 
 // request is a number of requests of a route from the routers of a service.
@@ -16,7 +16,7 @@
 	count          int
 }
 
-func observe(routes *attributor.Attributor, from time.Duration, requests []request) time.Duration {
+func observe(routes *classifier.Classifier, from time.Duration, requests []request) time.Duration {
 	now := from
 	for _, r := range requests {
 		for range r.count {
@@ -46,7 +46,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			routes := attributor.New()
+			routes := classifier.New()
 			observe(routes, 0, test.requests)
 			qt.Check(t, routes.IsCall("check"), qt.Equals, test.want)
 			qt.Check(t, routes.IsCall("order"), qt.IsFalse)
@@ -57,7 +57,7 @@
 // Guards against a verdict that outlives a change: a route that clients begin to use is no
 // call after some seconds.
 func TestVerdictFollowsTheRequests(t *testing.T) {
-	routes := attributor.New()
+	routes := classifier.New()
 	requests := []request{{"order", "desk", 40}, {"order", "stock", 60}, {"check", "desk", 60}}
 	now := observe(routes, 0, requests)
 	qt.Assert(t, routes.IsCall("check"), qt.IsTrue)
@@ -71,7 +71,7 @@
 	for n := range routes {
 		routes[n] = strconv.Itoa(n)
 	}
-	known := attributor.New()
+	known := classifier.New()
 	now := time.Duration(0)
 	for n := 0; b.Loop(); n++ {
 		now += 50 * time.Microsecond
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -15,7 +15,7 @@
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/pacer"
 	"marigoldhill/kernel/timer"
-	"marigoldhill/router/attributor"
+	"marigoldhill/router/classifier"
 	"marigoldhill/router/evacuator"
 	"marigoldhill/router/inviter"
 	"marigoldhill/router/isolator"
@@ -96,13 +96,13 @@
 	duration *metrics.Histogram
 	link     *ownerLink
 	// origins tells which routes are calls of backend servers.
-	origins *attributor.Attributor
+	origins *classifier.Classifier
 	// held is how many bytes of bodies are in memory at most.
 	held atomic.Int64
 }
 
 func NewOwner(options OwnerOptions) *Owner {
-	return &Owner{options: options, origins: attributor.New(), link: newOwnerLink(options), duration: options.Metrics.GetOrCreateHistogram("marigold_backend_seconds")}
+	return &Owner{options: options, origins: classifier.New(), link: newOwnerLink(options), duration: options.Metrics.GetOrCreateHistogram("marigold_backend_seconds")}
 }
 
 // Handle serves a KindRelay or KindInvitedRelay stream of another router. It is a
