--- a/router/keeper/statemachine_test.go
+++ b/router/keeper/statemachine_test.go
@@ -129,17 +129,23 @@
 	qt.Assert(t, machine.leaseRenewedAt, qt.Equals, at(0))
 }
 
-func TestUnresponsiveMembersAreSkipped(t *testing.T) {
+// triedMembers returns the members that heartbeats are sent to in one interval if each of them
+// ends with the same outcome.
+func triedMembers(end func(m *stateMachine, sequence uint64) actions) []string {
 	machine := newStateMachine([]string{"a", "b", "c"}, messenger.Timing{})
 	machine.tick(at(0))
 	var tried []string
 	for {
 		attempt := machine.recordAttempt(at(0))
 		tried = append(tried, attempt.address)
-		if !machine.heartbeatFailed(at(0), attempt.sequence).sendHeartbeat {
-			break
+		if !end(&machine, attempt.sequence).sendHeartbeat {
+			return tried
 		}
 	}
+}
+
+func TestUnresponsiveMembersAreSkipped(t *testing.T) {
+	tried := triedMembers(func(m *stateMachine, sequence uint64) actions { return m.heartbeatFailed(at(0), sequence) })
 	qt.Assert(t, tried, qt.DeepEquals, []string{"a", "b", "c"})
 }
 
@@ -147,17 +153,9 @@
 // after a power loss in which replicas lost their disks, all routers had no lease for
 // 0.8 s after the election, as they asked the replicas that were not members yet.
 func TestMembersThatKnowNoLeaderAreSkipped(t *testing.T) {
-	machine := newStateMachine([]string{"a", "b", "c"}, messenger.Timing{})
-	machine.tick(at(0))
-	var tried []string
-	for {
-		attempt := machine.recordAttempt(at(0))
-		tried = append(tried, attempt.address)
-		response := &messenger.HeartbeatResponse{Status: messenger.HeartbeatRedirect}
-		if !machine.handleResponse(at(0), attempt.sequence, response).sendHeartbeat {
-			break
-		}
-	}
+	tried := triedMembers(func(m *stateMachine, sequence uint64) actions {
+		return m.handleResponse(at(0), sequence, &messenger.HeartbeatResponse{Status: messenger.HeartbeatRedirect})
+	})
 	qt.Assert(t, tried, qt.DeepEquals, []string{"a", "b", "c"})
 }
 
