--- a/router/queuer/prediction.go
+++ b/router/queuer/prediction.go
@@ -27,7 +27,7 @@
 
 // latest returns when a job must be expected to finish to be admitted.
 func (j Job) latest() time.Duration {
-	if j.Final || j.Call {
+	if j.Final {
 		return j.Deadline
 	}
 	return j.Aim
--- a/router/queuer/queue.go
+++ b/router/queuer/queue.go
@@ -12,10 +12,8 @@
 // runs first. A request that has missed its aim runs only after those that can still
 // meet theirs, as it would make them late as well.
 //
-// Calls that runs at other servers wait for have until their deadline instead of their aim,
-// and go before others of their rank for up to a fixed share of the slots. On heavy days this
-// does not change how many requests are answered in time, but where calls are refused, a third
-// to nine tenths fewer runs fail.
+// Calls that runs at other servers wait for go before others of their rank for up to a fixed
+// share of the slots, since a call that is refused or late costs the run that made it.
 //
 // A kind that is refused for its expected cost is let in now and then, so that the cost is
 // measured. This matters after a router restarts beside a full server; see isTrial.
@@ -74,8 +72,8 @@
 	// Final is set if the caller has no time left for a retry. Such a job is admitted if it
 	// can meet its deadline.
 	Final bool
-	// Call is set if a run at another server waits for the job. Such a job is admitted if it
-	// can meet its deadline, and mostly goes before others of its rank; see callTurns.
+	// Call is set if a run at another server waits for the job. Such a job mostly goes before
+	// others of its rank; see callTurns.
 	Call bool
 }
 
