--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -64,6 +64,7 @@
 	if call.key != noKey {
 		request.Header.Set("Marigoldhill-Shard-Key", strconv.Itoa(call.key))
 	}
+	c.node.stage.note("client on %s sends %s %s %s, key %d", c.node.name, call.method, call.path, call.id, call.key)
 	own := c.Client
 	own.Timeout = call.deadline + 500*time.Millisecond
 	response, err := own.Do(request)
--- a/review/stand/stage.go
+++ b/review/stand/stage.go
@@ -49,7 +49,7 @@
 }
 
 // maxLines bounds the record.
-const maxLines = 60_000
+const maxLines = 100_000
 
 func newStage(record io.Writer, trouble bool) *stage {
 	folder, err := os.MkdirTemp("", "stand-")
