--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -221,10 +221,10 @@
 	pieceSize = 8 << 10
 	pieceWait = 20 * time.Millisecond
 	// uploads is how many clients upload at a time, uploadGap the time between their starts.
-	uploads   = 8
+	uploads   = 10
 	uploadGap = 60 * time.Millisecond
 	// kills is how often the router is killed.
-	kills = 8
+	kills = 14
 )
 
 // Read implements io.Reader.
