--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -41,20 +41,26 @@
 // playWithdrawn withdraws a backend by DELETE, kills the router beside it and delivers a
 // heartbeat that the backend had sent before, three seconds late.
 func playWithdrawn(s *stage) int {
-	s.build("vault", "vault", "desk")
+	// Nine sidecars, as on the site: one of them is a share of 0.111.
+	s.build("vault", "vault", "vault", "vault", "desk", "desk", "desk", "desk", "desk")
 	s.startAll(configurationOf(
 		map[string]map[string]any{"/issue/": route("non_idempotent", "vault", 1.2)},
 		map[string]map[string]any{"vault": service(false), "desk": service(false)}))
 	leaver := s.startBackend(s.sidecars[0], "vault", false, 160*time.Millisecond)
-	s.startBackend(s.sidecars[1], "vault", false, 160*time.Millisecond)
-	s.startBackend(s.sidecars[2], "desk", false, 160*time.Millisecond)
+	for n, m := range s.sidecars[1:] {
+		name := "vault"
+		if n >= 3 {
+			name = "desk"
+		}
+		s.startBackend(m, name, false, 160*time.Millisecond)
+	}
 	time.Sleep(2 * time.Second)
 	var mu sync.Mutex
 	answers := make(map[string]reply)
 	stop := make(chan struct{})
 	var done sync.WaitGroup
 	for _, m := range s.sidecars {
-		newClient(m).load(12, stop, &done,
+		newClient(m).load(10, stop, &done,
 			func() requestCall {
 				return requestCall{id: newID(), method: http.MethodPost, path: "/issue/1", key: noKey, deadline: 1200 * time.Millisecond, body: strings.NewReader("certificate")}
 			},
@@ -224,7 +230,7 @@
 	uploads   = 10
 	uploadGap = 60 * time.Millisecond
 	// kills is how often the router is killed.
-	kills = 14
+	kills = 10
 )
 
 // Read implements io.Reader.
@@ -240,15 +246,22 @@
 
 // playTruncatedBody kills a router while bodies in chunks arrive through it.
 func playTruncatedBody(s *stage) int {
-	s.build("archive", "desk")
+	// Thirteen sidecars, as on the site: one of them is a share of 0.077.
+	s.build("archive", "archive", "archive", "archive", "desk", "desk", "desk", "desk", "desk", "desk", "desk", "desk", "desk")
 	s.startAll(configurationOf(
 		map[string]map[string]any{"/upload/": route("upload", "archive", 4)},
 		map[string]map[string]any{"archive": service(false), "desk": service(false)}))
-	archive := s.startBackend(s.sidecars[0], "archive", false, 50*time.Millisecond)
-	s.startBackend(s.sidecars[1], "desk", false, 50*time.Millisecond)
+	var archives []*backend
+	for n, m := range s.sidecars {
+		if n < 4 {
+			archives = append(archives, s.startBackend(m, "archive", false, 50*time.Millisecond))
+			continue
+		}
+		s.startBackend(m, "desk", false, 50*time.Millisecond)
+	}
 	time.Sleep(4 * time.Second)
 	content := bytes.Repeat([]byte("0123456789abcdef"), bodyBytes/16)
-	entry := s.sidecars[1]
+	entry := s.sidecars[4]
 	answers := make(map[string]reply)
 	var mu sync.Mutex
 	for range kills {
@@ -280,10 +293,12 @@
 		time.Sleep(time.Second)
 	}
 	broken := 0
-	for _, r := range archive.executions(time.Time{}, time.Now()) {
-		if !bytes.Equal(r.body, content) {
-			broken++
-			s.note("broken: %s ran with a body of %d bytes, its client sends %d and got %d", r.id, len(r.body), len(content), answers[r.id].status)
+	for _, archive := range archives {
+		for _, r := range archive.executions(time.Time{}, time.Now()) {
+			if !bytes.Equal(r.body, content) {
+				broken++
+				s.note("broken: %s ran with a body of %d bytes, its client sends %d and got %d", r.id, len(r.body), len(content), answers[r.id].status)
+			}
 		}
 	}
 	return broken
