Do not take the end of a link for the end of a body

Cause: a link whose peer ended failed with an error that wrapped io.EOF, and readers of bodies tested for their end with errors.Is. The same test let a cut request run in sharded mode, and framed a cut answer as whole. Change: a link never fails with io.EOF; bodies are read to err == io.EOF.

--- a/kernel/linker/read.go
+++ b/kernel/linker/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 
 	"marigoldhill/kernel/framer"
 	"marigoldhill/kernel/messenger"
@@ -12,6 +13,10 @@
 		frame, err := l.reader.Read()
 		if err != nil {
 			l.countReadError(err)
+			if err == io.EOF {
+				// To the readers of the streams io.EOF would mean that theirs is complete.
+				err = io.ErrUnexpectedEOF
+			}
 			l.fail(Error.New("reading from %s: %w", l.peer.Name, err))
 			return
 		}
--- a/kernel/linker/stream.go
+++ b/kernel/linker/stream.go
@@ -169,7 +169,7 @@
 }
 
 // Read reads data. It returns io.EOF only if the peer has ended its direction and
-// the length and checksum matched.
+// the length and checksum matched; no other error wraps io.EOF.
 func (s *Stream) Read(data []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/router/acceptor/copy.go
+++ b/router/acceptor/copy.go
@@ -33,7 +33,7 @@
 			return err
 		}
 		switch {
-		case errors.Is(err, io.EOF):
+		case err == io.EOF:
 			return nil
 		case err != nil:
 			return Error.New("reading the response of the backend server: %w", err)
--- a/router/acceptor/limited_body.go
+++ b/router/acceptor/limited_body.go
@@ -32,7 +32,7 @@
 		b.exceeded.Store(true)
 		return 0, errBodyTooLarge
 	}
-	if errors.Is(err, io.EOF) {
+	if err == io.EOF {
 		b.complete.Store(true)
 	}
 	return n, err
--- a/router/dispatcher/exchange.go
+++ b/router/dispatcher/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -68,7 +67,7 @@
 		return 0, io.EOF
 	}
 	n, err := b.source.Read(data)
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err != nil && err != io.EOF {
 		err = Error.New("reading the %w: %w", errReadBody, err)
 	}
 	return n, err
--- a/router/executor/record.go
+++ b/router/executor/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"io"
 
 	"marigoldhill/kernel/messenger"
@@ -44,7 +43,7 @@
 	}
 	prefix := new(bytes.Buffer)
 	_, err := io.CopyN(prefix, answer.Body, recorder.MaxResponseBytes+1)
-	if errors.Is(err, io.EOF) {
+	if err == io.EOF {
 		_ = answer.Body.Close()
 		answer.Body = &bufferedBody{Reader: bytes.NewReader(prefix.Bytes())}
 		return prefix.Bytes(), true
--- a/router/executor/run.go
+++ b/router/executor/run.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"time"
 
@@ -138,7 +137,7 @@
 func (r *run) computeFingerprint() error {
 	prefix := new(bytes.Buffer)
 	if r.body != nil && r.request.Length != 0 {
-		if _, err := io.CopyN(prefix, r.body, fingerprintBytes); err != nil && !errors.Is(err, io.EOF) {
+		if _, err := io.CopyN(prefix, r.body, fingerprintBytes); err != nil && err != io.EOF {
 			return Error.New("reading the body: %w", err)
 		}
 	}
--- a/router/forwarder/body.go
+++ b/router/forwarder/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"io"
 	"slices"
 	"sync/atomic"
@@ -54,7 +53,7 @@
 		n, err := body.Read(buffer[len(buffer):min(cap(buffer), maxBytes)])
 		buffer = buffer[:len(buffer)+n]
 		switch {
-		case errors.Is(err, io.EOF):
+		case err == io.EOF:
 			return buffer, true, nil
 		case err != nil:
 			return nil, false, err
--- a/router/forwarder/network_fault_test.go
+++ b/router/forwarder/network_fault_test.go
@@ -235,6 +235,25 @@
 	})
 }
 
+// Guards against a request that runs with a part of its body, because the entry router
+// ended while the body was sent.
+func TestBodyCutByEndOfLinkDoesNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouterPair(t, forwarder.Settings{})
+		stream, err := r.pool.Open(t.Context(), "owner:1", messenger.KindForward)
+		qt.Assert(t, err, qt.IsNil)
+		sent := request("n1")
+		sent.Timeout = callerTimeout
+		qt.Assert(t, stream.Send(sent), qt.IsNil)
+		_, err = stream.Write([]byte("part"))
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(time.Second)
+		r.pool.Close()
+		time.Sleep(time.Second)
+		qt.Check(t, r.remote.count("n1"), qt.Equals, 0)
+	})
+}
+
 func TestLinkBlackholedDuringAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRouterPair(t, forwarder.Settings{})
--- a/router/relayer/entry.go
+++ b/router/relayer/entry.go
@@ -257,7 +257,7 @@
 // Read implements io.Reader.
 func (b *entryBody) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err != nil && err != io.EOF {
 		b.onError(err)
 	}
 	return n, err
--- a/router/relayer/owner_send.go
+++ b/router/relayer/owner_send.go
@@ -147,10 +147,10 @@
 // Read implements io.Reader.
 func (b *unbufferedBody) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err != nil && err != io.EOF {
 		b.readErr = err
 	}
-	b.eof = b.eof || errors.Is(err, io.EOF)
+	b.eof = b.eof || err == io.EOF
 	return n, err
 }
 
--- a/router/relayer/received_body.go
+++ b/router/relayer/received_body.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"time"
 
@@ -166,7 +165,7 @@
 		return b.head.Read(data)
 	}
 	n, err := b.rest.Read(data)
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err != nil && err != io.EOF {
 		return n, Error.New("receiving the body: %w", err)
 	}
 	return n, err
--- a/router/relayer/upload_test.go
+++ b/router/relayer/upload_test.go
@@ -6,7 +6,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,6 +21,7 @@
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
 	"marigoldhill/router/budgeter"
+	"marigoldhill/router/dispatcher"
 	"marigoldhill/router/mapper"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/relayer"
@@ -204,6 +207,56 @@
 
 func (errorReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
 
+// Guards against an upload that runs with a part of its body, because the entry router ended
+// while the body was sent.
+func TestBodyCutByEndOfLinkIsNotComplete(t *testing.T) {
+	const uploads = 40
+	for _, length := range []int64{-1, 400_000} {
+		var complete atomic.Int32
+		var ended sync.WaitGroup
+		ended.Add(uploads)
+		server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			defer ended.Done()
+			if _, err := io.Copy(io.Discard, r.Body); err == nil {
+				complete.Add(1)
+			}
+		}))
+		backend := requester.New(requester.Options{Network: networker.TCP{}, HeaderCodec: dispatcher.HeaderCodec{}})
+		o := newTestOwnerWith(redirect{backend, server.Listener.Addr().String()})
+		o.admission.SetSlots(uploads)
+		hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleRouter, Name: "r2"}
+		router, err := linker.Listen(networker.TCP{}, "127.0.0.1:0", linker.Options{Hello: hello, Handler: o.Handle})
+		qt.Assert(t, err, qt.IsNil)
+		pool := linker.NewPool(networker.TCP{}, linker.Options{Hello: hello})
+		for range uploads {
+			stream, err := pool.Open(t.Context(), router.Address(), messenger.KindRelay)
+			qt.Assert(t, err, qt.IsNil)
+			request := relay(messenger.NoKey)
+			request.Method, request.Target, request.Host, request.Length, request.Left = http.MethodPost, "/x", "desk", length, 5*time.Second
+			qt.Assert(t, stream.Send(request), qt.IsNil)
+			_, err = stream.Write(make([]byte, 300_000))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		time.Sleep(200 * time.Millisecond)
+		pool.Close()
+		ended.Wait()
+		qt.Check(t, complete.Load(), qt.Equals, int32(0), qt.Commentf("length %d", length))
+		_ = router.Close()
+		server.Close()
+	}
+}
+
+// redirect is a Backend that sends all requests to one address.
+type redirect struct {
+	relayer.Backend
+	address string
+}
+
+// Send implements [relayer.Backend].
+func (r redirect) Send(ctx context.Context, _ string, request *requester.ServerRequest, body io.Reader) requester.Result {
+	return r.Backend.Send(ctx, r.address, request, body)
+}
+
 // The limit of the configuration also binds a body without a length.
 func TestBodyOfUnknownLengthIsLimited(t *testing.T) {
 	for _, size := range []int{200_000, 1_000_000} {
--- a/router/requester/body.go
+++ b/router/requester/body.go
@@ -1,7 +1,6 @@
 package requester
 
 import (
-	"errors"
 	"io"
 	"sync"
 )
@@ -20,7 +19,7 @@
 // Read implements io.Reader.
 func (b *responseBody) Read(data []byte) (int, error) {
 	n, err := b.source.Read(data)
-	if errors.Is(err, io.EOF) {
+	if err == io.EOF {
 		b.complete = true
 		b.finish()
 		return n, io.EOF
--- a/router/requester/request.go
+++ b/router/requester/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -92,7 +91,7 @@
 				return Error.New("sending a chunk: %w", err)
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if err == io.EOF {
 			_, err := io.WriteString(w, "0\r\n\r\n")
 			return wrapSendError(err)
 		}
