Repeat refused requests over another connection

Cause: all attempts of a request have the ID of the caller, by which responses are matched. Change: the next attempt uses another connection than those on which the server refused the request, an idle one if there is one. What is remembered ends with the deadline of the request and is bounded. A counter tells how many repeats went over kept and new connections. Evidence: TestLateRefusalIsNotForTheNextAttempt failed before in its rows with late copies and passes.

--- a/router/requester/conn.go
+++ b/router/requester/conn.go
@@ -30,6 +30,9 @@
 	idleTimeout time.Duration
 	// reusable is set when the connection can carry another request.
 	reusable bool
+	// retired is set when no further request may be sent on the connection. It is
+	// protected by Client.mu.
+	retired bool
 	// bodyDone is closed when sendBody returns; nil when the body was sent with the
 	// header.
 	bodyDone chan struct{}
--- a/router/requester/requester.go
+++ b/router/requester/requester.go
@@ -4,11 +4,13 @@
 //
 // A connection carries one request at a time. A response is accepted only when it
 // contains the ID of the request: a server may send a response twice or late, and
-// bytes that belong to no request must not be taken for its response. A request has
-// not been executed when none of its bytes were sent or when the server reports so.
-// In all other cases without a complete response the outcome is unknown. A request
-// is never sent twice. All that a server can send before the body of a response is
-// bounded, and reads end with the deadline of the request; see [ErrExcess].
+// bytes that belong to no request must not be taken for its response. All attempts of a
+// request have the same ID, so the next one uses another connection than those on which
+// the server refused it. A request has not been executed when none of its bytes were sent
+// or when the server reports so. In all other cases without a complete response the
+// outcome is unknown. A request is never sent twice. All that a server can send before the
+// body of a response is bounded, and reads end with the deadline of the request; see
+// [ErrExcess].
 //
 // A [HeaderCodec] defines the protocol of a server, such as the names of header fields.
 //
@@ -52,7 +54,7 @@
 	idleCloseMargin = 500 * time.Millisecond
 	// maxUnmatched is how many responses to other requests are skipped before the
 	// connection is closed.
-	maxUnmatched = 2
+	maxUnmatched = 8
 	// maxInlineBodyBytes is the largest body that is sent in one write with the header.
 	maxInlineBodyBytes = 16 << 10
 )
@@ -130,13 +132,14 @@
 	// checks is the number of open connections of health checks.
 	checks atomic.Int64
 
-	mu   sync.Mutex
-	idle []*conn
+	mu       sync.Mutex
+	idle     []*conn
+	refusals refusals
 }
 
 // New returns a Client without connections.
 func New(options Options) *Client {
-	return &Client{options: options}
+	return &Client{options: options, refusals: newRefusals()}
 }
 
 // Reset closes the idle connections. It is meant for when another server listens on
@@ -169,7 +172,7 @@
 // Send sends a request and waits for the header of the response. When ctx is done,
 // the connection is closed, so that the server can cancel the request.
 func (c *Client) Send(ctx context.Context, address string, serverRequest *ServerRequest, body io.Reader) Result {
-	conn, err := c.connect(ctx, address)
+	conn, err := c.connect(ctx, address, serverRequest.Relay.ID)
 	if err != nil {
 		return refusedResult(contextReason(ctx, messenger.ReasonDown), err)
 	}
@@ -185,6 +188,7 @@
 	if !stop() || result.Outcome != messenger.OutcomeRefused || !conn.reusable {
 		conn.close()
 	} else {
+		c.addRefusal(conn, serverRequest)
 		c.putIdle(conn)
 	}
 	if result.Outcome == messenger.OutcomeUnknown && ctx.Err() != nil {
@@ -196,14 +200,16 @@
 	return result
 }
 
-// connect returns an idle connection that is still usable, or dials a new one.
-func (c *Client) connect(ctx context.Context, address string) (*conn, error) {
+// connect returns an idle connection that is still usable for the request with an ID, or
+// dials a new one.
+func (c *Client) connect(ctx context.Context, address, id string) (*conn, error) {
 	for {
-		conn := c.popIdle(address)
+		conn := c.popIdle(address, id)
 		if conn == nil {
 			break
 		}
 		if conn.isUsable() {
+			c.countRepeat(id, "kept")
 			return conn, nil
 		}
 		c.reportClosed(conn)
@@ -216,21 +222,26 @@
 		return nil, Error.New("dialing the backend server: %w", err)
 	}
 	c.count("dials")
+	c.countRepeat(id, "new")
 	return newConn(raw, address, &c.open), nil
 }
 
 // popIdle returns the idle connection that was used last, so that the others reach
-// their idle timeout. It returns nil when there is none to the address.
-func (c *Client) popIdle(address string) *conn {
+// their idle timeout. It skips those on which the server refused the request with the ID,
+// and returns nil when there is no other one to the address.
+func (c *Client) popIdle(address, id string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.idle) > 0 {
-		last := c.idle[len(c.idle)-1]
-		c.idle = c.idle[:len(c.idle)-1]
-		if last.address == address {
-			return last
+	for i := len(c.idle) - 1; i >= 0; i-- {
+		conn := c.idle[i]
+		if conn.address == address && c.refusals.has(id, conn) {
+			continue
 		}
-		last.close()
+		c.idle = slices.Delete(c.idle, i, i+1)
+		if conn.address == address {
+			return conn
+		}
+		conn.close()
 	}
 	return nil
 }
@@ -240,9 +251,43 @@
 	conn.idleSince = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if conn.retired {
+		conn.close()
+		return
+	}
 	c.idle = append(c.idle, conn)
 }
 
+// addRefusal records that the server refused a request on a connection.
+func (c *Client) addRefusal(conn *conn, serverRequest *ServerRequest) {
+	refused := refusal{id: serverRequest.Relay.ID, conn: conn}
+	if !serverRequest.Deadline.IsZero() {
+		refused.expiresAt = serverRequest.Deadline.Add(refusalMargin)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	retired := c.refusals.add(time.Now(), refused)
+	if retired == nil {
+		return
+	}
+	retired.retired = true
+	if i := slices.Index(c.idle, retired); i >= 0 {
+		c.idle = slices.Delete(c.idle, i, i+1)
+		retired.close()
+	}
+}
+
+// countRepeat counts an attempt of a request that the server refused before, by the kind of
+// its connection.
+func (c *Client) countRepeat(id, connection string) {
+	c.mu.Lock()
+	isRepeat := c.refusals.hasRequest(id)
+	c.mu.Unlock()
+	if isRepeat {
+		c.increment(`marigold_backend_repeats_total{connection="` + connection + `"}`)
+	}
+}
+
 func (c *Client) count(name string) {
 	c.increment("marigold_backend_" + name + "_total")
 }
