Number the attempts of a request to a server in sharded mode

Cause: all attempts of a request carried its number, so a late copy of a refusal was taken for the response to the next attempt. Change: attempts after the first carry their own number. Result: connections are shared as before.

--- a/router/dispatcher/dispatcher.go
+++ b/router/dispatcher/dispatcher.go
@@ -10,9 +10,9 @@
 // them those with an Idempotency-Key; the dispatcher prevents this with a body that
 // cannot be replayed.
 //
-// Each request carries its number, and a server that returns it in its responses is sent
-// many requests over one connection: a response with another number, such as a late copy of
-// an earlier one, is recognized. A server that does not is sent one request over each
+// Each attempt of a request carries its own number, and a server that returns it in its
+// responses is sent many requests over one connection: a response with another number, such
+// as a late copy of an earlier one, is recognized. A server that does not is sent one request over each
 // connection, so that nothing late can arrive on a connection in use.
 //
 // # Usage
@@ -134,7 +134,7 @@
 	if err != nil {
 		return d.failedResult(ctx, &conns, err)
 	}
-	if !d.belongsTo(response, serverRequest.Request.Number, request.Close) {
+	if !d.belongsTo(response, attemptNumber(serverRequest.Request), request.Close) {
 		conns.close()
 		return Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonTruncated, Cause: CauseNone}
 	}
--- a/router/dispatcher/dispatcher_test.go
+++ b/router/dispatcher/dispatcher_test.go
@@ -7,7 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"path"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -239,3 +242,50 @@
 		})
 	}
 }
+
+// Guards against a request that runs although its caller is told that it did not: a late copy
+// of the refusal of an attempt must not be taken for the response to the next attempt.
+func TestLateRefusalIsNotForTheNextAttempt(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	var ran sync.Map // by the path of the attempt
+	// serve refuses the first request of a connection, and runs the others after a copy of
+	// that refusal.
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader, late := bufio.NewReader(conn), ""
+		for request, err := http.ReadRequest(reader); err == nil; request, err = http.ReadRequest(reader) {
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(conn, late)
+			head := "Marigold-Request: " + request.Header.Get("Marigold-Request") + "\r\nContent-Length: 0\r\n\r\n"
+			if late == "" {
+				late = "HTTP/1.1 503 Busy\r\nMarigold-Refused: shed\r\n" + head
+				_, _ = io.WriteString(conn, late)
+				continue
+			}
+			ran.Store(path.Base(request.URL.Path), true)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head)
+		}
+	}
+	go func() {
+		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+			go serve(conn)
+		}
+	}()
+	t.Cleanup(func() { _ = listener.Close() })
+	backend := dispatcher.New(networker.TCP{})
+	defer backend.Close()
+	outcomes := make(map[string]messenger.Outcome)
+	for attempt := 1; attempt <= 8; attempt++ {
+		next := serverRequest("http://" + listener.Addr().String())
+		next.Request.Number, next.Request.Attempt, next.Request.Route = "n", attempt, strconv.Itoa(attempt)
+		outcomes[next.Request.Route] = backend.Send(t.Context(), next).Outcome
+	}
+	count := 0
+	ran.Range(func(attempt, _ any) bool {
+		count++
+		qt.Check(t, outcomes[attempt.(string)], qt.Not(qt.Equals), messenger.OutcomeRefused, qt.Commentf("attempt %v", attempt))
+		return true
+	})
+	qt.Check(t, count > 0, qt.IsTrue)
+}
--- a/router/dispatcher/exchange.go
+++ b/router/dispatcher/exchange.go
@@ -38,8 +38,8 @@
 	request.Header.Set(messenger.HeaderFence, strconv.FormatUint(serverRequest.Fence, 10))
 	request.Header.Set(messenger.HeaderShard, strconv.FormatUint(uint64(serverRequest.Shard), 10))
 	request.Header.Set(messenger.HeaderDeadline, strconv.FormatInt(serverRequest.Deadline.UnixMilli(), 10))
-	if source.Number != "" {
-		request.Header.Set(messenger.HeaderRequestNumber, source.Number)
+	if number := attemptNumber(source); number != "" {
+		request.Header.Set(messenger.HeaderRequestNumber, number)
 	}
 	if source.Idempotency != "" {
 		request.Header.Set(messenger.HeaderIdempotencyKey, source.Idempotency)
@@ -57,6 +57,16 @@
 	return request, nil
 }
 
+// attemptNumber returns the number that the server returns in its response. The attempts of
+// a request have different ones: a late copy of the refusal of an earlier attempt must not be
+// taken for the response to a later one, which runs.
+func attemptNumber(request *messenger.Request) string {
+	if request.Number == "" || request.Attempt <= 1 {
+		return request.Number
+	}
+	return request.Number + "." + strconv.Itoa(request.Attempt)
+}
+
 // onceBody is a request body that can be read once. Without a source it is empty.
 type onceBody struct {
 	source io.Reader
