Do not take late copies of range calls for the next response

Cause: responses to grants and releases name no call. A late copy of a 409 or 421 denied a grant that the server had accepted, so that its keys were granted elsewhere; a late copy of a 200 ended a release whose work still ran. Change: a connection with another response than 200 carries no further grant, a grant that is answered with a handover is unanswered, and a release whose response can be a copy is sent again over a connection of its own.

--- a/router/granter/ranges.go
+++ b/router/granter/ranges.go
@@ -8,11 +8,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
 
+	"github.com/zeebo/errs"
+
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
 	"marigoldhill/router/holder"
@@ -50,9 +53,18 @@
 // RangeClient makes the calls that grant and release ranges of keys. Status 200 means that
 // the call was carried out, 409 that the server has seen a higher fence for some of
 // the keys, 421 that the call is for another server.
+//
+// Responses do not say which call they are for, so a late copy of one can be taken for the
+// response to the next call on its connection. A copy that denies a grant would free keys
+// that the server holds, and one that ends a release would let them be granted elsewhere
+// while the server works on them. Calls therefore share a connection as long as a copy can
+// be told apart: all grants on it were accepted, and each release has returned another
+// handover token. Otherwise a release is sent again over a connection of its own.
 type RangeClient struct {
 	protocol RangeProtocol
-	client   *http.Client
+	kept     *http.Client
+	// single opens a connection for each call.
+	single *http.Client
 	// onRefused is called when the port of the server refused a connection.
 	onRefused func()
 	// open is the number of open connections.
@@ -71,12 +83,16 @@
 			return nil, Error.New("dialing the backend server for range calls: %w", err)
 		}
 		r.open.Add(1)
-		return &countedConn{Conn: conn, open: &r.open}, nil
+		return &rangeConn{Conn: conn, open: &r.open, handovers: make(map[string]bool)}, nil
 	}
-	r.client = &http.Client{Transport: &http.Transport{
+	r.kept = &http.Client{Transport: &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
+	r.single = &http.Client{Transport: &http.Transport{
+		DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	}}
 	return r
 }
 
@@ -86,19 +102,34 @@
 	return r.open.Load() > 0
 }
 
-// countedConn is a connection that is counted until it is closed.
-type countedConn struct {
+// rangeConn is a connection that is counted until it is closed.
+type rangeConn struct {
 	net.Conn
 	open      *atomic.Int64
 	closeOnce sync.Once
+	// handovers are the tokens of the responses so far. Only one call uses it at a time.
+	handovers map[string]bool
 }
 
+// maxHandovers is how many releases a connection carries at most, which bounds
+// rangeConn.handovers.
+const maxHandovers = 64
+
 // Close implements [net.Conn].
-func (c *countedConn) Close() error {
+func (c *rangeConn) Close() error {
 	c.closeOnce.Do(func() { c.open.Add(-1) })
 	return c.Conn.Close()
 }
 
+// addHandover reports whether the response with a token cannot be a copy of an earlier one.
+func (c *rangeConn) addHandover(token string) bool {
+	if token == "" || c.handovers[token] {
+		return false
+	}
+	c.handovers[token] = true
+	return true
+}
+
 // NativeRangeProtocol returns the native format of the calls, which docs/BACKEND.md
 // specifies.
 func NativeRangeProtocol() RangeProtocol {
@@ -118,16 +149,61 @@
 
 // Grant implements [holder.Caller].
 func (r *RangeClient) Grant(ctx context.Context, address string, call *holder.Call) (holder.CallResult, error) {
-	result, _, err := r.call(ctx, "http://"+address+r.protocol.GrantPath, call)
+	var used usedConn
+	result, handover, err := r.call(used.trace(ctx), r.kept, "http://"+address+r.protocol.GrantPath, call)
+	if result != holder.Accepted || handover != "" {
+		used.close()
+	}
+	if handover != "" {
+		return holder.Unanswered, Error.New("response to a grant has the handover of a release: %w", errLateCopy)
+	}
 	return result, err
 }
 
+// errLateCopy means that a response belongs to an earlier call.
+var errLateCopy = errs.New("late copy of an earlier response")
+
 // Release implements [holder.Caller].
 func (r *RangeClient) Release(ctx context.Context, address string, call *holder.Call) (holder.CallResult, string, error) {
-	return r.call(ctx, "http://"+address+r.protocol.ReleasePath, call)
+	var used usedConn
+	url := "http://" + address + r.protocol.ReleasePath
+	result, handover, err := r.call(used.trace(ctx), r.kept, url, call)
+	if used.conn == nil || err != nil {
+		return result, handover, err
+	}
+	isOwn := used.conn.addHandover(handover) && result == holder.Accepted
+	if !isOwn || len(used.conn.handovers) >= maxHandovers {
+		used.close()
+	}
+	if isOwn || !used.reused {
+		return result, handover, nil
+	}
+	return r.call(ctx, r.single, url, call)
+}
+
+// usedConn is the connection of a call.
+type usedConn struct {
+	conn *rangeConn
+	// reused is set if the connection has carried other calls before.
+	reused bool
+}
+
+// trace returns a context for a call that sets the connection.
+func (u *usedConn) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		u.conn, _ = info.Conn.(*rangeConn)
+		u.reused = info.Reused
+	}})
+}
+
+// close closes the connection, so that it carries no further calls.
+func (u *usedConn) close() {
+	if u.conn != nil {
+		_ = u.conn.Close()
+	}
 }
 
-func (r *RangeClient) call(ctx context.Context, url string, call *holder.Call) (holder.CallResult, string, error) {
+func (r *RangeClient) call(ctx context.Context, client *http.Client, url string, call *holder.Call) (holder.CallResult, string, error) {
 	encoded, err := json.Marshal(r.protocol.Body(call))
 	if err != nil {
 		return holder.NotSent, "", Error.New("encoding the body of a range call: %w", err)
@@ -141,7 +217,7 @@
 	if r.protocol.StartHeader != "" {
 		request.Header.Set(r.protocol.StartHeader, strconv.FormatInt(call.Born, 10))
 	}
-	response, err := r.client.Do(request)
+	response, err := client.Do(request)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		r.onRefused()
 		return holder.NotSent, "", Error.New("connecting to the backend server for a range call: %w", err)
