Judge a response to a range call before the next call

Cause: the transport offers a connection to the next call before the one that used it has recorded the handover token of its response. Change: a call holds the connection until it has judged the response. Evidence: TestRangeCallsAtTheSameTime failed under the race detector before and passes.

--- a/router/granter/late_copy_test.go
+++ b/router/granter/late_copy_test.go
@@ -5,12 +5,16 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
 	"marigoldhill/router/granter"
 	"marigoldhill/router/holder"
@@ -90,3 +94,29 @@
 		})
 	}
 }
+
+// Guards against calls at the same time that use the same connection in turn: the transport
+// offers it to the next call before the response to the last one was judged.
+func TestRangeCallsAtTheSameTime(t *testing.T) {
+	var tokens atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == messenger.PathRevokes {
+			w.Header().Set(messenger.HeaderHandover, strconv.Itoa(int(tokens.Add(1))))
+		}
+	}))
+	defer server.Close()
+	client := granter.NewRangeClient(networker.TCP{}, granter.NativeRangeProtocol(), func() {})
+	address := server.Listener.Addr().String()
+	var calls sync.WaitGroup
+	for range 8 {
+		calls.Go(func() {
+			for range 100 {
+				result, err := client.Grant(t.Context(), address, &holder.Call{Server: "s1"})
+				qt.Check(t, result, qt.Equals, holder.Accepted, qt.Commentf("%v", err))
+				result, _, err = client.Release(t.Context(), address, &holder.Call{Server: "s1"})
+				qt.Check(t, result, qt.Equals, holder.Accepted, qt.Commentf("%v", err))
+			}
+		})
+	}
+	calls.Wait()
+}
--- a/router/granter/ranges.go
+++ b/router/granter/ranges.go
@@ -107,7 +107,10 @@
 	net.Conn
 	open      *atomic.Int64
 	closeOnce sync.Once
-	// handovers are the tokens of the responses so far. Only one call uses it at a time.
+	// mu is held by the call that uses the connection until it has judged the response:
+	// the transport offers the connection to the next call before.
+	mu sync.Mutex
+	// handovers are the tokens of the responses so far.
 	handovers map[string]bool
 }
 
@@ -150,6 +153,7 @@
 // Grant implements [holder.Caller].
 func (r *RangeClient) Grant(ctx context.Context, address string, call *holder.Call) (holder.CallResult, error) {
 	var used usedConn
+	defer used.done()
 	result, handover, err := r.call(used.trace(ctx), r.kept, "http://"+address+r.protocol.GrantPath, call)
 	if result != holder.Accepted || handover != "" {
 		used.close()
@@ -166,6 +170,7 @@
 // Release implements [holder.Caller].
 func (r *RangeClient) Release(ctx context.Context, address string, call *holder.Call) (holder.CallResult, string, error) {
 	var used usedConn
+	defer used.done()
 	url := "http://" + address + r.protocol.ReleasePath
 	result, handover, err := r.call(used.trace(ctx), r.kept, url, call)
 	if used.conn == nil || err != nil {
@@ -181,7 +186,7 @@
 	return r.call(ctx, r.single, url, call)
 }
 
-// usedConn is the connection of a call.
+// usedConn is the connection of a call. Its done must be called at the end of the call.
 type usedConn struct {
 	conn *rangeConn
 	// reused is set if the connection has carried other calls before.
@@ -191,11 +196,22 @@
 // trace returns a context for a call that sets the connection.
 func (u *usedConn) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		u.conn, _ = info.Conn.(*rangeConn)
-		u.reused = info.Reused
+		u.done() // of an attempt that the transport repeats
+		if conn, ok := info.Conn.(*rangeConn); ok {
+			conn.mu.Lock()
+			u.conn, u.reused = conn, info.Reused
+		}
 	}})
 }
 
+// done leaves the connection to the next call.
+func (u *usedConn) done() {
+	if u.conn != nil {
+		u.conn.mu.Unlock()
+		u.conn = nil
+	}
+}
+
 // close closes the connection, so that it carries no further calls.
 func (u *usedConn) close() {
 	if u.conn != nil {
