Record that a server leaves before it is acknowledged

Cause: a leave was a state of the process beside the server. The control group dropped it with the next report, it was acknowledged before anybody else knew it, and the withdrawal of a server that had not announced itself yet was acknowledged and dropped. Change: the control group records which starts of servers leave; routers acknowledge a leave once it is recorded, and the next process takes it over.

--- a/control/assigner/assigner.go
+++ b/control/assigner/assigner.go
@@ -47,6 +47,9 @@
 	// MaxEvacuations is the number of failure domains that can be evacuated at once.
 	// It bounds the rows in full deltas and far exceeds the domains of a deployment.
 	MaxEvacuations = 64
+	// MaxWithdrawals is the number of starts of backend servers kept that leave. Late
+	// announcements of older ones no longer arrive.
+	MaxWithdrawals = 4096
 	// MaxDeltaRows is the number of shard rows after which a delta is truncated.
 	MaxDeltaRows = 16384
 )
@@ -73,6 +76,10 @@
 	tables   map[string]*Table
 	profiles map[string]Versioned[messenger.Profile]
 	drains   map[string]bool
+	// withdrawn are the starts of backend servers that leave, withdrawals the same in
+	// order.
+	withdrawn   map[serverStart]bool
+	withdrawals ring[serverStart]
 	// evacuations are the evacuated failure domains.
 	evacuations map[string]Versioned[messenger.EvacuationRow]
 
@@ -107,6 +114,8 @@
 		tables:      make(map[string]*Table),
 		profiles:    make(map[string]Versioned[messenger.Profile]),
 		drains:      make(map[string]bool),
+		withdrawn:   make(map[serverStart]bool),
+		withdrawals: ring[serverStart]{limit: MaxWithdrawals},
 		evacuations: make(map[string]Versioned[messenger.EvacuationRow]),
 		ranges:      make(map[string]*Ranges),
 		quarantines: make(map[string]Versioned[messenger.QuarantineRow]),
--- a/control/assigner/command.go
+++ b/control/assigner/command.go
@@ -52,6 +52,8 @@
 	Leaving  bool
 	// Routed is set if the router runs in routed mode.
 	Routed bool
+	// Withdrawn is set if the start of Server has said that it leaves.
+	Withdrawn bool
 }
 
 // Update replaces the attributes that a session reported.
@@ -62,6 +64,8 @@
 	Region  string
 	Server  *messenger.ServerRow
 	Leaving bool
+	// Withdrawn is set if the start of Server has said that it leaves.
+	Withdrawn bool
 }
 
 // Close closes sessions.
--- a/control/assigner/delta.go
+++ b/control/assigner/delta.go
@@ -53,7 +53,7 @@
 }
 
 func (s *State) buildDelta(from uint64, limit int) *messenger.TableDelta {
-	delta := &messenger.TableDelta{From: from, To: s.revision}
+	delta := &messenger.TableDelta{From: from, To: s.revision, Withdrawals: true}
 	if from == 0 || from < s.compactRevision || from > s.revision {
 		delta.Full = true
 		delta.From = 0
--- a/control/assigner/session.go
+++ b/control/assigner/session.go
@@ -103,6 +103,9 @@
 	s.sessions[s.applied] = session
 	s.sorted = nil
 	s.routers[command.Router] = s.applied
+	if command.Withdrawn {
+		s.withdraw(command.Router, command.Server)
+	}
 	s.refreshSession(session)
 	s.event(logger.SessionOpened, command.Router,
 		fmt.Sprintf("session %d at %s in domain %s", s.applied, command.Address, command.Domain))
@@ -120,6 +123,9 @@
 	session.Row.Region = command.Region
 	session.Row.Server = command.Server
 	session.Stopping = command.Leaving
+	if command.Withdrawn {
+		s.withdraw(session.Row.Router, command.Server)
+	}
 	s.refreshSession(session)
 	return applied(s.applied, 1)
 }
@@ -127,6 +133,7 @@
 // refreshSession updates the state derived from the attributes that a session
 // reported, such as Leaving.
 func (s *State) refreshSession(session *Session) {
+	session.Row.Withdrawn = s.isWithdrawn(session.Row.Server)
 	session.Row.Leaving = s.IsDraining(session) || s.IsEvacuated(session.Row.Domain)
 	if !session.Routed {
 		s.ensureService(session)
@@ -136,9 +143,9 @@
 }
 
 // IsDraining reports whether a session leaves for a reason of its own: its router
-// stops, or its backend server is drained.
+// stops, or its backend server leaves or is drained.
 func (s *State) IsDraining(session *Session) bool {
-	return session.Stopping || session.Row.Server != nil && s.drains[session.Row.Server.Name]
+	return session.Stopping || session.Row.Withdrawn || session.Row.Server != nil && s.drains[session.Row.Server.Name]
 }
 
 func (s *State) markSessionChanged(session *Session) {
--- a/control/assigner/snapshot.go
+++ b/control/assigner/snapshot.go
@@ -39,6 +39,8 @@
 	Deaths []int
 	// Evacuations is absent in snapshots of versions that accepted no evacuations.
 	Evacuations []Versioned[messenger.EvacuationRow]
+	// Withdrawals is absent in snapshots of versions that kept none.
+	Withdrawals []serverStart
 }
 
 // tableSnapshot is the encoded form of a Table.
@@ -80,6 +82,7 @@
 		Source:        s.source,
 		Configured:    s.configured,
 		Evacuations:   s.Evacuations(),
+		Withdrawals:   s.withdrawals.values,
 	}
 	for _, suspect := range image.Suspects {
 		image.Deaths = append(image.Deaths, s.deaths[suspect.Value.Fingerprint])
@@ -192,6 +195,10 @@
 	for _, row := range image.Evacuations {
 		s.evacuations[row.Value.Domain] = row
 	}
+	s.withdrawals.values = image.Withdrawals
+	for _, start := range image.Withdrawals {
+		s.withdrawn[start] = true
+	}
 	for _, row := range image.Quarantines {
 		s.quarantines[row.Value.Fingerprint] = row
 	}
--- a/control/supervisor/heartbeat.go
+++ b/control/supervisor/heartbeat.go
@@ -168,6 +168,8 @@
 		Server:   heartbeat.Server,
 		Leaving:  isLeaving(heartbeat),
 		Routed:   heartbeat.Routed,
+
+		Withdrawn: heartbeat.State == messenger.ServerLeaving,
 	}
 }
 
@@ -241,7 +243,13 @@
 func needsUpdate(session *assigner.Session, heartbeat *messenger.Heartbeat) bool {
 	row := &session.Row
 	return row.Address != heartbeat.Address || row.Domain != heartbeat.Domain || row.Region != heartbeat.Region ||
-		session.Stopping != isLeaving(heartbeat) || !reflect.DeepEqual(row.Server, heartbeat.Server)
+		session.Stopping != isLeaving(heartbeat) || isWithdrawing(session, heartbeat) || !reflect.DeepEqual(row.Server, heartbeat.Server)
+}
+
+// isWithdrawing reports whether a heartbeat reports that the server leaves and the session
+// does not show it yet, such as when the router stops at the same time.
+func isWithdrawing(session *assigner.Session, heartbeat *messenger.Heartbeat) bool {
+	return heartbeat.State == messenger.ServerLeaving && !session.Row.Withdrawn && heartbeat.Server != nil && heartbeat.Server.Born != 0
 }
 
 func newUpdate(number uint64, heartbeat *messenger.Heartbeat) *assigner.Update {
@@ -252,5 +260,7 @@
 		Region:  heartbeat.Region,
 		Server:  heartbeat.Server,
 		Leaving: isLeaving(heartbeat),
+
+		Withdrawn: heartbeat.State == messenger.ServerLeaving,
 	}
 }
--- a/kernel/logger/control.go
+++ b/kernel/logger/control.go
@@ -39,6 +39,7 @@
 	EvacuationStarted        = Event{275, hclog.Warn, "evacuation of a failure domain started"}
 	EvacuationEnded          = Event{276, hclog.Info, "evacuation of a failure domain ended"}
 	DomainEmpty              = Event{277, hclog.Info, "evacuated failure domain is empty"}
+	ServerWithdrawn          = Event{278, hclog.Info, "backend server withdrew"}
 )
 
 func controlEvents() []Event {
@@ -50,6 +51,6 @@
 		KeyPromoted, KeyDemoted,
 		ProfileChanged, ProfileRemoved, ServiceChanged, DrainStarted, DrainEnded,
 		ServerDeathReported, RequestQuarantined, QuarantineLifted, BackgroundRequestStalled, RouterUnreachable,
-		EvacuationStarted, EvacuationEnded, DomainEmpty,
+		EvacuationStarted, EvacuationEnded, DomainEmpty, ServerWithdrawn,
 	}
 }
--- a/kernel/messenger/table.go
+++ b/kernel/messenger/table.go
@@ -79,6 +79,8 @@
 	Joining []uint64
 	// Gone means that the session is closed.
 	Gone bool
+	// Withdrawn means that the start of Server has said that it leaves.
+	Withdrawn bool
 }
 
 // ServerRow is the announcement of a backend server.
@@ -155,6 +157,9 @@
 	// Evacuations are the failure domains that were evacuated, and those whose
 	// evacuation has ended.
 	Evacuations []EvacuationRow
+	// Withdrawals means that the control group records which servers leave; see
+	// SessionRow.Withdrawn. Earlier versions do not.
+	Withdrawals bool
 }
 
 // EvacuationRow is an evacuated failure domain: its backend servers get no new requests.
--- a/router/announcer/routed.go
+++ b/router/announcer/routed.go
@@ -66,6 +66,9 @@
 	handler.DELETE(messenger.PathAnnounce, func(call echo.Context) error {
 		if row := server.View().Row; row != nil {
 			server.Withdraw(timer.Now(), row.Name)
+			if err := server.AwaitRecord(call.Request().Context(), row.Name); err != nil {
+				return writeProblem(call, http.StatusServiceUnavailable, err.Error())
+			}
 		}
 		return call.JSON(http.StatusAccepted, response())
 	})
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -171,6 +171,8 @@
 		OnAnnounced: p.cold.announced,
 		OnRefused:   func() { p.cold.happened(warmer.ConnectionRefused) },
 		Log:         options.Log,
+
+		RequestUpdate: func() { p.keeper.RequestUpdate() },
 	})
 	p.inbound = inviter.New(p.settings.LinkMbits * bytesPerMegabit)
 	p.outbound = pacer.NewBucket(p.settings.LinkMbits * bytesPerMegabit)
--- a/router/assembler/routed_heartbeat.go
+++ b/router/assembler/routed_heartbeat.go
@@ -8,6 +8,7 @@
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/keeper"
+	"marigoldhill/router/monitor"
 )
 
 var _ keeper.HeartbeatHandler = (*Routed)(nil)
@@ -79,10 +80,20 @@
 		}
 		p.cold.mapChanged(p.mapper.Load(), p.serviceName(), p.keeper.Session())
 	}
+	p.updateRecord()
 	p.updateRanges()
 	return nil
 }
 
+// updateRecord passes what the control group has recorded of the backend server to the
+// monitor.
+func (p *Routed) updateRecord() {
+	routes, session := p.mapper.Load(), p.keeper.Session()
+	p.server.SetRecord(timer.Now(), monitor.Record{
+		Row: routes.ServerOf(session), Withdrawn: routes.IsWithdrawn(session), IsKept: routes.RecordsWithdrawals,
+	})
+}
+
 // SessionEnded implements [keeper.HeartbeatHandler]. The grants of the backend server
 // expire at the server, and the routes remain valid for requests to other routers.
 func (p *Routed) SessionEnded(uint64) {
--- a/router/mapper/mapper.go
+++ b/router/mapper/mapper.go
@@ -51,6 +51,8 @@
 	Row     messenger.ServerRow
 	// Leaving is set if the server receives no new work.
 	Leaving bool
+	// Withdrawn is set if this start of the server has said that it leaves.
+	Withdrawn bool
 }
 
 // KeyOwnership is the ownership of a key.
@@ -75,6 +77,8 @@
 	ranges        map[string]*splitter.Map[KeyOwnership]
 	quarantines   map[string]messenger.QuarantineRow
 	evacuations   map[string]messenger.EvacuationRow
+	// RecordsWithdrawals is set if the control group records which servers leave.
+	RecordsWithdrawals bool
 	// next is closed when a newer Map has replaced this one.
 	next chan struct{}
 }
@@ -131,6 +135,12 @@
 	return nil
 }
 
+// IsWithdrawn reports whether the server of a session has said that it leaves.
+func (m *Map) IsWithdrawn(session uint64) bool {
+	server := m.owners[session]
+	return server != nil && server.Withdrawn
+}
+
 // RouterCount returns the number of routers with a session.
 func (m *Map) RouterCount() int {
 	return len(m.sessions)
@@ -230,6 +240,7 @@
 	if !delta.Full {
 		updated.sessions = previous.sessions
 		updated.ranges = previous.ranges
+		updated.RecordsWithdrawals = delta.Withdrawals
 		updated.quarantines = previous.quarantines
 		updated.evacuations = previous.evacuations
 	}
@@ -295,7 +306,7 @@
 		}
 		server := &Server{
 			Session: session, Router: row.Router, Address: row.Address, Domain: row.Domain,
-			Row: *row.Server, Leaving: row.Leaving,
+			Row: *row.Server, Leaving: row.Leaving, Withdrawn: row.Withdrawn,
 		}
 		m.owners[session] = server
 		m.servers[row.Server.Service] = append(m.servers[row.Server.Service], server)
--- a/router/monitor/monitor.go
+++ b/router/monitor/monitor.go
@@ -3,8 +3,9 @@
 //
 // A server announces itself periodically. Announcements that arrive late, out of
 // order or from an earlier incarnation of the server are ignored. A server that
-// announces that it is leaving gets no new requests after a short grace period. A
-// server whose port refuses connections, and to which none is open, is down and no longer
+// announces that it is leaving gets no new requests after a short grace period. That is
+// recorded by the control group before it is acknowledged: the next process of the router
+// would otherwise take a late announcement for that of a ready server. A server whose port refuses connections, and to which none is open, is down and no longer
 // holds any keys.
 //
 // # Usage
@@ -20,11 +21,16 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
 )
 
+// Error is the class of all errors of this package.
+var Error = errs.Class("monitor")
+
 const (
 	// announcementTimeout is the time without an announcement after which a server is
 	// treated as frozen: three announcements at about one per second.
@@ -94,7 +100,10 @@
 	// must not block.
 	OnAnnounced func(announcement Announcement)
 	OnRefused   func()
-	Log         *logger.Log
+	// RequestUpdate, if not nil, requests an early call of Monitor.SetRecord. Without it
+	// leaves are not recorded. It must not block.
+	RequestUpdate func()
+	Log           *logger.Log
 }
 
 // Monitor tracks one backend server. It is safe for concurrent use.
@@ -108,13 +117,19 @@
 	// withdrawnBorn is the start time of the last incarnation that was withdrawn, so
 	// that late announcements of it do not restore it.
 	withdrawnBorn int64
-	refusedDials  int
-	firstRefused  timer.Instant
+	// early is the last withdrawal of a server that had not announced itself.
+	early        withdrawal
+	record       Record
+	hasRecord    bool
+	refusedDials int
+	firstRefused timer.Instant
+	// recordChanged is closed and replaced when record changes.
+	recordChanged chan struct{}
 }
 
 // New returns an Monitor whose server is absent until it is announced.
 func New(options Options) *Monitor {
-	a := &Monitor{options: options}
+	a := &Monitor{options: options, recordChanged: make(chan struct{})}
 	a.view.Store(&View{State: messenger.ServerAbsent})
 	return a
 }
@@ -133,7 +148,7 @@
 	}
 	a.mu.Lock()
 	before := a.view.Load()
-	if !a.supersedes(before, announcement) {
+	if !a.supersedes(before, announcement) || before.Row == nil && a.early.covers(now, &announcement.Row) {
 		a.mu.Unlock()
 		a.logIgnored(announcement, "it is late")
 		return false
@@ -180,39 +195,6 @@
 	return announcement.Sequence > a.sequence && !(before.State == messenger.ServerLeaving && !announcement.Leaving)
 }
 
-// Withdraw marks the server called name as leaving and ignores further
-// announcements of its current incarnation.
-func (a *Monitor) Withdraw(now timer.Instant, name string) {
-	a.mu.Lock()
-	before := a.view.Load()
-	if before.Row == nil || before.Row.Name != name {
-		a.mu.Unlock()
-		return
-	}
-	a.withdrawnBorn = before.Row.Born
-	after := *before
-	after.State = messenger.ServerLeaving
-	if before.State != messenger.ServerLeaving {
-		after.LeavingSince = now
-	}
-	a.publish(before, &after)
-}
-
-// Leave marks a start of a server as leaving, as it said in a response. Unlike after
-// Withdraw, its announcements still count.
-func (a *Monitor) Leave(now timer.Instant, row *messenger.ServerRow) {
-	a.mu.Lock()
-	before := a.view.Load()
-	if before.Row == nil || before.Row.Name != row.Name || before.Row.Born != row.Born || before.State != messenger.ServerReady {
-		a.mu.Unlock()
-		return
-	}
-	after := *before
-	after.State = messenger.ServerLeaving
-	after.LeavingSince = now
-	a.publish(before, &after)
-}
-
 // DialRefused records a dial that the port of the server refused.
 func (a *Monitor) DialRefused(now timer.Instant) {
 	if a.options.OnRefused != nil {
