Refuse messages that are nested too deeply

One message of another process could end the one that reads it, again and again if it was sent again (report of another operator: an odd entry that is very deeply nested).

Cause: the msgpack decoder is recursive, also where it skips unknown fields. 32 million levels in one message exceed the limit of a stack, and Go ends the process. Evidence: TestDeeplyNestedMessageIsAnError ended the test process before ("fatal error: stack overflow") and passes.

--- a/control/administrator/change.go
+++ b/control/administrator/change.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"marigoldhill/control/assigner"
+	"marigoldhill/kernel/decoder"
 	"marigoldhill/kernel/messenger"
 )
 
@@ -99,7 +99,7 @@
 		return conflict
 	}
 	current := new(T)
-	if err := msgpack.Unmarshal(result.Current, current); err != nil {
+	if err := decoder.Unmarshal(result.Current, current); err != nil {
 		return Error.New("decoding the current value: %w", err)
 	}
 	conflict.problem.Current = current
--- a/control/assigner/command.go
+++ b/control/assigner/command.go
@@ -5,6 +5,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"marigoldhill/kernel/decoder"
 	"marigoldhill/kernel/messenger"
 )
 
@@ -202,7 +203,7 @@
 
 func Decode(data []byte) (*Command, error) {
 	command := new(Command)
-	if err := msgpack.Unmarshal(data, command); err != nil {
+	if err := decoder.Unmarshal(data, command); err != nil {
 		return nil, Error.New("decoding a command: %w", err)
 	}
 	return command, nil
--- a/control/assigner/snapshot.go
+++ b/control/assigner/snapshot.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"marigoldhill/kernel/decoder"
 	"marigoldhill/kernel/messenger"
 )
 
@@ -152,7 +153,7 @@
 // Restore replaces the state with a snapshot. On error the state is unchanged.
 func (s *State) Restore(data []byte) error {
 	var image snapshot
-	if err := msgpack.Unmarshal(data, &image); err != nil {
+	if err := decoder.Unmarshal(data, &image); err != nil {
 		return Error.New("decoding a snapshot: %w", err)
 	}
 	if image.Version != snapshotVersion {
--- a/control/elector/entry.go
+++ b/control/elector/entry.go
@@ -5,6 +5,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"marigoldhill/kernel/decoder"
 	"marigoldhill/kernel/messenger"
 )
 
@@ -102,7 +103,7 @@
 // before, so a failure is a bug.
 func decodeGroup(data []byte) Group {
 	var group Group
-	if err := msgpack.Unmarshal(data, &group); err != nil {
+	if err := decoder.Unmarshal(data, &group); err != nil {
 		panic(Error.New("decoding a group entry: %w", err))
 	}
 	return group
--- a/control/journaler/identity.go
+++ b/control/journaler/identity.go
@@ -4,9 +4,8 @@
 	"path/filepath"
 	"slices"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"marigoldhill/control/elector"
+	"marigoldhill/kernel/decoder"
 	"marigoldhill/kernel/messenger"
 )
 
@@ -117,7 +116,7 @@
 	if !valid || len(payload)+headerBytes != len(data) {
 		return Error.New("%w: wrong length or checksum", ErrCorrupt)
 	}
-	if err := msgpack.Unmarshal(payload, value); err != nil {
+	if err := decoder.Unmarshal(payload, value); err != nil {
 		return Error.New("%w: %w", ErrCorrupt, err)
 	}
 	return nil
--- a/control/journaler/record.go
+++ b/control/journaler/record.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"marigoldhill/control/elector"
+	"marigoldhill/kernel/decoder"
 )
 
 // Record is one synced write in the log.
@@ -95,7 +96,7 @@
 				ErrCorrupt, sequence, log.ValidBytes, len(log.Records)+1)
 		}
 		var record Record
-		if err := msgpack.Unmarshal(payload, &record); err != nil {
+		if err := decoder.Unmarshal(payload, &record); err != nil {
 			return nil, Error.New("%w: record at byte %d: %w", ErrCorrupt, log.ValidBytes, err)
 		}
 		log.Records = append(log.Records, record)
--- a/kernel/linker/link.go
+++ b/kernel/linker/link.go
@@ -11,6 +11,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"marigoldhill/kernel/decoder"
 	"marigoldhill/kernel/framer"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
@@ -152,7 +153,7 @@
 		return Error.New("unexpected first frame of type %d: %w", frame.Type, ErrProtocolViolation)
 	}
 	l.nextSequence = 1
-	if err := msgpack.Unmarshal(frame.Payload, &l.peer); err != nil {
+	if err := decoder.Unmarshal(frame.Payload, &l.peer); err != nil {
 		l.options.count("refusals", "garbage")
 		return Error.New("decoding the hello message: %w", err)
 	}
--- a/kernel/linker/linker_test.go
+++ b/kernel/linker/linker_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 
+	"marigoldhill/kernel/decoder"
 	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
@@ -174,3 +176,27 @@
 		qt.Assert(t, string(response.Body), qt.Equals, "early")
 	}
 }
+
+// Guards against a message of another process that ends the one that reads it.
+func TestDeeplyNestedMessageIsAnError(t *testing.T) {
+	received := make(chan error, 1)
+	handler := func(_ context.Context, _ *linker.Link, stream *linker.Stream) {
+		received <- stream.Receive(new(messenger.OutcomeQuery))
+	}
+	server, err := linker.Listen(networker.TCP{}, "127.0.0.1:0", linker.Options{Hello: hello, Handler: handler})
+	qt.Assert(t, err, qt.IsNil)
+	pool := linker.NewPool(networker.TCP{}, linker.Options{Hello: hello})
+	t.Cleanup(func() {
+		pool.Close()
+		qt.Check(t, server.Close(), qt.IsNil)
+	})
+	stream, err := pool.Open(t.Context(), server.Address(), messenger.KindOutcome)
+	qt.Assert(t, err, qt.IsNil)
+	// An unknown field with a value of 32 million levels.
+	field := []byte{0x81, 0xa1, 'x'}
+	message := binary.BigEndian.AppendUint32(nil, uint32(len(field)+32<<20))
+	message = append(append(message, field...), bytes.Repeat([]byte{0x91}, 32<<20)...)
+	_, err = stream.Write(message)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, <-received, qt.ErrorIs, decoder.ErrTooDeep)
+}
--- a/kernel/linker/message.go
+++ b/kernel/linker/message.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"marigoldhill/kernel/decoder"
 )
 
 const (
@@ -73,7 +75,7 @@
 	if err != nil {
 		return Error.New("receiving a %T: %w", message, err)
 	}
-	if err := msgpack.Unmarshal(data, message); err != nil {
+	if err := decoder.Unmarshal(data, message); err != nil {
 		return Error.New("decoding a %T: %w", message, err)
 	}
 	return nil
--- a/kernel/messenger/delta.go
+++ b/kernel/messenger/delta.go
@@ -7,6 +7,8 @@
 	"io"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"marigoldhill/kernel/decoder"
 )
 
 const (
@@ -48,8 +50,8 @@
 }
 
 // DecodeMsgpack implements [msgpack.CustomDecoder].
-func (d *TableDelta) DecodeMsgpack(decoder *msgpack.Decoder) error {
-	compressed, err := decoder.DecodeBytes()
+func (d *TableDelta) DecodeMsgpack(source *msgpack.Decoder) error {
+	compressed, err := source.DecodeBytes()
 	if err != nil {
 		return fmt.Errorf("decoding a delta: %w", err)
 	}
@@ -58,7 +60,7 @@
 		return fmt.Errorf("decompressing a delta: %w", err)
 	}
 	var plain plainDelta
-	if err := msgpack.Unmarshal(data, &plain); err != nil {
+	if err := decoder.Unmarshal(data, &plain); err != nil {
 		return fmt.Errorf("decoding a delta: %w", err)
 	}
 	*d = TableDelta(plain)
