Refuse announcements that no server can have sent

Cause: routers took any number of slots, any name, and a start or sequence of any size. After one with a start far ahead, all announcements of the real server were taken for earlier ones. A DELETE in the native interface, before the first announcement, was acknowledged without effect.

--- a/control/supervisor/heartbeat.go
+++ b/control/supervisor/heartbeat.go
@@ -6,6 +6,7 @@
 
 	"marigoldhill/control/assigner"
 	"marigoldhill/control/replicator"
+	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
 )
@@ -13,12 +14,25 @@
 // onHeartbeat opens or renews a session.
 func (s *Supervisor) onHeartbeat(now timer.Instant, raftStatus replicator.RaftStatus, heartbeat *messenger.Heartbeat) (*messenger.HeartbeatResponse, [][]byte) {
 	response := &messenger.HeartbeatResponse{Session: heartbeat.Session, Sequence: heartbeat.Sequence}
+	s.dropInvalidServer(heartbeat)
 	batch := newBatch(s.pending, now)
 	response.Status = s.acceptHeartbeat(now, raftStatus, heartbeat, response, batch)
 	s.counters.onHeartbeat(response.Status)
 	return response, batch.commands
 }
 
+// dropInvalidServer removes a server from a heartbeat that cannot be one, so that its row
+// reaches no other process.
+func (s *Supervisor) dropInvalidServer(heartbeat *messenger.Heartbeat) {
+	if heartbeat.Server == nil {
+		return
+	}
+	if problem := heartbeat.Server.Check(); problem != "" {
+		s.options.Log.Emit(logger.AnnouncementIgnored, "router", heartbeat.Router, "server", heartbeat.Server.Name, "cause", problem)
+		heartbeat.Server, heartbeat.State = nil, messenger.ServerAbsent
+	}
+}
+
 // acceptHeartbeat returns the status of the response to a heartbeat, and proposes
 // the commands that the heartbeat requires.
 func (s *Supervisor) acceptHeartbeat(now timer.Instant, raftStatus replicator.RaftStatus, heartbeat *messenger.Heartbeat, response *messenger.HeartbeatResponse, batch *batch) messenger.HeartbeatStatus {
--- a/control/supervisor/log_test.go
+++ b/control/supervisor/log_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -227,3 +228,27 @@
 		qt.Check(t, found[128]["more"], qt.Equals, 3.0)
 	}
 }
+
+// Guards against the row of a server that cannot be one, which its router passes on: it must
+// reach no other process, and cost no other server anything.
+func TestInvalidServerReachesNoOtherRouter(t *testing.T) {
+	h, lines := loggedHarness(t, metrics.NewSet())
+	odd, sound := newRouter(h, 1, "findings"), newRouter(h, 2, "findings")
+	odd.heartbeat.Server.Slots = math.MaxInt
+	for range 20 {
+		odd.send()
+		sound.send()
+		h.tick()
+	}
+	servers := 0
+	for _, row := range sound.sessions {
+		if row.Server != nil {
+			servers++
+			qt.Check(t, row.Server.Name, qt.Equals, "s2")
+		}
+	}
+	qt.Check(t, servers, qt.Equals, 1)
+	ignored := lines(logger.AnnouncementIgnored)
+	qt.Assert(t, len(ignored) > 0, qt.IsTrue)
+	qt.Check(t, ignored[0]["server"], qt.Equals, "s1")
+}
--- a/router/announcer/announcer.go
+++ b/router/announcer/announcer.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync"
 
 	"github.com/labstack/echo/v4"
@@ -23,12 +24,8 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("announcer")
 
-const (
-	// MaxSlots is the maximum number of slots that a backend server may announce.
-	MaxSlots = 10_000
-	// maxBodyBytes is the maximum size of the body of an announcement.
-	maxBodyBytes = 4 << 10
-)
+// maxBodyBytes is the maximum size of the body of an announcement.
+const maxBodyBytes = 4 << 10
 
 // Status is the state of the backend server that is returned in responses.
 type Status struct {
@@ -40,6 +37,8 @@
 type Callbacks struct {
 	// Announced is called for each valid announcement.
 	Announced func(row messenger.ServerRow)
+	// Refused, if not nil, is called for each other one, with the name that it has.
+	Refused func(name string, cause string)
 	// Withdrawn is called when the backend server withdraws its announcement.
 	Withdrawn func()
 	// Status returns the state of the backend server.
@@ -73,10 +72,10 @@
 	body := http.MaxBytesReader(call.Response(), call.Request().Body, maxBodyBytes)
 	var row messenger.ServerRow
 	if err := json.NewDecoder(body).Decode(&row); err != nil {
-		return writeProblem(call, http.StatusBadRequest, "the body is no announcement: "+err.Error())
+		return a.refuse(call, row.Name, "the body is no announcement: "+err.Error())
 	}
 	if detail := validate(&row); detail != "" {
-		return writeProblem(call, http.StatusBadRequest, detail)
+		return a.refuse(call, row.Name, detail)
 	}
 	if !a.claim(row) {
 		return writeProblem(call, http.StatusConflict, "another backend server is announced at this router")
@@ -85,6 +84,14 @@
 	return call.JSON(http.StatusOK, a.response())
 }
 
+// refuse refuses an announcement and reports it.
+func (a *Announcer) refuse(call echo.Context, name, detail string) error {
+	if a.callbacks.Refused != nil {
+		a.callbacks.Refused(name[:min(len(name), messenger.MaxNameBytes)], detail)
+	}
+	return writeProblem(call, http.StatusBadRequest, detail)
+}
+
 // claim stores row, unless another backend server is announced and neither absent
 // nor down.
 func (a *Announcer) claim(row messenger.ServerRow) bool {
@@ -114,18 +121,20 @@
 func validate(row *messenger.ServerRow) string {
 	base, err := url.Parse(row.URL)
 	switch {
-	case row.Name == "":
-		return "name is missing"
-	case row.Service == "":
-		return "service is missing"
 	case err != nil || base.Scheme != "http" || base.Host == "":
 		return "url must be http://host:port"
 	case base.Path != "" && base.Path != "/":
 		return "url must have no path"
-	case row.Slots < 1 || row.Slots > MaxSlots:
-		return "slots must be 1 to 10000"
+	case !isPort(base.Port()):
+		return "the port in url must be 1 to 65535"
 	}
-	return ""
+	return row.Check()
+}
+
+// isPort reports whether text is the number of a port, or empty for the default one.
+func isPort(text string) bool {
+	port, err := strconv.ParseUint(text, 10, 16)
+	return text == "" || err == nil && port > 0
 }
 
 func writeProblem(call echo.Context, status int, detail string) error {
--- a/router/announcer/routed.go
+++ b/router/announcer/routed.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -52,29 +53,38 @@
 	handler.POST(messenger.PathAnnounce, func(call echo.Context) error {
 		body := http.MaxBytesReader(call.Response(), call.Request().Body, maxBodyBytes)
 		var announcement attended
-		if err := json.NewDecoder(body).Decode(&announcement); err != nil {
-			return writeProblem(call, http.StatusBadRequest, "the body is no announcement: "+err.Error())
+		received, err := decodeAttended(body, &announcement)
+		if err != nil {
+			server.Refuse(announcement.Name, err)
+			return writeProblem(call, http.StatusBadRequest, err.Error())
 		}
-		if detail := validateAttended(&announcement); detail != "" {
-			return writeProblem(call, http.StatusBadRequest, detail)
-		}
-		announcement.URL = strings.TrimSuffix(strings.TrimPrefix(announcement.URL, "http://"), "/")
-		left, _ := announcement.coldLeft() // validated
-		server.Announce(timer.Now(), monitor.Announcement{Row: announcement.ServerRow, Sequence: announcement.Sequence, ColdLeft: left})
+		server.Announce(timer.Now(), received)
 		return call.JSON(http.StatusOK, response())
 	})
 	handler.DELETE(messenger.PathAnnounce, func(call echo.Context) error {
-		if row := server.View().Row; row != nil {
-			server.Withdraw(timer.Now(), row.Name)
-			if err := server.AwaitRecord(call.Request().Context(), row.Name); err != nil {
-				return writeProblem(call, http.StatusServiceUnavailable, err.Error())
-			}
+		server.Withdraw(timer.Now(), "")
+		if err := server.AwaitRecord(call.Request().Context(), ""); err != nil {
+			return writeProblem(call, http.StatusServiceUnavailable, err.Error())
 		}
 		return call.JSON(http.StatusAccepted, response())
 	})
 	return handler
 }
 
+// decodeAttended decodes an announcement and returns it in the form of the monitor.
+func decodeAttended(body io.Reader, announcement *attended) (monitor.Announcement, error) {
+	if err := json.NewDecoder(body).Decode(announcement); err != nil {
+		return monitor.Announcement{}, Error.New("the body is no announcement: %w", err)
+	}
+	if detail := validateAttended(announcement); detail != "" {
+		return monitor.Announcement{}, Error.New("%s", detail)
+	}
+	announcement.URL = strings.TrimSuffix(strings.TrimPrefix(announcement.URL, "http://"), "/")
+	left, _ := announcement.coldLeft() // validated
+	received := monitor.Announcement{Row: announcement.ServerRow, Sequence: announcement.Sequence, ColdLeft: left}
+	return received, received.Check(timer.Now())
+}
+
 func validateAttended(announcement *attended) string {
 	switch {
 	case announcement.Born <= 0:
--- a/router/announcer/routed_test.go
+++ b/router/announcer/routed_test.go
@@ -31,6 +31,8 @@
 		{name: "starts cold, silent on the time", fields: `"cold":true`, status: http.StatusOK},
 		{name: "no duration", fields: `"coldleft":"soon"`, status: http.StatusBadRequest},
 		{name: "below 0", fields: `"coldleft":"-1s"`, status: http.StatusBadRequest},
+		{name: "born far ahead", fields: `"born":9000000000000000000`, status: http.StatusBadRequest},
+		{name: "sequence near the end", fields: `"sequence":18446744073709551615`, status: http.StatusBadRequest},
 	}
 	for _, test := range tests {
 		var got []monitor.Announcement
--- a/router/assembler/assembler.go
+++ b/router/assembler/assembler.go
@@ -294,6 +294,9 @@
 func (p *Process) announcer() *announcer.Announcer {
 	return announcer.New(p.settings.Name, announcer.Callbacks{
 		Announced: p.prober.Announce,
+		Refused: func(name, cause string) {
+			p.options.Log.Emit(logger.AnnouncementIgnored, "server", name, "cause", cause)
+		},
 		Withdrawn: func() { p.prober.Observe(prober.Withdrawn) },
 		Status: func() announcer.Status {
 			return announcer.Status{
--- a/router/monitor/leave.go
+++ b/router/monitor/leave.go
@@ -40,33 +40,39 @@
 
 // withdrawal is the withdrawal of a server that has not announced itself to this process.
 type withdrawal struct {
+	// name is empty if the server did not give it.
 	name       string
 	receivedAt timer.Instant
 }
 
+// isCalled reports whether row is a server called name. An empty name is that of any.
+func isCalled(row *messenger.ServerRow, name string) bool {
+	return name == "" || row.Name == name
+}
+
 // covers reports whether an announcement comes from the start that was withdrawn: it arrives
 // soon after the withdrawal, and that start began before it.
 func (w *withdrawal) covers(now timer.Instant, row *messenger.ServerRow) bool {
-	return w.name != "" && row.Name == w.name && now.SinceMonotonic(w.receivedAt) < lateWindow &&
+	return w != nil && isCalled(row, w.name) && now.SinceMonotonic(w.receivedAt) < lateWindow &&
 		row.Born <= w.receivedAt.Wall.Milliseconds()
 }
 
 // Withdraw marks the server called name as leaving and ignores further
-// announcements of its current incarnation.
+// announcements of its current incarnation. An empty name is that of any server.
 func (a *Monitor) Withdraw(now timer.Instant, name string) {
 	a.mu.Lock()
 	before := a.view.Load()
-	if before.Row == nil && a.record.Row != nil && a.record.Row.Name == name {
+	if before.Row == nil && a.record.Row != nil && isCalled(a.record.Row, name) {
 		a.withdrawnBorn = a.record.Row.Born
 		a.publish(before, &View{State: messenger.ServerLeaving, Row: a.record.Row, LeavingSince: now})
 		return
 	}
 	if before.Row == nil {
-		a.early = withdrawal{name: name, receivedAt: now}
+		a.early = &withdrawal{name: name, receivedAt: now}
 		a.mu.Unlock()
 		return
 	}
-	if before.Row.Name != name {
+	if !isCalled(before.Row, name) {
 		a.mu.Unlock()
 		return
 	}
@@ -177,8 +183,8 @@
 	case row == nil:
 		// Neither this process nor the control group knows the server: nobody sends
 		// requests to it.
-		return a.record.Row == nil || a.record.Row.Name != name, changed
-	case row.Name != name || row.Born == 0 || view.State != messenger.ServerLeaving:
+		return a.record.Row == nil || !isCalled(a.record.Row, name), changed
+	case !isCalled(row, name) || row.Born == 0 || view.State != messenger.ServerLeaving:
 		// The call came late, or from a server whose starts cannot be told apart.
 		return true, changed
 	}
--- a/router/monitor/monitor.go
+++ b/router/monitor/monitor.go
@@ -42,6 +42,13 @@
 	minRefusalSpan   = 100 * time.Millisecond
 	// refusalWindow is the maximum time from the first to the last of these dials.
 	refusalWindow = 2 * time.Second
+	// maxBornAhead is how far the start of a server may be in the future, since clocks may
+	// jump. Announcements of an earlier start are ignored, so that one with a start far
+	// ahead would lock the server out.
+	maxBornAhead = time.Minute
+	// maxSequence bounds the sequence for the same reason. It is the largest whole number
+	// that all JSON encoders keep.
+	maxSequence = 1 << 53
 	// rangedLeaveGrace and unrangedLeaveGrace are how long a leaving server still
 	// gets new requests. Moving ranges takes two heartbeats; other routers receive the
 	// state of a leaving server within one.
@@ -60,6 +67,20 @@
 	ColdLeft *time.Duration
 }
 
+// Check returns an error for an announcement that no server can have sent.
+func (a *Announcement) Check(now timer.Instant) error {
+	if problem := a.Row.Check(); problem != "" {
+		return Error.New("%s", problem)
+	}
+	if ahead := time.Duration(a.Row.Born)*time.Millisecond - now.Wall; a.Row.Born > now.Wall.Milliseconds() && ahead > maxBornAhead || a.Row.Born > maxSequence {
+		return Error.New("born is in the future")
+	}
+	if a.Sequence > maxSequence {
+		return Error.New("sequence is above %d", uint64(maxSequence))
+	}
+	return nil
+}
+
 // View is an immutable snapshot of the state of the server.
 type View struct {
 	State messenger.ServerState
@@ -118,7 +139,7 @@
 	// that late announcements of it do not restore it.
 	withdrawnBorn int64
 	// early is the last withdrawal of a server that had not announced itself.
-	early        withdrawal
+	early        *withdrawal
 	record       Record
 	hasRecord    bool
 	refusedDials int
@@ -175,6 +196,12 @@
 	return true
 }
 
+// Refuse logs an announcement, of a server with a name, that is none or fails its Check.
+func (a *Monitor) Refuse(name string, cause error) {
+	name = name[:min(len(name), messenger.MaxNameBytes)]
+	a.options.Log.Emit(logger.AnnouncementIgnored, "server", name, "address", a.options.Address, "cause", cause.Error())
+}
+
 // logIgnored logs an announcement that was ignored.
 func (a *Monitor) logIgnored(announcement Announcement, cause string) {
 	a.options.Log.Emit(logger.AnnouncementIgnored, "server", announcement.Row.Name, "service", announcement.Row.Service,
