--- a/router/weigher/weigher.go
+++ b/router/weigher/weigher.go
@@ -27,12 +27,18 @@
 // negative. If all are 0, the first part receives all requests. The initial credits are
 // random, so that many routers do not start with the same part.
 func New(weights []float64) *RoundRobin {
-	r := &RoundRobin{weights: weights, credit: make([]float64, len(weights))}
+	r := &RoundRobin{weights: make([]float64, len(weights)), credit: make([]float64, len(weights))}
+	largest := 0.0
 	for _, weight := range weights {
-		r.total += weight
+		largest = max(largest, weight)
 	}
-	for i := range r.credit {
-		r.credit[i] = weights[i] * rand.Float64()
+	for i, weight := range weights {
+		if largest > 0 {
+			// The sum of large weights could be infinite.
+			r.weights[i] = weight / largest
+		}
+		r.total += r.weights[i]
+		r.credit[i] = r.weights[i] * rand.Float64()
 	}
 	return r
 }
--- a/router/weigher/weigher_test.go
+++ b/router/weigher/weigher_test.go
@@ -19,6 +19,7 @@
 		{name: "nine to one", weights: []float64{90, 10}, want: []float64{0.9, 0.1}},
 		{name: "zero weight", weights: []float64{1, 0, 1}, want: []float64{0.5, 0, 0.5}},
 		{name: "all weights zero", weights: []float64{0, 0}, want: []float64{1, 0}},
+		{name: "sum that is infinite", weights: []float64{1e308, 1e308, 1e307}, want: []float64{10.0 / 21, 10.0 / 21, 1.0 / 21}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
