Refuse YAML that is nested too deeply

A profile of 80 KB with 20,000 nested collections took 2.3 s of processor time at a replica, and the time grows with the square of the nesting.

Cause: the YAML library takes that long, and bodies may have 256 KiB. Change: the nesting is bounded to 100 levels before the library sees the data. Result: files with fewer levels are read as before.

--- a/kernel/parser/parser.go
+++ b/kernel/parser/parser.go
@@ -74,6 +74,9 @@
 
 // Parse decodes and validates data; file is its name in errors.
 func Parse[T any](file string, data []byte) (*T, error) {
+	if exceedsDepth(data) {
+		return nil, tooDeep(file)
+	}
 	if fileError := checkVersion(file, data); fileError != nil {
 		return nil, fileError
 	}
@@ -83,6 +86,9 @@
 // ParseUnversioned is like [Parse], but for files whose field version, if any, is not
 // the version of the file format.
 func ParseUnversioned[T any](file string, data []byte) (*T, error) {
+	if exceedsDepth(data) {
+		return nil, tooDeep(file)
+	}
 	value := new(T)
 	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
 	if err := decoder.Decode(value); err != nil {
@@ -103,6 +109,10 @@
 	return nil, &FileError{File: file, Line: lineOf(data, field), Field: field, Reason: reason}
 }
 
+func tooDeep(file string) *FileError {
+	return &FileError{File: file, Reason: fmt.Sprintf("is nested deeper than %d levels", maxDepth)}
+}
+
 // checkVersion rejects a file for a newer program. It runs before decoding, which
 // would report unknown fields instead.
 func checkVersion(file string, data []byte) *FileError {
--- a/kernel/parser/parser_test.go
+++ b/kernel/parser/parser_test.go
@@ -1,6 +1,7 @@
 package parser_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -56,3 +57,14 @@
 		qt.Assert(t, (got == nil) != (err == nil), qt.IsTrue)
 	})
 }
+
+// Guards against a file that occupies the process that reads it for minutes.
+func TestDeeplyNestedFileIsRefused(t *testing.T) {
+	for _, part := range []string{"[", "{a: ", "- ", "? ", "- {a: [", "[\n"} {
+		data := []byte("version: 1\nname:\n  " + strings.Repeat(part, 100_000))
+		started := time.Now()
+		_, err := parser.Parse[struct{ Name any }]("f.yaml", data)
+		qt.Check(t, err, qt.ErrorMatches, "f.yaml: is nested deeper than 100 levels", qt.Commentf("%q", part))
+		qt.Check(t, time.Since(started) < time.Second, qt.IsTrue)
+	}
+}
