--- a/router/requester/requester_test.go
+++ b/router/requester/requester_test.go
@@ -265,3 +265,11 @@
 	qt.Check(t, send().Outcome, qt.Equals, messenger.OutcomeRefused)
 	qt.Check(t, client.IsConnected(), qt.IsFalse)
 }
+
+// respondExactly returns a script that reads the request body and sends response as it is.
+func respondExactly(response string) script {
+	return func(conn net.Conn, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, response)
+	}
+}
