Close connections of releases that fail, and repeat without holding them

Cause: by reading, a connection with a failed release carried further calls, and one with a copy was held while the release was repeated, so that a grant which had been given the same connection could wait for seconds. Change: both; the connections of range calls have a file of their own.

--- a/router/granter/ranges.go
+++ b/router/granter/ranges.go
@@ -8,9 +8,7 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"syscall"
 
@@ -102,37 +100,6 @@
 	return r.open.Load() > 0
 }
 
-// rangeConn is a connection that is counted until it is closed.
-type rangeConn struct {
-	net.Conn
-	open      *atomic.Int64
-	closeOnce sync.Once
-	// mu is held by the call that uses the connection until it has judged the response:
-	// the transport offers the connection to the next call before.
-	mu sync.Mutex
-	// handovers are the tokens of the responses so far.
-	handovers map[string]bool
-}
-
-// maxHandovers is how many releases a connection carries at most, which bounds
-// rangeConn.handovers.
-const maxHandovers = 64
-
-// Close implements [net.Conn].
-func (c *rangeConn) Close() error {
-	c.closeOnce.Do(func() { c.open.Add(-1) })
-	return c.Conn.Close()
-}
-
-// addHandover reports whether the response with a token cannot be a copy of an earlier one.
-func (c *rangeConn) addHandover(token string) bool {
-	if token == "" || c.handovers[token] {
-		return false
-	}
-	c.handovers[token] = true
-	return true
-}
-
 // NativeRangeProtocol returns the native format of the calls, which docs/BACKEND.md
 // specifies.
 func NativeRangeProtocol() RangeProtocol {
@@ -173,52 +140,20 @@
 	defer used.done()
 	url := "http://" + address + r.protocol.ReleasePath
 	result, handover, err := r.call(used.trace(ctx), r.kept, url, call)
-	if used.conn == nil || err != nil {
+	if used.conn == nil {
 		return result, handover, err
 	}
-	isOwn := used.conn.addHandover(handover) && result == holder.Accepted
+	isOwn := result == holder.Accepted && used.conn.addHandover(handover)
 	if !isOwn || len(used.conn.handovers) >= maxHandovers {
 		used.close()
 	}
-	if isOwn || !used.reused {
-		return result, handover, nil
+	if isOwn || err != nil || !used.reused {
+		return result, handover, err
 	}
+	used.done() // the next call must not wait for the repeated one
 	return r.call(ctx, r.single, url, call)
 }
 
-// usedConn is the connection of a call. Its done must be called at the end of the call.
-type usedConn struct {
-	conn *rangeConn
-	// reused is set if the connection has carried other calls before.
-	reused bool
-}
-
-// trace returns a context for a call that sets the connection.
-func (u *usedConn) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		u.done() // of an attempt that the transport repeats
-		if conn, ok := info.Conn.(*rangeConn); ok {
-			conn.mu.Lock()
-			u.conn, u.reused = conn, info.Reused
-		}
-	}})
-}
-
-// done leaves the connection to the next call.
-func (u *usedConn) done() {
-	if u.conn != nil {
-		u.conn.mu.Unlock()
-		u.conn = nil
-	}
-}
-
-// close closes the connection, so that it carries no further calls.
-func (u *usedConn) close() {
-	if u.conn != nil {
-		_ = u.conn.Close()
-	}
-}
-
 func (r *RangeClient) call(ctx context.Context, client *http.Client, url string, call *holder.Call) (holder.CallResult, string, error) {
 	encoded, err := json.Marshal(r.protocol.Body(call))
 	if err != nil {
