Count the body of an invited request as read at once

Cause: an entry router sends an invited body in the background, and the body counted as unread until that began. If the other router invited and refused at once, the request was sent to the next server, while the first sender read a part of the body for a stream that had ended. Change: a body that cannot be sent again counts as read when it is invited.

--- a/router/relayer/exchange.go
+++ b/router/relayer/exchange.go
@@ -31,7 +31,7 @@
 		return nil, Error.New("sending the header: %w: %w", errUnsent, err)
 	}
 	if !body.isReplayable() {
-		go sendBody(stream, body.reader())
+		sendInBackground(stream, body)
 		return receiveResponse(stream, relay)
 	}
 	_, err := io.Copy(stream, body.reader())
@@ -64,7 +64,7 @@
 			return nil, Error.New("%w: %w", errUnsent, err)
 		}
 	}
-	go sendBody(stream, body.reader())
+	sendInBackground(stream, body)
 	return receiveResponse(stream, relay)
 }
 
@@ -109,7 +109,15 @@
 	return reply.Unpack(), nil
 }
 
-// sendBody sends a body in the background.
+// sendInBackground sends a body while the answer is awaited. From now on a body that is not
+// replayable counts as read: the answer may come first, but then a part of the body is read
+// all the same, and must not be missing at another server.
+func sendInBackground(stream *linker.Stream, body *requestBody) {
+	body.started.Store(true)
+	go sendBody(stream, body.reader())
+}
+
+// sendBody sends a body and ends the sending direction of the stream.
 func sendBody(stream *linker.Stream, body io.Reader) {
 	if _, err := io.Copy(stream, body); err != nil {
 		// Resets the stream, so that the owner does not take the part for a complete
--- a/router/relayer/upload_test.go
+++ b/router/relayer/upload_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -62,6 +63,7 @@
 
 // remoteFixture is an entry whose only server is beside another router.
 type remoteFixture struct {
+	routes  *mapper.Mapper
 	entry   *relayer.Entry
 	owner   *testOwner
 	backend *bodyBackend
@@ -98,7 +100,7 @@
 		Budget:           budgeter.New(budgeter.Settings{Ratio: 1, Reserve: 10, Window: 10 * time.Second}),
 		Log:              logger.Discard(), Metrics: metrics.NewSet(),
 	})
-	return &remoteFixture{entry: entry, owner: o, backend: backend}
+	return &remoteFixture{routes: routes, entry: entry, owner: o, backend: backend}
 }
 
 func (f *remoteFixture) serve(t *testing.T, body io.Reader, length int64, timeout time.Duration) relayer.Answer {
@@ -257,6 +259,40 @@
 	return r.Backend.Send(ctx, r.address, request, body)
 }
 
+// Guards against an upload that runs without its start: a router that invites the body and
+// refuses the request at once must not leave a part of it read and the rest for another one.
+func TestBodyOfRefusedInvitationIsNotSentInPart(t *testing.T) {
+	// On one processor the answer is received before the body is first read.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	var refused atomic.Int32
+	f := newRemoteFixture(t, true, 0)
+	hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleRouter, Name: "r3", Invites: true, Replies: true}
+	refusing, err := linker.Listen(networker.TCP{}, "127.0.0.1:0", linker.Options{Hello: hello, Handler: func(_ context.Context, _ *linker.Link, stream *linker.Stream) {
+		var relay messenger.Relay
+		if stream.Receive(&relay) != nil {
+			return
+		}
+		refused.Add(1)
+		_ = stream.Send(&messenger.RelayInvitation{Invited: true})
+		_ = stream.Send(messenger.NewRelayReply(&messenger.RelayResponse{ID: relay.ID, Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonQueue}))
+		_ = stream.CloseWrite()
+		time.Sleep(50 * time.Millisecond)
+	}})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = refusing.Close() })
+	qt.Assert(t, f.routes.Apply(&messenger.TableDelta{From: 1, To: 2, Sessions: []messenger.SessionRow{
+		{Session: 9, Router: "r3", Address: refusing.Address(), Server: &messenger.ServerRow{Name: "s2", Service: "findings", Slots: 1}},
+	}}), qt.IsNil)
+	const size = 300_000
+	for range 40 {
+		f.serve(t, newCallerBody(size), -1, time.Second)
+		if received := f.backend.received.Swap(nil); received != nil {
+			qt.Check(t, len(*received), qt.Equals, size)
+		}
+	}
+	qt.Check(t, refused.Load() > 0, qt.IsTrue)
+}
+
 // The limit of the configuration also binds a body without a length.
 func TestBodyOfUnknownLengthIsLimited(t *testing.T) {
 	for _, size := range []int{200_000, 1_000_000} {
