End the reader of a body with its attempt in sharded mode

Cause: an attempt that was refused may go on sending its body for a moment; what it read then was missing at the next attempt. Change: a reader of the body reads no more once the body was rewound.

--- a/router/forwarder/body.go
+++ b/router/forwarder/body.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"io"
 	"slices"
-	"sync/atomic"
+	"sync"
+
+	"github.com/zeebo/errs"
 )
 
 // initialBufferBytes is the size of the first buffer for a body that is large or
@@ -19,8 +21,12 @@
 	complete bool
 	// rest reads the bytes after prefix.
 	rest io.Reader
+
+	mu sync.Mutex
 	// restRead is true once an attempt has read from rest.
-	restRead atomic.Bool
+	restRead bool
+	// attempt counts the readers. Only the last one may read from rest.
+	attempt int
 }
 
 // newReplayBody reads the first bytes of body. length is a hint, or -1 when
@@ -62,27 +68,54 @@
 	return buffer, false, nil
 }
 
-// reader returns a reader of the whole body from its start. It must not be called
-// after canReplay has reported false.
+// reader returns a reader of the whole body from its start. It must not be called after
+// rewind has reported false. Earlier readers read no more from rest: an attempt may go on
+// sending its body in the background after it was refused.
 func (r *replayBody) reader() io.Reader {
 	if r.complete {
 		return bytes.NewReader(r.prefix)
 	}
-	return io.MultiReader(bytes.NewReader(r.prefix), restReader{r})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempt++
+	return io.MultiReader(bytes.NewReader(r.prefix), restReader{r, r.attempt})
+}
+
+// rewind reports whether the body can be read again from its start, for another attempt. If
+// so, the readers so far read no more from rest.
+func (r *replayBody) rewind() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.restRead {
+		return false
+	}
+	r.attempt++
+	return true
 }
 
-// canReplay reports whether the body can be read again from its start.
-func (r *replayBody) canReplay() bool {
-	return !r.restRead.Load()
+// claimRest reports whether an attempt may read from rest. The body is no longer
+// replayable then.
+func (r *replayBody) claimRest(attempt int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if attempt != r.attempt {
+		return false
+	}
+	r.restRead = true
+	return true
 }
 
-// restReader reads the bytes after the prefix and marks the body as no longer
-// replayable.
+// restReader reads the bytes after the prefix for one attempt.
 type restReader struct {
-	body *replayBody
+	body    *replayBody
+	attempt int
 }
 
+var errAttemptEnded = errs.New("the attempt that reads the body has ended")
+
 func (r restReader) Read(data []byte) (int, error) {
-	r.body.restRead.Store(true)
+	if !r.body.claimRest(r.attempt) {
+		return 0, Error.New("reading the body: %w", errAttemptEnded)
+	}
 	return r.body.rest.Read(data)
 }
--- a/router/forwarder/call.go
+++ b/router/forwarder/call.go
@@ -91,7 +91,7 @@
 
 func (c *call) decideRetry(ctx context.Context, answer executor.Answer) retrier.Decision {
 	response := &answer.Response
-	if response.Outcome == messenger.OutcomeDone || ctx.Err() != nil || !c.body.canReplay() {
+	if response.Outcome == messenger.OutcomeDone || ctx.Err() != nil || !c.body.rewind() {
 		return retrier.Decision{}
 	}
 	if !c.forwarder.options.Lease.IsLeaseValid(timer.Now()) {
