--- a/router/granter/ranges.go
+++ b/router/granter/ranges.go
@@ -25,8 +25,8 @@
 	// maxResponseHeaderBytes is the maximum size of the header of a response.
 	maxResponseHeaderBytes = 16 << 10
 	// maxIdleConnections is the number of idle connections to the backend server that
-	// are kept: one for renewals and one for a release, which may take seconds.
-	maxIdleConnections = 2
+	// are kept: two for renewals and one for a release, which may take seconds.
+	maxIdleConnections = 3
 )
 
 // RangeProtocol is the wire format of calls about ranges of keys.
