--- a/router/relayer/upload_test.go
+++ b/router/relayer/upload_test.go
@@ -194,9 +194,9 @@
 }
 
 // A body that ends before its length, or whose caller leaves, never reaches the server as
-// a complete one.
+// a complete one. A length of -1 is that of a body in chunks.
 func TestShortBodyIsNotComplete(t *testing.T) {
-	for _, test := range []struct{ sent, length int }{{100, 200}, {100, 50_000}, {20_000, 50_000}, {100, 300_000}, {300_000, 600_000}} {
+	for _, test := range []struct{ sent, length int }{{100, 200}, {100, 50_000}, {20_000, 50_000}, {100, 300_000}, {300_000, 600_000}, {100, -1}, {300_000, -1}} {
 		f := newRemoteFixture(t, true, 0)
 		body := io.MultiReader(newCallerBody(test.sent), errorReader{})
 		answer := f.serve(t, body, int64(test.length), time.Second)
