Name the connection whose refusals were forgotten, simplify a check

Cause: retired.retired, and a condition with three parts for one bound. Change: names and one comparison; no other behaviour.

--- a/router/monitor/monitor.go
+++ b/router/monitor/monitor.go
@@ -5,8 +5,8 @@
 // order or from an earlier incarnation of the server are ignored. A server that
 // announces that it is leaving gets no new requests after a short grace period. That is
 // recorded by the control group before it is acknowledged: the next process of the router
-// would otherwise take a late announcement for that of a ready server. A server whose port refuses connections, and to which none is open, is down and no longer
-// holds any keys.
+// would otherwise take a late announcement for that of a ready server. A server whose port
+// refuses connections, and to which none is open, is down and no longer holds any keys.
 //
 // # Usage
 //
@@ -72,7 +72,7 @@
 	if problem := a.Row.Check(); problem != "" {
 		return Error.New("%s", problem)
 	}
-	if ahead := time.Duration(a.Row.Born)*time.Millisecond - now.Wall; a.Row.Born > now.Wall.Milliseconds() && ahead > maxBornAhead || a.Row.Born > maxSequence {
+	if a.Row.Born > (now.Wall + maxBornAhead).Milliseconds() {
 		return Error.New("born is in the future")
 	}
 	if a.Sequence > maxSequence {
--- a/router/requester/refusals.go
+++ b/router/requester/refusals.go
@@ -38,16 +38,16 @@
 
 // add adds a refusal. If there are too many, it forgets the oldest and returns its
 // connection, which must not carry further requests.
-func (r *refusals) add(now time.Time, added refusal) (retired *conn) {
+func (r *refusals) add(now time.Time, added refusal) (forgotten *conn) {
 	for len(r.queue) > 0 && !r.queue[0].expiresAt.IsZero() && now.After(r.queue[0].expiresAt) {
 		r.forgetOldest()
 	}
 	if len(r.queue) >= maxRefusals {
-		retired = r.forgetOldest()
+		forgotten = r.forgetOldest()
 	}
 	r.conns[added.id] = append(r.conns[added.id], added.conn)
 	r.queue = append(r.queue, added)
-	return retired
+	return forgotten
 }
 
 func (r *refusals) forgetOldest() *conn {
--- a/router/requester/requester.go
+++ b/router/requester/requester.go
@@ -266,14 +266,14 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	retired := c.refusals.add(time.Now(), refused)
-	if retired == nil {
+	forgotten := c.refusals.add(time.Now(), refused)
+	if forgotten == nil {
 		return
 	}
-	retired.retired = true
-	if i := slices.Index(c.idle, retired); i >= 0 {
+	forgotten.retired = true
+	if i := slices.Index(c.idle, forgotten); i >= 0 {
 		c.idle = slices.Delete(c.idle, i, i+1)
-		retired.close()
+		forgotten.close()
 	}
 }
 
