--- a/control/assigner/assigner.go
+++ b/control/assigner/assigner.go
@@ -78,8 +78,8 @@
 	drains   map[string]bool
 	// withdrawn are the starts of backend servers that leave, withdrawals the same in
 	// order.
-	withdrawn   map[serverStart]bool
-	withdrawals ring[serverStart]
+	withdrawn   map[messenger.ServerStart]bool
+	withdrawals ring[messenger.ServerStart]
 	// evacuations are the evacuated failure domains.
 	evacuations map[string]Versioned[messenger.EvacuationRow]
 
@@ -114,8 +114,8 @@
 		tables:      make(map[string]*Table),
 		profiles:    make(map[string]Versioned[messenger.Profile]),
 		drains:      make(map[string]bool),
-		withdrawn:   make(map[serverStart]bool),
-		withdrawals: ring[serverStart]{limit: MaxWithdrawals},
+		withdrawn:   make(map[messenger.ServerStart]bool),
+		withdrawals: ring[messenger.ServerStart]{limit: MaxWithdrawals},
 		evacuations: make(map[string]Versioned[messenger.EvacuationRow]),
 		ranges:      make(map[string]*Ranges),
 		quarantines: make(map[string]Versioned[messenger.QuarantineRow]),
--- a/control/assigner/snapshot.go
+++ b/control/assigner/snapshot.go
@@ -41,7 +41,7 @@
 	// Evacuations is absent in snapshots of versions that accepted no evacuations.
 	Evacuations []Versioned[messenger.EvacuationRow]
 	// Withdrawals is absent in snapshots of versions that kept none.
-	Withdrawals []serverStart
+	Withdrawals []messenger.ServerStart
 }
 
 // tableSnapshot is the encoded form of a Table.
--- a/control/assigner/withdrawal.go
+++ b/control/assigner/withdrawal.go
@@ -7,12 +7,6 @@
 	"marigoldhill/kernel/messenger"
 )
 
-// serverStart identifies a start of a backend server.
-type serverStart struct {
-	Name string
-	Born int64
-}
-
 // withdraw records that a start of a backend server leaves. That outlives the session of the
 // router to which the server has said so: a later process of that router may receive an
 // announcement that the server sent before. A server that reports no start time is not
@@ -21,9 +15,8 @@
 	if row == nil || row.Born == 0 || s.isWithdrawn(row) {
 		return
 	}
-	start := serverStart{Name: row.Name, Born: row.Born}
-	s.withdrawn[start] = true
-	if dropped, ok := s.withdrawals.add(start); ok {
+	s.withdrawn[row.Start()] = true
+	if dropped, ok := s.withdrawals.add(row.Start()); ok {
 		delete(s.withdrawn, dropped)
 	}
 	s.event(logger.ServerWithdrawn, row.Name, fmt.Sprintf("start %d beside %s", row.Born, router))
@@ -31,5 +24,5 @@
 
 // isWithdrawn reports whether a start of a backend server is recorded as leaving.
 func (s *State) isWithdrawn(row *messenger.ServerRow) bool {
-	return row != nil && s.withdrawn[serverStart{Name: row.Name, Born: row.Born}]
+	return row != nil && s.withdrawn[row.Start()]
 }
--- a/kernel/messenger/server_row.go
+++ b/kernel/messenger/server_row.go
@@ -12,6 +12,18 @@
 	MaxNameBytes = 255
 )
 
+// ServerStart identifies a start of a backend server.
+type ServerStart struct {
+	Name string
+	// Born is in milliseconds of the wall clock of the server.
+	Born int64
+}
+
+// Start returns the start of the server that the row describes.
+func (r *ServerRow) Start() ServerStart {
+	return ServerStart{Name: r.Name, Born: r.Born}
+}
+
 // Check returns a description of the first error in a row that another process sent, or an
 // empty string.
 func (r *ServerRow) Check() string {
--- a/router/monitor/leave.go
+++ b/router/monitor/leave.go
@@ -28,16 +28,6 @@
 	IsKept bool
 }
 
-// serverStart identifies a start of a backend server.
-type serverStart struct {
-	name string
-	born int64
-}
-
-func startOf(row *messenger.ServerRow) serverStart {
-	return serverStart{name: row.Name, born: row.Born}
-}
-
 // withdrawal is the withdrawal of a server that has not announced itself to this process.
 type withdrawal struct {
 	// name is empty if the server did not give it.
@@ -90,7 +80,7 @@
 func (a *Monitor) Leave(now timer.Instant, row *messenger.ServerRow) {
 	a.mu.Lock()
 	before := a.view.Load()
-	if before.Row == nil || startOf(before.Row) != startOf(row) || before.State != messenger.ServerReady {
+	if before.Row == nil || before.Row.Start() != row.Start() || before.State != messenger.ServerReady {
 		a.mu.Unlock()
 		return
 	}
@@ -100,7 +90,7 @@
 	a.publish(before, &after)
 }
 
-// SetRecord passes on what the control group has recorded. A start that said to an earlier
+// SetRecord takes over what the control group has recorded. A start that said to an earlier
 // process of this router that it leaves goes on leaving.
 func (a *Monitor) SetRecord(now timer.Instant, record Record) {
 	a.mu.Lock()
@@ -120,23 +110,23 @@
 		a.withdrawnBorn = record.Row.Born
 		withdrawn = true
 	}
-	if !withdrawn || !isEarlier(before, record.Row) {
+	if !withdrawn || !lacksLeave(before, record.Row) {
 		a.mu.Unlock()
 		return
 	}
 	after := &View{State: messenger.ServerLeaving, Row: record.Row, LeavingSince: now}
-	if before.Row != nil && startOf(before.Row) == startOf(record.Row) {
+	if before.Row != nil && before.Row.Start() == record.Row.Start() {
 		after.Row = before.Row
 	}
 	a.publish(before, after)
 }
 
-// isEarlier reports whether a view does not show yet that the start of row leaves.
-func isEarlier(view *View, row *messenger.ServerRow) bool {
+// lacksLeave reports whether a view does not show yet that the start of row leaves.
+func lacksLeave(view *View, row *messenger.ServerRow) bool {
 	switch {
 	case view.Row == nil || view.Row.Born < row.Born:
 		return true
-	case startOf(view.Row) != startOf(row):
+	case view.Row.Start() != row.Start():
 		return false
 	}
 	return view.State == messenger.ServerReady || view.State == messenger.ServerFrozen
@@ -188,5 +178,5 @@
 		// The call came late, or from a server whose starts cannot be told apart.
 		return true, changed
 	}
-	return a.record.Row != nil && startOf(a.record.Row) == startOf(row) && a.record.Withdrawn, changed
+	return a.record.Row != nil && a.record.Row.Start() == row.Start() && a.record.Withdrawn, changed
 }
--- a/router/relayer/leavers.go
+++ b/router/relayer/leavers.go
@@ -12,26 +12,16 @@
 // for the key. Moving keys takes two heartbeats.
 const leaveGrace = 1200 * time.Millisecond
 
-// serverStart identifies a start of a backend server.
-type serverStart struct {
-	name string
-	born int64
-}
-
 // leavers remembers which backend servers have said in a response that they leave. The
 // router beside such a server refuses requests for it, but forgets when it is restarted.
 type leavers struct {
 	mu sync.Mutex
 	// since is when this router first passed such a response on.
-	since map[serverStart]time.Time
+	since map[messenger.ServerStart]time.Time
 }
 
 func newLeavers() *leavers {
-	return &leavers{since: make(map[serverStart]time.Time)}
-}
-
-func startOf(row *messenger.ServerRow) serverStart {
-	return serverStart{name: row.Name, born: row.Born}
+	return &leavers{since: make(map[messenger.ServerStart]time.Time)}
 }
 
 // add records that a server has said that it leaves. It forgets servers that are no longer
@@ -39,26 +29,26 @@
 func (l *leavers) add(routes *mapper.Map, row *messenger.ServerRow) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, known := l.since[startOf(row)]; known {
+	if _, known := l.since[row.Start()]; known {
 		return
 	}
-	present := make(map[serverStart]bool)
+	present := make(map[messenger.ServerStart]bool)
 	for _, server := range routes.AllServers() {
-		present[startOf(&server.Row)] = true
+		present[server.Row.Start()] = true
 	}
 	for other := range l.since {
 		if !present[other] {
 			delete(l.since, other)
 		}
 	}
-	l.since[startOf(row)] = time.Now()
+	l.since[row.Start()] = time.Now()
 }
 
 // leftFor returns how long ago a server first said that it leaves, and false if it has not.
 func (l *leavers) leftFor(row *messenger.ServerRow) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	since, known := l.since[startOf(row)]
+	since, known := l.since[row.Start()]
 	if !known {
 		return 0, false
 	}
