--- a/router/relayer/owner_test.go
+++ b/router/relayer/owner_test.go
@@ -52,15 +52,31 @@
 	return reason
 }
 
+// fakeSampler counts what it is told. Its fields may be read when all requests have ended.
 type fakeSampler struct {
+	mu       sync.Mutex
 	arrived  int
 	finished []time.Duration
 	judged   []bool
 }
 
-func (f *fakeSampler) Arrived(uint32)              { f.arrived++ }
-func (f *fakeSampler) Finished(took time.Duration) { f.finished = append(f.finished, took) }
-func (f *fakeSampler) Judged(failed bool)          { f.judged = append(f.judged, failed) }
+func (f *fakeSampler) Arrived(uint32) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.arrived++
+}
+
+func (f *fakeSampler) Finished(took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.finished = append(f.finished, took)
+}
+
+func (f *fakeSampler) Judged(failed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.judged = append(f.judged, failed)
+}
 
 // fakeDetector is a Detector of a server that does not crash.
 type fakeDetector struct{}
