--- a/kernel/linker/server.go
+++ b/kernel/linker/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"marigoldhill/kernel/networker"
 )
@@ -38,15 +39,22 @@
 
 // Drain waits for each link that is open now until no stream is open on it and the
 // peer has received all data sent before, or until ctx is done. New streams are
-// still served.
-func (s *Server) Drain(ctx context.Context) {
+// still served. It returns the number of links on which streams were still open.
+func (s *Server) Drain(ctx context.Context) (busy int) {
 	s.mu.Lock()
 	var tasks sync.WaitGroup
+	var busyLinks atomic.Int64
 	for link := range s.links {
-		tasks.Go(func() { link.drain(ctx) })
+		tasks.Go(func() {
+			link.drain(ctx)
+			if link.hasOpenStreams() {
+				busyLinks.Add(1)
+			}
+		})
 	}
 	s.mu.Unlock()
 	tasks.Wait()
+	return int(busyLinks.Load())
 }
 
 // Close closes the listener and all links and waits for their handlers to return.
--- a/kernel/logger/router.go
+++ b/kernel/logger/router.go
@@ -26,12 +26,13 @@
 	RequestStalled      = Event{330, hclog.Warn, "background request stalled"}
 	ResponseOversized   = Event{331, hclog.Warn, "backend server sent more than a response may contain"}
 	LinkFull            = Event{332, hclog.Warn, "link of the VM is full"}
+	PeersCut            = Event{333, hclog.Warn, "links to other routers were closed by a stop while requests ran"}
 )
 
 func routerEvents() []Event {
 	return []Event{
 		LeaseAcquired, LeaseLost, LeaseReleased, ControlUnreachable, ControlReachable, ServerAnnounced, AnnouncementIgnored, ServerStateChanged, ServerLoad, ServerTerminated, ServerLimitChanged,
 		EvacuationChanged, ServerCold, ServerWarm, ServerChecked,
-		RecordsRecovered, RecordsCopied, RangeCallCompleted, RangesFreed, RequestStalled, ResponseOversized, LinkFull,
+		RecordsRecovered, RecordsCopied, RangeCallCompleted, RangesFreed, RequestStalled, ResponseOversized, LinkFull, PeersCut,
 	}
 }
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -31,6 +31,7 @@
 	"marigoldhill/router/reporter"
 	"marigoldhill/router/requester"
 	"marigoldhill/router/sampler"
+	"marigoldhill/router/stopper"
 	"marigoldhill/router/warmer"
 )
 
@@ -107,6 +108,8 @@
 	sampler  *sampler.Sampler
 	owner    *relayer.Owner
 	entry    *relayer.Entry
+	// stopWindow begins when the process begins to stop.
+	stopWindow *stopper.Window
 	// inbound and outbound account for the link of the VM.
 	inbound  *inviter.Link
 	outbound *pacer.Bucket
@@ -139,7 +142,7 @@
 	if options.Metrics == nil {
 		options.Metrics = metrics.NewSet()
 	}
-	p := &Routed{settings: settings, options: options, registry: registrar.New()}
+	p := &Routed{settings: settings, options: options, registry: registrar.New(), stopWindow: new(stopper.Window)}
 	p.setDefaultInterfaces()
 	p.assemble()
 	for _, service := range p.services() {
@@ -246,6 +249,7 @@
 		Log:           options.Log,
 		Metrics:       options.Metrics,
 
+		Stop:             p.stopWindow,
 		ConfigurationAge: func() time.Duration { return timer.Now().Since(p.keeper.Lease().RenewedAt) },
 	})
 }
@@ -308,7 +312,9 @@
 func (p *Routed) stopLink(ctx context.Context) error {
 	// Other routers must receive the responses being sent before the links are closed.
 	drainCtx, cancel := context.WithTimeout(ctx, linkDrainTimeout)
-	p.peer.Drain(drainCtx)
+	if links := p.peer.Drain(drainCtx); links > 0 {
+		p.options.Log.Emit(logger.PeersCut, "links", links)
+	}
 	cancel()
 	p.pool.Close()
 	p.backend.Reset()
--- a/router/assembler/routed_listeners.go
+++ b/router/assembler/routed_listeners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 
@@ -59,7 +60,12 @@
 }
 
 func (p *Routed) stopCallers(ctx context.Context) error {
-	if err := p.callerGuard.Stop(ctx, p.callerServer); err != nil {
+	err := p.callerGuard.Stop(ctx, p.callerServer)
+	if cut := new(listener.CutError); errors.As(err, &cut) {
+		elapsed, _ := p.stopWindow.Elapsed()
+		p.options.Log.Emit(logger.CallersCut, "stopping", elapsed.String(), "connections", cut.Connections, "requests", cut.Requests, "oldest", cut.Oldest.String())
+	}
+	if err != nil {
 		return Error.New("waiting for the requests of callers: %w", err)
 	}
 	return nil
--- a/router/assembler/routed_stop.go
+++ b/router/assembler/routed_stop.go
@@ -40,12 +40,15 @@
 // Stop hands the keys over, waits for the requests in flight, closes the session and
 // stops all services.
 func (p *Routed) Stop(ctx context.Context) error {
+	p.stopWindow.Begin()
 	p.options.Log.Emit(logger.ProcessStopping)
 	ctx, cancel := context.WithTimeout(ctx, p.settings.Grace-stopMargin)
 	defer cancel()
-	if err := p.registry.Stop(ctx); err != nil {
+	err := p.registry.Stop(ctx)
+	elapsed, _ := p.stopWindow.Elapsed()
+	p.options.Log.Emit(logger.ProcessStopped, "took", elapsed.String(), "error", err)
+	if err != nil {
 		return Error.New("stopping: %w", err)
 	}
-	p.options.Log.Emit(logger.ProcessStopped)
 	return nil
 }
--- a/router/listener/guard.go
+++ b/router/listener/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -94,8 +95,24 @@
 	})
 }
 
+// CutError is the error of a stop that closed connections with requests on them.
+type CutError struct {
+	// Connections is the number of connections that were closed.
+	Connections int
+	// Requests is how many of them had begun to send a request, and Oldest how long ago
+	// the first of these did.
+	Requests int
+	Oldest   time.Duration
+}
+
+// Error implements error.
+func (e *CutError) Error() string {
+	return fmt.Sprintf("%d connections closed, %d with a request, the oldest of which began %s before", e.Connections, e.Requests, e.Oldest)
+}
+
 // Stop stops server, which must use the Handler and the ConnState of the Guard. When ctx
-// is done first, it closes the connections that are left and returns an error.
+// is done first, it closes the connections that are left and returns an error that wraps
+// a [CutError].
 func (g *Guard) Stop(ctx context.Context, server *http.Server) error {
 	g.leaving.Store(true)
 	g.wakeAccept()
@@ -109,8 +126,9 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
+			cut := g.countOpen()
 			_ = server.Close()
-			return Error.New("waiting for %d connections: %w", open, ctx.Err())
+			return Error.New("waiting for connections: %w: %w", cut, ctx.Err())
 		}
 	}
 	if err := server.Shutdown(ctx); err != nil {
@@ -202,6 +220,20 @@
 	return len(g.conns)
 }
 
+// countOpen returns what closing all connections now would cut off.
+func (g *Guard) countOpen() *CutError {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	cut := &CutError{Connections: len(g.conns)}
+	for conn := range g.conns {
+		if age, begun := conn.requestAge(); begun {
+			cut.Requests++
+			cut.Oldest = max(cut.Oldest, age)
+		}
+	}
+	return cut
+}
+
 // Accept implements [net.Listener].
 func (g *Guard) Accept() (net.Conn, error) {
 	var conn net.Conn
@@ -255,8 +287,10 @@
 	mu sync.Mutex
 	// isNew is set until the first byte arrives.
 	isNew bool
-	// waiting is set while the server waits for a request.
+	// waiting is set while the server waits for a request, and begunAt is when the last
+	// one began to arrive.
 	waiting bool
+	begunAt time.Time
 	// expired is set while a read is made to fail.
 	expired bool
 }
@@ -278,6 +312,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.waiting {
+		c.begunAt = time.Now()
+	}
 	c.isNew, c.waiting = false, false
 	if c.expired {
 		// The request arrived just before the read would have failed.
@@ -300,6 +337,17 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
 
+// requestAge returns how long ago the request on the connection began to arrive, and false
+// if there is none.
+func (c *guardedConn) requestAge() (age time.Duration, begun bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting {
+		return 0, false
+	}
+	return time.Since(c.begunAt), true
+}
+
 // NetConn returns the connection that c wraps.
 func (c *guardedConn) NetConn() net.Conn {
 	return c.Conn
--- a/router/relayer/entry.go
+++ b/router/relayer/entry.go
@@ -39,6 +39,7 @@
 	"marigoldhill/router/budgeter"
 	"marigoldhill/router/chooser"
 	"marigoldhill/router/mapper"
+	"marigoldhill/router/stopper"
 	"marigoldhill/router/throttler"
 )
 
@@ -128,8 +129,10 @@
 	// RequestUpdate requests an early update from the control group. It is called while a
 	// request waits for a newer map.
 	RequestUpdate func()
-	Log           *logger.Log
-	Metrics       *metrics.Set
+	// Stop is the stop of the process; nil if it never stops.
+	Stop    *stopper.Window
+	Log     *logger.Log
+	Metrics *metrics.Set
 }
 
 // Entry serves the requests of callers.
@@ -233,6 +236,9 @@
 		pairs = append(pairs, "route", routedCall.route.Name, "rank", routedCall.route.Treatment.Rank, "service", routedCall.service, "key", call.Key,
 			"version", routedCall.version, "sends", routedCall.sends, "server", routedCall.lastServer, "fingerprint", routedCall.fingerprint, "limit", routedCall.timeout.String())
 	}
+	if stopping, ok := e.options.Stop.Elapsed(); ok {
+		pairs = append(pairs, "stopping", stopping.String())
+	}
 	e.options.Log.Emit(logger.RequestUnanswered, pairs...)
 	return answer
 }
