--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -46,24 +46,11 @@
 	// summaryInterval is the time between two log lines on the load of the backend
 	// server.
 	summaryInterval = 2 * time.Second
-	// callerDrainTime is how long callers may send new requests after a stop began: they
-	// check readiness once a second and notice the stop within two checks.
-	callerDrainTime = 2500 * time.Millisecond
 	// linkDrainTimeout limits the wait for other routers to receive all responses. A
 	// router that is down never acknowledges them.
 	linkDrainTimeout = 1500 * time.Millisecond
 	// bytesPerMegabit converts Mbit/s to bytes per second.
 	bytesPerMegabit = 1e6 / 8
-	// stopMargin is how long before the end of the grace period the process exits, since
-	// it is killed at the end.
-	stopMargin = 250 * time.Millisecond
-	// handOverFraction is the fraction of the grace period after which a stopping router
-	// hands its keys over. Until callers have switched to other routers, which takes
-	// callerDrainTime, its backend server can continue to execute requests.
-	handOverFraction = 0.3
-	// stopReserveFraction is the fraction of the grace period that is reserved for the
-	// requests in flight once no new ones are accepted.
-	stopReserveFraction = 0.35
 )
 
 // RoutedOptions are the dependencies of a Routed.
@@ -108,8 +95,9 @@
 	sampler  *sampler.Sampler
 	owner    *relayer.Owner
 	entry    *relayer.Entry
-	// stopWindow begins when the process begins to stop.
-	stopWindow *stopper.Window
+	// entryWindow and ownerWindow are the times in which the entry passes requests on, and
+	// in which the own server runs them.
+	entryWindow, ownerWindow *stopper.Window
 	// inbound and outbound account for the link of the VM.
 	inbound  *inviter.Link
 	outbound *pacer.Bucket
@@ -142,7 +130,9 @@
 	if options.Metrics == nil {
 		options.Metrics = metrics.NewSet()
 	}
-	p := &Routed{settings: settings, options: options, registry: registrar.New(), stopWindow: new(stopper.Window)}
+	p := &Routed{settings: settings, options: options, registry: registrar.New()}
+	timing := newStopTiming(settings.Grace)
+	p.entryWindow, p.ownerWindow = stopper.New(timing.entry), stopper.New(timing.owner)
 	p.setDefaultInterfaces()
 	p.assemble()
 	for _, service := range p.services() {
@@ -234,6 +224,7 @@
 		Inbound:       p.inbound,
 		Outbound:      p.outbound,
 		RequestUpdate: p.keeper.RequestUpdate,
+		Stop:          p.ownerWindow,
 		Log:           options.Log,
 		Metrics:       options.Metrics,
 	})
@@ -249,7 +240,7 @@
 		Log:           options.Log,
 		Metrics:       options.Metrics,
 
-		Stop:             p.stopWindow,
+		Stop:             p.entryWindow,
 		ConfigurationAge: func() time.Duration { return timer.Now().Since(p.keeper.Lease().RenewedAt) },
 	})
 }
--- a/router/assembler/routed_listeners.go
+++ b/router/assembler/routed_listeners.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 
@@ -59,18 +58,6 @@
 	}
 }
 
-func (p *Routed) stopCallers(ctx context.Context) error {
-	err := p.callerGuard.Stop(ctx, p.callerServer)
-	if cut := new(listener.CutError); errors.As(err, &cut) {
-		elapsed, _ := p.stopWindow.Elapsed()
-		p.options.Log.Emit(logger.CallersCut, "stopping", elapsed.String(), "connections", cut.Connections, "requests", cut.Requests, "oldest", cut.Oldest.String())
-	}
-	if err != nil {
-		return Error.New("waiting for the requests of callers: %w", err)
-	}
-	return nil
-}
-
 func (p *Routed) startReady(context.Context) error {
 	var err error
 	p.readyListener, err = listener.Listen(p.options.Network, p.settings.Ready, p.readyHandler())
--- a/router/relayer/delivery.go
+++ b/router/relayer/delivery.go
@@ -11,8 +11,9 @@
 	"marigoldhill/router/mapper"
 )
 
-// deliver sends a request to the router of a server, which may be this one.
-func (c *routedCall) deliver(ctx context.Context, server *mapper.Server, relay *messenger.Relay) (*messenger.RelayResponse, io.ReadCloser) {
+// deliver sends a request to the router of a server, which may be this one. waiting is the
+// context until the request is passed on.
+func (c *routedCall) deliver(ctx, waiting context.Context, server *mapper.Server, relay *messenger.Relay) (*messenger.RelayResponse, io.ReadCloser) {
 	if server.Session == c.entry.options.Session() {
 		return c.entry.options.Owner.RunLocal(ctx, relay, c.body.reader())
 	}
@@ -21,7 +22,7 @@
 		c.logLinkFailure(server, err)
 		return refusedResponse(messenger.ReasonUnreachable, 0), nil
 	}
-	response, err := run(ctx, stream, relay, c.body)
+	response, err := run(waiting, stream, relay, c.body)
 	if err != nil {
 		stream.Close()
 		c.logLinkFailure(server, err)
--- a/router/relayer/entry.go
+++ b/router/relayer/entry.go
@@ -129,7 +129,7 @@
 	// RequestUpdate requests an early update from the control group. It is called while a
 	// request waits for a newer map.
 	RequestUpdate func()
-	// Stop is the stop of the process; nil if it never stops.
+	// Stop is the time in which requests may be passed on; nil if the process never stops.
 	Stop    *stopper.Window
 	Log     *logger.Log
 	Metrics *metrics.Set
@@ -324,7 +324,10 @@
 
 // contextReason returns the reason for a call whose context or time has ended.
 func contextReason(ctx context.Context) messenger.Reason {
-	if errors.Is(context.Cause(ctx), context.Canceled) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, stopper.ErrStopping):
+		return messenger.ReasonStopping
+	case errors.Is(cause, context.Canceled):
 		return messenger.ReasonCanceled
 	}
 	return messenger.ReasonDeadline
--- a/router/relayer/evacuation.go
+++ b/router/relayer/evacuation.go
@@ -13,14 +13,14 @@
 // run otherwise is held while the router may have missed an order.
 func (o *Owner) admit(ctx context.Context, started timer.Instant, relay *messenger.Relay) (*monitor.View, messenger.Reason) {
 	now := timer.Now()
-	if _, reason := o.check(now, relay); reason != messenger.ReasonNone {
+	if _, reason := o.check(now, started, relay); reason != messenger.ReasonNone {
 		return nil, reason
 	}
 	if reason := o.options.Evacuation.Admit(ctx, relay.Key != messenger.NoKey, relay.Left-now.Since(started)); reason != messenger.ReasonNone {
 		return nil, reason
 	}
 	// The state of the server and its keys may have changed while the request was held.
-	return o.check(timer.Now(), relay)
+	return o.check(timer.Now(), started, relay)
 }
 
 // isEvacuated reports whether no server takes the request because failure domains are
--- a/router/relayer/exchange.go
+++ b/router/relayer/exchange.go
@@ -16,7 +16,8 @@
 )
 
 // exchange sends a request over a stream and receives the header of its answer. An error
-// that wraps errUnsent means that the request has not run.
+// that wraps errUnsent means that the request has not run. ctx limits the time until the
+// request is passed on.
 type exchange func(ctx context.Context, stream *linker.Stream, relay *messenger.Relay, body *requestBody) (*messenger.RelayResponse, error)
 
 // exchangeAtOnce sends the body with the request. A body that is not replayable is sent
@@ -52,7 +53,12 @@
 		return nil, Error.New("sending the header: %w: %w", errUnsent, err)
 	}
 	var invitation messenger.RelayInvitation
-	if err := stream.Receive(&invitation); err != nil {
+	stopWatching := context.AfterFunc(ctx, stream.Close)
+	err := stream.Receive(&invitation)
+	if !stopWatching() && err == nil {
+		err = context.Cause(ctx)
+	}
+	if err != nil {
 		return nil, Error.New("receiving the invitation: %w: %w", errUnsent, err)
 	}
 	if !invitation.Invited {
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +24,7 @@
 	"marigoldhill/router/monitor"
 	"marigoldhill/router/queuer"
 	"marigoldhill/router/requester"
+	"marigoldhill/router/stopper"
 )
 
 const (
@@ -86,8 +89,10 @@
 	// another router has sent a request for a key that this router does not own
 	// according to its own state.
 	RequestUpdate func()
-	Log           *logger.Log
-	Metrics       *metrics.Set
+	// Stop is the time in which requests may run; nil if the process never stops.
+	Stop    *stopper.Window
+	Log     *logger.Log
+	Metrics *metrics.Set
 }
 
 // Owner runs requests at the backend server beside the router.
@@ -151,7 +156,7 @@
 	if relay.Key != messenger.NoKey {
 		o.options.Sampler.Arrived(uint32(relay.Key))
 	}
-	response, responseBody := o.run(ctx, started, relay, body, link)
+	response, responseBody := o.runInWindow(ctx, started, relay, body, link)
 	response.ID = relay.ID
 	response.Load = o.options.Admission.Work()
 	link.tighten(&response.Load)
@@ -160,8 +165,39 @@
 	return response, responseBody
 }
 
-func (o *Owner) run(ctx context.Context, started timer.Instant, relay *messenger.Relay, body io.Reader, link *ownerLink) (*messenger.RelayResponse, io.ReadCloser) {
-	if _, reason := o.admit(ctx, started, relay); reason != messenger.ReasonNone {
+// runInWindow runs a request or refuses it, at once if the process stops before it can end.
+func (o *Owner) runInWindow(ctx context.Context, started timer.Instant, relay *messenger.Relay, body io.Reader, link *ownerLink) (*messenger.RelayResponse, io.ReadCloser) {
+	if !o.options.Stop.Enter() {
+		return refusedResponse(messenger.ReasonStopping, 0), nil
+	}
+	waiting, cancel := o.options.Stop.Context(ctx, relay.Left+relay.Grace)
+	defer cancel()
+	response, responseBody := o.run(ctx, waiting, started, relay, body, link)
+	if !response.Ran && errors.Is(context.Cause(waiting), stopper.ErrStopping) {
+		response = refusedResponse(messenger.ReasonStopping, 0)
+	}
+	if responseBody == nil {
+		o.options.Stop.Leave()
+		return response, nil
+	}
+	return response, &leavingBody{ReadCloser: responseBody, leave: sync.OnceFunc(o.options.Stop.Leave)}
+}
+
+// leavingBody is the body of an answer whose request runs until it is closed.
+type leavingBody struct {
+	io.ReadCloser
+	leave func()
+}
+
+// Close implements io.Closer.
+func (b *leavingBody) Close() error {
+	defer b.leave()
+	return b.ReadCloser.Close()
+}
+
+// run runs a request or refuses it. waiting is the context until the request is sent.
+func (o *Owner) run(ctx, waiting context.Context, started timer.Instant, relay *messenger.Relay, body io.Reader, link *ownerLink) (*messenger.RelayResponse, io.ReadCloser) {
+	if _, reason := o.admit(waiting, started, relay); reason != messenger.ReasonNone {
 		return refusedResponse(reason, 0), nil
 	}
 	// A request that was held has less time left.
@@ -187,18 +223,18 @@
 	} else if relay.Fingerprint == "" {
 		relay.Fingerprint = fingerprint(relay, nil)
 	}
-	if _, reason := o.check(started, relay); reason != messenger.ReasonNone {
+	if _, reason := o.check(started, started, relay); reason != messenger.ReasonNone {
 		return refusedResponse(reason, 0), nil
 	}
 	if !isInline(relay.Length) {
-		received, response := o.receive(ctx, relay, job, body)
+		received, response := o.receive(waiting, relay, job, body)
 		if response != nil {
 			return response, nil
 		}
 		defer received.release()
 		body = received
 	}
-	slot, refused := link.acquire(ctx, o.options.Admission, job)
+	slot, refused := link.acquire(waiting, o.options.Admission, job)
 	if refused != nil {
 		return refusedResponse(refused.Reason, refused.RetryAfter), nil
 	}
@@ -213,16 +249,16 @@
 		body = bytes.NewReader(data)
 	}
 	// The state of the server and its keys may have changed while the request waited.
-	view, reason := o.admit(ctx, started, relay)
+	view, reason := o.admit(waiting, started, relay)
 	if reason != messenger.ReasonNone {
 		slot.Release(false)
 		return refusedResponse(reason, 0), nil
 	}
 	row := messenger.QuarantineRow{Fingerprint: relay.Fingerprint, Service: relay.Service, Key: keyText(relay.Key), Route: relay.Route}
-	pass, err := o.options.Isolator.Enter(ctx, row, false)
+	pass, err := o.options.Isolator.Enter(waiting, row, false)
 	if err != nil {
 		slot.Release(false)
-		return refusedResponse(contextReason(ctx), 0), nil
+		return refusedResponse(contextReason(waiting), 0), nil
 	}
 	ready := link.start(relay)
 	response, responseBody := o.send(ctx, started, relay, view.Row, slot, pass, body)
@@ -241,9 +277,9 @@
 	return data, nil
 }
 
-// check returns the state of the server beside this router if the server may run the
-// request now, else the reason for refusing it.
-func (o *Owner) check(now timer.Instant, relay *messenger.Relay) (*monitor.View, messenger.Reason) {
+// check returns the state of the server beside this router if the server may run a
+// request now that arrived at started, else the reason for refusing it.
+func (o *Owner) check(now, started timer.Instant, relay *messenger.Relay) (*monitor.View, messenger.Reason) {
 	view := o.options.Server.View()
 	ranged := relay.Key != messenger.NoKey
 	switch {
@@ -251,6 +287,8 @@
 		return nil, messenger.ReasonMisrouted
 	case o.options.IsQuarantined(relay.Fingerprint):
 		return nil, messenger.ReasonQuarantine
+	case !o.options.Stop.Fits(relay.Left + relay.Grace - now.Since(started)):
+		return nil, messenger.ReasonStopping
 	case view.State == messenger.ServerLeaving && !view.Accepts(now, ranged):
 		return nil, messenger.ReasonDraining
 	case !view.Accepts(now, ranged):
--- a/router/relayer/routed_call.go
+++ b/router/relayer/routed_call.go
@@ -74,11 +74,19 @@
 	return c.timeout - time.Since(c.started)
 }
 
+// maxLeft returns how long the call may take at most from now on.
+func (c *routedCall) maxLeft() time.Duration {
+	return c.left() + answerGrace
+}
+
 // run sends the request until it is answered, or until no further attempt is allowed.
 func (c *routedCall) run(ctx context.Context) Answer {
+	waiting, cancel := c.entry.options.Stop.Context(ctx, c.maxLeft())
+	defer cancel()
 	if c.body.isInline() {
-		if _, err := c.body.bytesWithin(ctx); err != nil {
-			return c.refuse(contextReason(ctx), 0)
+		if _, err := c.body.bytesWithin(waiting); err != nil {
+			reason := contextReason(waiting)
+			return c.refuse(reason, c.retryAfter(reason, 0))
 		}
 	}
 	// An inline body was read before.
@@ -88,6 +96,9 @@
 		if c.left() <= 0 {
 			return c.giveUp(contextReason(ctx))
 		}
+		if !c.entry.options.Stop.Fits(c.maxLeft()) {
+			return c.refuse(messenger.ReasonStopping, c.retryAfter(messenger.ReasonStopping, 0))
+		}
 		c.version = routes.Configuration.Version
 		if routes.IsQuarantined(c.fingerprint) {
 			return c.refuse(messenger.ReasonQuarantine, quarantineRetryAfter)
@@ -108,22 +119,23 @@
 			}
 			return *answer
 		}
-		answer, retry := c.send(ctx, server)
+		answer, retry := c.send(ctx, waiting, server)
 		if !retry {
 			return answer
 		}
 	}
 }
 
-// send sends the request to one server. It reports retry if another attempt follows.
-func (c *routedCall) send(ctx context.Context, server *mapper.Server) (answer Answer, retry bool) {
+// send sends the request to one server. It reports retry if another attempt follows. waiting
+// is the context until the request is passed on.
+func (c *routedCall) send(ctx, waiting context.Context, server *mapper.Server) (answer Answer, retry bool) {
 	if c.sends == 0 {
 		c.entry.options.Budget.CountRequest(c.entry.now(), c.service)
 	}
 	c.lastServer = server.Row.Name
 	relay := c.relay()
 	c.entry.balancer.Begin(server.Session)
-	response, body := c.deliver(ctx, server, relay)
+	response, body := c.deliver(ctx, waiting, server, relay)
 	c.entry.balancer.End(c.entry.now(), server.Session, &response.Load, isFailure(response))
 	c.updateGate(server, response)
 	if response.Ran {
@@ -277,6 +289,8 @@
 	switch {
 	case requested > 0:
 		return jitter(requested)
+	case reason == messenger.ReasonStopping:
+		return c.entry.options.Stop.RetryAfter() + jitter(defaultRetryAfter)
 	case reason == messenger.ReasonQuarantine:
 		return quarantineRetryAfter
 	case reason == messenger.ReasonUnreachable || reason == messenger.ReasonDown || reason == messenger.ReasonUnowned:
