--- a/router/assembler/routed_cold_test.go
+++ b/router/assembler/routed_cold_test.go
@@ -144,6 +144,8 @@
 type anyKey struct{}
 
 func (anyKey) CheckHeld(timer.Instant, uint32) messenger.Reason { return messenger.ReasonNone }
+func (anyKey) Enter(timer.Instant, uint32) messenger.Reason     { return messenger.ReasonNone }
+func (anyKey) Leave(uint32)                                     {}
 
 type noSampler struct{}
 
--- a/router/holder/holder.go
+++ b/router/holder/holder.go
@@ -4,8 +4,8 @@
 // Each call names the server that it is for, since the next start of the server may
 // listen at the same address before the router learns of it. Each grant tells the server
 // how long it may hold the keys. The Holder renews grants while the lease of the router is
-// valid and never beyond its end, releases keys when the control group moves them, and
-// reports which keys are free. An unanswered grant may still take effect; its keys are not
+// valid and never beyond its end, releases keys when the control group moves them and no
+// request for them runs, and reports which keys are free. An unanswered grant may still take effect; its keys are not
 // reported as free until that is impossible. The type stateMachine makes these decisions.
 //
 // # Usage
@@ -145,6 +145,24 @@
 	return h.stateMachine.checkHeld(now, key)
 }
 
+// Enter is like CheckHeld, and counts the request as running if the result is ReasonNone.
+// The keys are not released before Leave is called.
+func (h *Holder) Enter(now timer.Instant, key uint32) messenger.Reason {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stateMachine.enter(now, key)
+}
+
+// Leave ends what Enter has begun.
+func (h *Holder) Leave(key uint32) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stateMachine.leave(key)
+	if h.stateMachine.keys.Find(key).Value.phase == phaseDraining {
+		h.signal()
+	}
+}
+
 // IsEmpty reports whether the router owns no keys.
 func (h *Holder) IsEmpty() bool {
 	h.mu.Lock()
--- a/router/holder/keystate.go
+++ b/router/holder/keystate.go
@@ -19,6 +19,9 @@
 	phaseAwaited
 	// phaseOwned means that the backend server must hold the keys.
 	phaseOwned
+	// phaseDraining means that the keys move and the server still runs requests for them.
+	// It must hold the keys until these have ended, and gets no more.
+	phaseDraining
 	// phaseReleasing means that the keys must be released.
 	phaseReleasing
 	// phaseFreed means that the backend server no longer holds the keys.
@@ -87,10 +90,13 @@
 	case state.phase == phaseAwaited:
 		state.phase = phaseOwned
 	}
-	if m.terminated && state.phase == phaseOwned {
+	if m.terminated && (state.phase == phaseOwned || state.phase == phaseDraining) {
 		return freedState(row.Fence, causeTerminated)
 	}
 	state.moving = row.Phase == messenger.PhaseMoving
+	if state.phase == phaseDraining && !state.moving {
+		state.phase = phaseOwned
+	}
 	return state
 }
 
--- a/router/holder/plan.go
+++ b/router/holder/plan.go
@@ -38,16 +38,33 @@
 	return due
 }
 
-// startReleases begins to release moving keys, unless the server may still carry out an
-// unanswered grant of an earlier process of this router after it has released them.
+// startReleases begins to release moving keys, once no request for them runs. It waits
+// while the server may still carry out an unanswered grant of an earlier process of this
+// router after it has released them.
 func (m *stateMachine) startReleases(now timer.Instant) {
 	m.keys.Update(0, messenger.LastKey, func(v keyState) keyState {
 		if v.phase == phaseOwned && v.moving && !m.isUnaccounted(now, v) {
-			v.phase = phaseReleasing
-			v.due = timer.Instant{}
+			v.phase = phaseDraining
 		}
 		return v
 	})
+	for _, piece := range m.keys.Within(0, messenger.LastKey) {
+		if value := piece.Value; value.phase == phaseDraining && !m.isBusy(piece.From, piece.To) {
+			value.phase = phaseReleasing
+			value.due = timer.Instant{}
+			m.keys.Set(piece.From, piece.To, value)
+		}
+	}
+}
+
+// isBusy reports whether requests for some of the keys run.
+func (m *stateMachine) isBusy(from, to uint32) bool {
+	for key := range m.running {
+		if key >= from && key <= to {
+			return true
+		}
+	}
+	return false
 }
 
 // isUnaccounted reports whether an unanswered grant of an earlier process of this router
@@ -60,7 +77,9 @@
 func (m *stateMachine) groups() [][]splitter.Piece[keyState] {
 	var groups [][]splitter.Piece[keyState]
 	for _, piece := range m.keys.Pieces() {
-		if piece.Value.phase != phaseOwned && piece.Value.phase != phaseReleasing {
+		switch piece.Value.phase {
+		case phaseOwned, phaseDraining, phaseReleasing:
+		default:
 			continue
 		}
 		if last := len(groups) - 1; last >= 0 && canMerge(groups[last][len(groups[last])-1], piece) {
--- a/router/holder/statemachine.go
+++ b/router/holder/statemachine.go
@@ -55,6 +55,8 @@
 	keys              *splitter.Map[keyState]
 	calls             []*Call
 	unconfirmedGrants []unconfirmedGrant
+	// running counts the requests that the server runs, by key.
+	running map[uint32]int
 	// leaseDuration is the longest time for which the server may hold keys that an earlier
 	// session, or an earlier process of this router, granted to it.
 	leaseDuration time.Duration
@@ -64,7 +66,7 @@
 }
 
 func newStateMachine(service string, leaseDuration time.Duration) *stateMachine {
-	return &stateMachine{service: service, leaseDuration: leaseDuration, keys: splitter.New[keyState](messenger.LastKey)}
+	return &stateMachine{service: service, leaseDuration: leaseDuration, keys: splitter.New[keyState](messenger.LastKey), running: make(map[uint32]int)}
 }
 
 // setRanges updates the ranges that the session of this router owns. Ranges that were
@@ -227,6 +229,23 @@
 	return messenger.ReasonNone
 }
 
+// enter counts a request for a key as running if checkHeld returns ReasonNone.
+func (m *stateMachine) enter(now timer.Instant, key uint32) messenger.Reason {
+	reason := m.checkHeld(now, key)
+	if reason == messenger.ReasonNone {
+		m.running[key]++
+	}
+	return reason
+}
+
+// leave ends what enter has begun.
+func (m *stateMachine) leave(key uint32) {
+	m.running[key]--
+	if m.running[key] <= 0 {
+		delete(m.running, key)
+	}
+}
+
 // isEmpty reports whether this router owns no keys.
 func (m *stateMachine) isEmpty() bool {
 	return m.count() == 0
--- a/router/holder/statemachine_test.go
+++ b/router/holder/statemachine_test.go
@@ -171,6 +171,52 @@
 	qt.Assert(t, machine.checkHeld(at(300*time.Millisecond), 50), qt.Equals, messenger.ReasonMisrouted)
 }
 
+// Guards against work that fails because the hold of its key ends while the key moves.
+func TestMovingKeysAreHeldUntilTheirRequestsHaveEnded(t *testing.T) {
+	moving := []messenger.RangeRow{row(0, 99, 5, messenger.PhaseMoving)}
+	tests := []struct {
+		name string
+		key  uint32
+		runs time.Duration
+		// back makes the control group take the move back before the request ends.
+		back bool
+	}{
+		{name: "no request"},
+		{name: "shorter than the hold", key: 50, runs: time.Second},
+		{name: "longer than the hold", key: 0, runs: 3 * lease},
+		{name: "move is taken back", key: 99, runs: 2 * lease, back: true},
+	}
+	for _, test := range tests {
+		machine, comment := newGranted(t), qt.Commentf(test.name)
+		running := test.runs > 0
+		if running {
+			qt.Assert(t, machine.enter(at(0), test.key), qt.Equals, messenger.ReasonNone, comment)
+		}
+		machine.setRanges(at(100*time.Millisecond), moving, server)
+		released := false
+		for passed := 100 * time.Millisecond; !released && passed < 4*lease; passed += 100 * time.Millisecond {
+			if running && passed > test.runs {
+				machine.leave(test.key)
+				running = false
+			}
+			if test.back && passed == lease {
+				machine.setRanges(at(passed), []messenger.RangeRow{row(0, 99, 5, messenger.PhaseOwned)}, server)
+			}
+			for _, call := range machine.plan(at(passed), lease) {
+				released = released || call.Release
+				qt.Assert(t, call.Release && running, qt.IsFalse, comment)
+				machine.endCall(at(passed), call, Accepted, "")
+			}
+			if running {
+				qt.Assert(t, machine.keys.Find(test.key).Value.isHeld(at(passed)), qt.IsTrue, comment)
+				taken := test.back && passed >= lease
+				qt.Assert(t, machine.checkHeld(at(passed), 50) == messenger.ReasonNone, qt.Equals, taken, comment)
+			}
+		}
+		qt.Check(t, released, qt.Equals, !test.back, comment)
+	}
+}
+
 func TestKeysAreFreedWithoutACall(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -42,6 +42,10 @@
 type KeyChecker interface {
 	// CheckHeld returns ReasonNone if the server holds the key, else why it does not.
 	CheckHeld(now timer.Instant, key uint32) messenger.Reason
+	// Enter is like CheckHeld, and keeps the key with the server until Leave if it returns
+	// ReasonNone: a server ends work with an error when it no longer holds the key.
+	Enter(now timer.Instant, key uint32) messenger.Reason
+	Leave(key uint32)
 }
 
 // Sampler collects the load on keys and the results of requests.
@@ -260,6 +264,11 @@
 		slot.Release(false)
 		return refusedResponse(contextReason(waiting), 0), nil
 	}
+	if reason := o.enterKey(relay); reason != messenger.ReasonNone {
+		pass.Leave()
+		slot.Release(false)
+		return refusedResponse(reason, 0), nil
+	}
 	ready := link.start(relay)
 	response, responseBody := o.send(ctx, started, relay, view.Row, slot, pass, body)
 	return response, ready(response, responseBody)
@@ -305,6 +314,21 @@
 	return view, messenger.ReasonNone
 }
 
+// enterKey keeps the key of a request with the server until leaveKey, or returns why the
+// server does not hold it.
+func (o *Owner) enterKey(relay *messenger.Relay) messenger.Reason {
+	if relay.Key == messenger.NoKey {
+		return messenger.ReasonNone
+	}
+	return o.options.KeyChecker.Enter(timer.Now(), uint32(relay.Key))
+}
+
+func (o *Owner) leaveKey(relay *messenger.Relay) {
+	if relay.Key != messenger.NoKey {
+		o.options.KeyChecker.Leave(uint32(relay.Key))
+	}
+}
+
 // keyText returns a numeric key as text, or nothing for messenger.NoKey.
 func keyText(key int32) string {
 	if key == messenger.NoKey {
--- a/router/relayer/owner_send.go
+++ b/router/relayer/owner_send.go
@@ -38,6 +38,7 @@
 	}
 	if result.Outcome != messenger.OutcomeDone {
 		cancel()
+		o.leaveKey(relay)
 		pass.Leave()
 		slot.Release(false)
 		if isServerFailure(result) {
@@ -63,6 +64,7 @@
 		if succeeded {
 			pass.Complete()
 		}
+		o.leaveKey(relay)
 		pass.Leave()
 		slot.Release(succeeded)
 		if complete || (readErr != nil && !left) {
--- a/router/relayer/owner_test.go
+++ b/router/relayer/owner_test.go
@@ -52,6 +52,12 @@
 	return reason
 }
 
+func (f *fakeKeys) Enter(now timer.Instant, key uint32) messenger.Reason {
+	return f.CheckHeld(now, key)
+}
+
+func (f *fakeKeys) Leave(uint32) {}
+
 // fakeSampler counts what it is told. Its fields may be read when all requests have ended.
 type fakeSampler struct {
 	mu       sync.Mutex
