--- a/kernel/commander/cmd_run.go
+++ b/kernel/commander/cmd_run.go
@@ -10,7 +10,8 @@
 	"marigoldhill/kernel/parser"
 )
 
-// cmdRun runs a process until SIGTERM or SIGINT.
+// cmdRun runs a process until SIGTERM or SIGINT. A SIGINT during the stop ends the process at
+// once.
 type cmdRun[S any] struct {
 	Settings string `arg:"" type:"path" help:"Path of the settings file."`
 }
@@ -29,11 +30,8 @@
 		return Error.New("putting the process together: %w", err)
 	}
 	go reload(process, log)
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, cancel := notifyStop()
 	defer cancel()
-	// Calling cancel after the first signal restores the default handling, so that a
-	// second signal terminates the process at once.
-	context.AfterFunc(ctx, cancel)
 	if err := program.start(ctx, process); err != nil {
 		if ctx.Err() != nil {
 			// A signal arrived during startup. Start has stopped what it had started.
@@ -46,6 +44,18 @@
 	return program.serve(ctx, process)
 }
 
+// notifyStop returns a context that ends at the first SIGTERM or SIGINT. After that, SIGINT
+// has its default effect, for an operator at a terminal. SIGTERM has none any more: service
+// managers may send it again, and requests are in flight.
+func notifyStop() (context.Context, context.CancelFunc) {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, func() {
+		signal.Notify(make(chan os.Signal, 1), syscall.SIGTERM)
+		cancel()
+	})
+	return ctx, cancel
+}
+
 // reload reloads the settings of a process on each SIGHUP, if the process supports
 // that.
 func reload(process Process, log *logger.Log) {
--- a/kernel/commander/commander.go
+++ b/kernel/commander/commander.go
@@ -83,7 +83,7 @@
 
 // commands defines the commands of a program for kong.
 type commands[S any] struct {
-	Run     cmdRun[S]     `cmd:"" help:"Run the process until SIGTERM or SIGINT; a second signal ends it at once."`
+	Run     cmdRun[S]     `cmd:"" help:"Run the process until SIGTERM or SIGINT; a SIGINT during the stop ends it at once."`
 	Check   cmdCheck[S]   `cmd:"" help:"Check a settings file."`
 	Version cmdVersion[S] `cmd:"" help:"Print the versions of program, protocol and settings format."`
 }
