--- a/router/listener/guard_test.go
+++ b/router/listener/guard_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -192,3 +193,15 @@
 		})
 	}
 }
+
+// Guards against stops that run out of time because a listener waits for connections on
+// which nothing is asked.
+func TestListenerDoesNotWaitForRequestsThatNeverCome(t *testing.T) {
+	server, err := listener.Listen(networker.TCP{}, "127.0.0.1:0", okHandler)
+	qt.Assert(t, err, qt.IsNil)
+	dial(t, strings.TrimPrefix(server.URL(), "http://"))
+	time.Sleep(30 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	qt.Assert(t, server.Stop(ctx), qt.IsNil)
+}
--- a/router/listener/listener.go
+++ b/router/listener/listener.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -31,6 +30,7 @@
 // Listener is an HTTP server that listens on one address.
 type Listener struct {
 	server  http.Server
+	guard   *Guard
 	address string
 	done    chan struct{}
 }
@@ -41,22 +41,25 @@
 	if err != nil {
 		return nil, Error.New("opening the listener: %w", err)
 	}
+	guard := NewGuard(socket)
 	listener := &Listener{
 		server: http.Server{
-			Handler:           handler,
+			Handler:           guard.Handler(handler),
+			ConnState:         guard.ConnState,
 			ReadHeaderTimeout: readHeaderTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
+		guard:   guard,
 		address: socket.Addr().String(),
 		done:    make(chan struct{}),
 	}
-	go listener.serve(socket)
+	go listener.serve()
 	return listener, nil
 }
 
-func (l *Listener) serve(socket net.Listener) {
+func (l *Listener) serve() {
 	defer close(l.done)
-	_ = l.server.Serve(socket)
+	_ = l.server.Serve(l.guard)
 }
 
 // URL returns the base URL of the server.
@@ -64,13 +67,10 @@
 	return "http://" + l.address
 }
 
-// Stop closes the socket and waits for the requests in flight. When ctx is done
-// first, it closes their connections and returns an error.
+// Stop closes the socket and waits for the requests in flight; see [Guard.Stop]. When ctx
+// is done first, it closes their connections and returns an error.
 func (l *Listener) Stop(ctx context.Context) error {
-	err := l.server.Shutdown(ctx)
-	if err != nil {
-		_ = l.server.Close()
-	}
+	err := l.guard.Stop(ctx, &l.server)
 	<-l.done
 	if err != nil {
 		return Error.New("stopping the listener: %w", err)
