--- a/router/acceptor/acceptor.go
+++ b/router/acceptor/acceptor.go
@@ -152,6 +152,7 @@
 	a.guard = listener.NewGuard(socket)
 	a.server.Handler = a.guard.Handler(a.server.Handler)
 	a.server.ConnState = a.guard.ConnState
+	a.server.ConnContext = a.guard.ConnContext
 	go func() {
 		defer close(a.serveDone)
 		// Serve returns when Stop closes the listener.
--- a/router/assembler/routed_listeners.go
+++ b/router/assembler/routed_listeners.go
@@ -34,6 +34,7 @@
 		ReadHeaderTimeout: callerHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		ConnState:         p.callerGuard.ConnState,
+		ConnContext:       p.callerGuard.ConnContext,
 	}
 	go p.serveCallers(socket)
 	return nil
--- a/router/listener/guard.go
+++ b/router/listener/guard.go
@@ -45,7 +45,7 @@
 // # Usage
 //
 //	guard := listener.NewGuard(socket)
-//	server := &http.Server{Handler: guard.Handler(handler), ConnState: guard.ConnState}
+//	server := &http.Server{Handler: guard.Handler(handler), ConnState: guard.ConnState, ConnContext: guard.ConnContext}
 //	go server.Serve(guard)
 //	...
 //	err := guard.Stop(ctx, server)
@@ -91,6 +91,9 @@
 		if g.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		if conn, ok := r.Context().Value(connKey{}).(*guardedConn); ok {
+			_ = conn.beginRequest(time.Time{})
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
@@ -110,9 +113,9 @@
 	return fmt.Sprintf("%d connections closed, %d with a request, the oldest of which began %s before", e.Connections, e.Requests, e.Oldest)
 }
 
-// Stop stops server, which must use the Handler and the ConnState of the Guard. When ctx
-// is done first, it closes the connections that are left and returns an error that wraps
-// a [CutError].
+// Stop stops server, which must use the Handler, the ConnState and the ConnContext of the
+// Guard. When ctx is done first, it closes the connections that are left and returns an
+// error that wraps a [CutError].
 func (g *Guard) Stop(ctx context.Context, server *http.Server) error {
 	g.leaving.Store(true)
 	g.wakeAccept()
@@ -265,117 +268,29 @@
 
 // ConnState is the hook of the server for states of connections.
 func (g *Guard) ConnState(conn net.Conn, state http.ConnState) {
-	for {
-		if guarded, ok := conn.(*guardedConn); ok {
-			guarded.setState(state)
-			return
-		}
-		wrapper, ok := conn.(interface{ NetConn() net.Conn })
-		if !ok {
-			return
-		}
-		conn = wrapper.NetConn()
+	if guarded := unwrap(conn); guarded != nil {
+		guarded.setState(state)
 	}
 }
 
-// guardedConn is a connection that knows whether a request has begun to arrive on it.
-type guardedConn struct {
-	net.Conn
-	guard      *Guard
-	acceptedAt time.Time
+// connKey is the key of the guardedConn in the context of its requests.
+type connKey struct{}
 
-	mu sync.Mutex
-	// isNew is set until the first byte arrives.
-	isNew bool
-	// waiting is set while the server waits for a request, and begunAt is when the last
-	// one began to arrive.
-	waiting bool
-	begunAt time.Time
-	// expired is set while a read is made to fail.
-	expired bool
+// ConnContext is the hook of the server for contexts of connections.
+func (g *Guard) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, unwrap(conn))
 }
 
-func (c *guardedConn) setState(state http.ConnState) {
-	if state != http.StateIdle {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.waiting = true
-}
-
-// Read implements [net.Conn].
-func (c *guardedConn) Read(data []byte) (int, error) {
-	n, err := c.Conn.Read(data)
-	if n == 0 {
-		return n, err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.waiting {
-		c.begunAt = time.Now()
-	}
-	c.isNew, c.waiting = false, false
-	if c.expired {
-		// The request arrived just before the read would have failed.
-		c.expired = false
-		if err := c.SetReadDeadline(time.Now().Add(readHeaderTimeout)); err != nil {
-			return n, Error.New("extending the time of a read: %w", err)
+// unwrap returns the guardedConn that conn wraps, or nil.
+func unwrap(conn net.Conn) *guardedConn {
+	for {
+		if guarded, ok := conn.(*guardedConn); ok {
+			return guarded
 		}
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		conn = wrapper.NetConn()
 	}
-	return n, err
-}
-
-// expire makes the server end the connection if no request has begun to arrive on it.
-func (c *guardedConn) expire() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.waiting || c.isNew && time.Since(c.acceptedAt) < firstRequestTimeout || hasArrived(c.Conn) {
-		return
-	}
-	c.expired = true
-	_ = c.SetReadDeadline(time.Unix(1, 0))
-}
-
-// requestAge returns how long ago the request on the connection began to arrive, and false
-// if there is none.
-func (c *guardedConn) requestAge() (age time.Duration, begun bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.waiting {
-		return 0, false
-	}
-	return time.Since(c.begunAt), true
-}
-
-// NetConn returns the connection that c wraps.
-func (c *guardedConn) NetConn() net.Conn {
-	return c.Conn
-}
-
-// Close implements [net.Conn].
-func (c *guardedConn) Close() error {
-	c.guard.mu.Lock()
-	delete(c.guard.conns, c)
-	c.guard.mu.Unlock()
-	return c.Conn.Close()
-}
-
-// hasArrived reports whether bytes wait to be read from a connection.
-func hasArrived(conn net.Conn) bool {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	arrived := false
-	err = raw.Control(func(descriptor uintptr) {
-		var peeked [1]byte
-		n, _, err := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		arrived = err == nil && n > 0
-	})
-	return err == nil && arrived
 }
--- a/router/listener/guard_test.go
+++ b/router/listener/guard_test.go
@@ -22,7 +22,7 @@
 	network := &listener.GuardNetwork{Network: networker.TCP{}}
 	socket, err := network.Listen("127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	server := &http.Server{Handler: network.Guard.Handler(handler), ConnState: network.Guard.ConnState, ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: network.Guard.Handler(handler), ConnState: network.Guard.ConnState, ConnContext: network.Guard.ConnContext, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(socket) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return socket.Addr().String(), func() error {
@@ -124,7 +124,7 @@
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	guard := listener.NewGuard(slowSocket{TCPListener: socket.(*net.TCPListener), delay: 30 * time.Millisecond})
-	server := &http.Server{Handler: guard.Handler(okHandler), ConnState: guard.ConnState}
+	server := &http.Server{Handler: guard.Handler(okHandler), ConnState: guard.ConnState, ConnContext: guard.ConnContext}
 	go func() { _ = server.Serve(guard) }()
 	t.Cleanup(func() { _ = server.Close() })
 	var conns []net.Conn
@@ -205,3 +205,34 @@
 	defer cancel()
 	qt.Assert(t, server.Stop(ctx), qt.IsNil)
 }
+
+// Guards against a stop that takes a connection for idle while the next request, which came
+// along with the one before, runs.
+func TestPipelinedRequestIsAnsweredDuringAStop(t *testing.T) {
+	runs := make(chan struct{}, 2)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs <- struct{}{}
+		if r.URL.Path == "/slow" {
+			select {
+			case <-time.After(500 * time.Millisecond):
+			case <-r.Context().Done():
+				return
+			}
+		}
+		_, _ = io.WriteString(w, "ok")
+	})
+	address, stop := startGuarded(t, handler)
+	conn := dial(t, address)
+	write(t, conn, wholeRequest+strings.Replace(wholeRequest, "/", "/slow", 1))
+	<-runs
+	<-runs
+	stopped := make(chan error, 1)
+	go func() { stopped <- stop() }()
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		body, err := readBody(reader)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, body, qt.Equals, "ok")
+	}
+	qt.Check(t, <-stopped, qt.IsNil)
+}
--- a/router/listener/listener.go
+++ b/router/listener/listener.go
@@ -46,6 +46,7 @@
 		server: http.Server{
 			Handler:           guard.Handler(handler),
 			ConnState:         guard.ConnState,
+			ConnContext:       guard.ConnContext,
 			ReadHeaderTimeout: readHeaderTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
