--- a/router/assembler/assembler.go
+++ b/router/assembler/assembler.go
@@ -48,6 +48,7 @@
 	"marigoldhill/router/prober"
 	"marigoldhill/router/recorder"
 	"marigoldhill/router/reporter"
+	"marigoldhill/router/stopper"
 )
 
 // Error is the class of all errors of this package.
@@ -83,8 +84,11 @@
 	dispatcher       *dispatcher.Dispatcher
 	forwarder        *forwarder.Forwarder
 	acceptor         *acceptor.Acceptor
-	backend          *listener.Listener
-	operator         *listener.Listener
+	// entryWindow and ownerWindow are the times in which the entry passes requests on, and
+	// in which the own server runs them.
+	entryWindow, ownerWindow *stopper.Window
+	backend                  *listener.Listener
+	operator                 *listener.Listener
 }
 
 // New creates a Process. Its settings must be valid; see [Settings.Check].
@@ -96,6 +100,8 @@
 		locator:  locator.New(options.Metrics),
 		tracker:  drainer.NewTracker(),
 	}
+	timing := newStopTiming(settings.grace())
+	p.entryWindow, p.ownerWindow = stopper.New(timing.entry), stopper.New(timing.owner)
 	p.assembleOwner()
 	p.assembleEntry()
 	for _, service := range p.services() {
@@ -170,6 +176,7 @@
 		Isolator:     isolation,
 		Detector:     p.detector,
 		Evacuation:   p.evacuation,
+		Stop:         p.ownerWindow,
 		Tally:        tally,
 		Metrics:      options.Metrics,
 	})
@@ -184,6 +191,7 @@
 		Opener:        p.pool,
 		Lease:         keeperLease{p},
 		RequestUpdate: func() { p.keeper.RequestUpdate() },
+		Stop:          p.entryWindow,
 		Metrics:       options.Metrics,
 	})
 	p.acceptor = acceptor.New(acceptor.Settings{Listen: p.settings.Listen, Name: p.settings.Name}, acceptor.Options{
@@ -208,12 +216,7 @@
 // Stop hands the shards over, waits for the requests in flight, closes the session and
 // stops all services.
 func (p *Process) Stop(ctx context.Context) error {
-	p.options.Log.Emit(logger.ProcessStopping)
-	if err := p.registry.Stop(ctx); err != nil {
-		return Error.New("stopping: %w", err)
-	}
-	p.options.Log.Emit(logger.ProcessStopped)
-	return nil
+	return stopProcess(ctx, p.registry, p.options.Log, p.settings.grace(), p.entryWindow, p.ownerWindow)
 }
 
 // CallerURL returns the base URL for callers.
--- a/router/assembler/drain.go
+++ b/router/assembler/drain.go
@@ -27,6 +27,9 @@
 	p.keeper.RequestHeartbeat()
 	p.waitUntil(ctx, shardMoveTimeout, func() bool { return p.heartbeatHandler.shardCount.Load() == 0 })
 	p.awaitRecorders(ctx)
+	elapsed, _ := p.ownerWindow.Elapsed()
+	ctx, cancel := context.WithTimeout(ctx, newStopTiming(p.settings.grace()).owner-elapsed)
+	defer cancel()
 	select {
 	case <-p.tracker.Idle():
 		return nil
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -46,9 +46,6 @@
 	// summaryInterval is the time between two log lines on the load of the backend
 	// server.
 	summaryInterval = 2 * time.Second
-	// linkDrainTimeout limits the wait for other routers to receive all responses. A
-	// router that is down never acknowledges them.
-	linkDrainTimeout = 1500 * time.Millisecond
 	// bytesPerMegabit converts Mbit/s to bytes per second.
 	bytesPerMegabit = 1e6 / 8
 )
@@ -301,12 +298,7 @@
 }
 
 func (p *Routed) stopLink(ctx context.Context) error {
-	// Other routers must receive the responses being sent before the links are closed.
-	drainCtx, cancel := context.WithTimeout(ctx, linkDrainTimeout)
-	if links := p.peer.Drain(drainCtx); links > 0 {
-		p.options.Log.Emit(logger.PeersCut, "links", links)
-	}
-	cancel()
+	drainPeers(ctx, p.peer, p.options.Log)
 	p.pool.Close()
 	p.backend.Reset()
 	if err := p.peer.Close(); err != nil {
--- a/router/assembler/routed_settings.go
+++ b/router/assembler/routed_settings.go
@@ -104,8 +104,8 @@
 		return "link", "must not be below 0"
 	case s.Evacuation < 0:
 		return "evacuation", "must not be below 0"
-	case s.Grace <= 0:
-		return "grace", "must be above 0"
+	case s.Grace <= 0 || s.Grace > MaxGrace:
+		return "grace", "must be above 0 and up to 1h"
 	case s.Budget.Ratio < 0 || s.Budget.Reserve < 0 || s.Budget.Window <= 0:
 		return "budget", "must have a window above 0, and nothing below 0"
 	}
--- a/router/assembler/settings.go
+++ b/router/assembler/settings.go
@@ -35,10 +35,28 @@
 	// Evacuation is the time in which the evacuation of a failure domain must be in force;
 	// 0 means evacuator.DefaultBound.
 	Evacuation time.Duration `yaml:"evacuation"`
+	// Grace is the grace period: how long the process may take to stop; 0 means
+	// DefaultGrace.
+	Grace time.Duration `yaml:"grace"`
 	// Log is the log format: text, the default, or json.
 	Log string `yaml:"log"`
 }
 
+const (
+	// DefaultGrace is the default of Settings.Grace.
+	DefaultGrace = time.Minute
+	// MaxGrace is the longest grace period.
+	MaxGrace = time.Hour
+)
+
+// grace returns the grace period.
+func (s *Settings) grace() time.Duration {
+	if s.Grace == 0 {
+		return DefaultGrace
+	}
+	return s.Grace
+}
+
 // maxControlMembers is the maximum size of the control group.
 const maxControlMembers = 7
 
@@ -59,6 +77,9 @@
 	if s.Evacuation < 0 {
 		return "evacuation", "must not be below 0"
 	}
+	if s.Grace < 0 || s.Grace > MaxGrace {
+		return "grace", "must be from 0 to 1h"
+	}
 	switch logger.Format(s.Log) {
 	case "", logger.FormatText, logger.FormatJSON:
 		return "", ""
--- a/router/commander/commander.go
+++ b/router/commander/commander.go
@@ -22,8 +22,9 @@
 const (
 	// startTimeout limits the start of the process.
 	startTimeout = 10 * time.Second
-	// stopTimeout limits the drain and the stop of the process.
-	stopTimeout = 60 * time.Second
+	// stopTimeout limits the drain and the stop of the process, which end within its grace
+	// period.
+	stopTimeout = assembler.MaxGrace
 )
 
 // commandRoutes is the prefix of the commands for a router in routed mode.
--- a/router/executor/executor.go
+++ b/router/executor/executor.go
@@ -21,6 +21,7 @@
 	"marigoldhill/router/locator"
 	"marigoldhill/router/prober"
 	"marigoldhill/router/recorder"
+	"marigoldhill/router/stopper"
 )
 
 // Error is the class of all errors of this package.
@@ -62,8 +63,10 @@
 	Detector     Detector
 	// Evacuation refuses requests while the failure domain is evacuated; nil never does.
 	Evacuation *evacuator.Guard
-	Tally      *aggregator.Tally
-	Metrics    *metrics.Set
+	// Stop is the time in which requests may run; nil if the process never stops.
+	Stop    *stopper.Window
+	Tally   *aggregator.Tally
+	Metrics *metrics.Set
 }
 
 // Executor runs requests as the owner of their keys. Its methods are safe for
--- a/router/executor/run.go
+++ b/router/executor/run.go
@@ -76,9 +76,17 @@
 	r.ref = drainer.RefOf(place.Row)
 	r.profile = table.Profile(place.Service, r.request.Method, r.request.Route)
 	r.deadline = time.Now().Add(r.timeout())
+	if !r.fitsStop() {
+		return messenger.ReasonStopping
+	}
 	return messenger.ReasonNone
 }
 
+// fitsStop reports whether the request can end before the process does.
+func (r *run) fitsStop() bool {
+	return r.options.Stop.Fits(time.Until(r.deadline))
+}
+
 // begin checks the state of the backend server and registers the number of the
 // request. It must follow Tracker.Begin: a shard that is being released because of
 // the server is refused there as moving, so that entry routers hold the request for
@@ -186,6 +194,11 @@
 		}
 		return refusedAnswer(refusal.Reason, refusal.RetryAfter)
 	}
+	if !r.fitsStop() {
+		// The stop has begun while the request waited.
+		slot.Abandon()
+		return refusedAnswer(messenger.ReasonStopping, 0)
+	}
 	row := messenger.QuarantineRow{
 		Fingerprint: r.print,
 		Service:     r.request.Service,
--- a/router/forwarder/call.go
+++ b/router/forwarder/call.go
@@ -69,6 +69,11 @@
 // attempt sends the request once, to the owner in the current routing table.
 func (c *call) attempt(ctx context.Context) executor.Answer {
 	options := &c.forwarder.options
+	if !options.Stop.Fits(timeLeft(ctx)) {
+		answer := refusedAnswer(c.request, messenger.ReasonStopping)
+		answer.Response.RetryAfter = max(options.Stop.RetryAfter(), RetryAfter)
+		return answer
+	}
 	if !options.Lease.IsLeaseValid(timer.Now()) {
 		return refusedAnswer(c.request, messenger.ReasonLease)
 	}
@@ -94,7 +99,7 @@
 	if response.Outcome == messenger.OutcomeDone || ctx.Err() != nil || !c.body.rewind() {
 		return retrier.Decision{}
 	}
-	if !c.forwarder.options.Lease.IsLeaseValid(timer.Now()) {
+	if !c.forwarder.options.Lease.IsLeaseValid(timer.Now()) || !c.forwarder.options.Stop.Fits(timeLeft(ctx)) {
 		return retrier.Decision{}
 	}
 	if c.isHoldExpired(response) {
--- a/router/forwarder/forwarder.go
+++ b/router/forwarder/forwarder.go
@@ -42,6 +42,7 @@
 	"marigoldhill/router/executor"
 	"marigoldhill/router/locator"
 	"marigoldhill/router/retrier"
+	"marigoldhill/router/stopper"
 )
 
 // Error is the class of all errors of this package.
@@ -93,6 +94,8 @@
 	// request waits for a newer table, and when another router has one. It must
 	// not block; nil does nothing.
 	RequestUpdate func()
+	// Stop is the time in which requests may be passed on; nil if the process never stops.
+	Stop *stopper.Window
 	// Metrics is the set in which the counters are registered.
 	Metrics *metrics.Set
 }
--- a/router/forwarder/harness_test.go
+++ b/router/forwarder/harness_test.go
@@ -19,6 +19,7 @@
 	"marigoldhill/router/executor"
 	"marigoldhill/router/forwarder"
 	"marigoldhill/router/locator"
+	"marigoldhill/router/stopper"
 )
 
 const (
@@ -101,6 +102,7 @@
 	entryMetrics     *metrics.Set
 	linkMetrics      *metrics.Set
 	pool             *linker.Pool
+	entryStop        *stopper.Window
 }
 
 func newRouterPair(t *testing.T, settings forwarder.Settings) *routerPair {
@@ -112,11 +114,12 @@
 		ownerTable:       locator.New(metrics.NewSet()),
 		entryMetrics:     metrics.NewSet(),
 		linkMetrics:      metrics.NewSet(),
+		entryStop:        stopper.New(5 * time.Second),
 	}
 	hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleRouter, Name: "entry"}
 	r.pool = linker.NewPool(r.simulatedNetwork.Node("entry"), linker.Options{Hello: hello, Metrics: r.linkMetrics})
 	r.entry = forwarder.New(settings, forwarder.Options{
-		Locator: r.entryTable, Runner: r.local, Opener: r.pool, Lease: fixedLease(entrySession), Metrics: r.entryMetrics})
+		Locator: r.entryTable, Runner: r.local, Opener: r.pool, Lease: fixedLease(entrySession), Stop: r.entryStop, Metrics: r.entryMetrics})
 	r.owner = forwarder.New(settings, forwarder.Options{
 		Locator: r.ownerTable, Runner: r.remote, Opener: r.pool, Lease: &r.ownerLease, Metrics: metrics.NewSet()})
 	r.ownerLease.Store(ownerSession)
