--- a/router/assembler/assembler_test.go
+++ b/router/assembler/assembler_test.go
@@ -71,6 +71,78 @@
 	t.Cleanup(func() { _ = server.Close() })
 }
 
+// startProcess starts a router with a control group and the server of its service, and
+// waits until it owns its shard. It returns a client of the router too.
+func startProcess(t *testing.T, network *disrupter.SimulatedNetwork, group *fakeControl) (*assembler.Process, *http.Client) {
+	hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleControl, Name: "c1"}
+	control, err := linker.Listen(network.Node("c1"), "c1:1", linker.Options{
+		Hello: hello,
+		Handler: func(_ context.Context, _ *linker.Link, stream *linker.Stream) {
+			_ = linker.Respond(stream, group.respond)
+		},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = control.Close() })
+	settings := assembler.Settings{
+		Version: parser.Version, Cluster: "test", Name: "r1", Domain: "d1", Region: "tas",
+		Listen: "r1:1", Peer: "r1:2", Backend: "r1:3", Operator: "r1:4", Control: []string{"c1:1"},
+	}
+	field, reason := settings.Check()
+	qt.Assert(t, field+reason, qt.Equals, "")
+	process, err := assembler.New(settings, assembler.Options{Network: network.Node("r1"), Log: logger.Discard(), Metrics: metrics.NewSet()})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, process.Start(t.Context()), qt.IsNil)
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		return network.Node("r1").Dial(ctx, address)
+	}}
+	client := &http.Client{Transport: transport}
+	row, _ := json.Marshal(messenger.ServerRow{Name: "d1", Service: "findings", URL: "http://r1:9", Slots: 2, Fences: true})
+	response, err := client.Post(process.BackendURL()+messenger.PathAnnounce, "application/json", bytes.NewReader(row))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK)
+	_ = response.Body.Close()
+	time.Sleep(time.Second)
+	return process, client
+}
+
+// Guards against answers that were handed to a link and are lost when their router stops.
+func TestStopWaitsForAnswersOnTheirWayToOtherRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 200_000
+		network := disrupter.New(time.Millisecond)
+		startServer(t, network, "r1:9", func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/door/large" {
+				_, _ = w.Write(make([]byte, size))
+				return
+			}
+			_, _ = io.WriteString(w, `{"state":"ready"}`)
+		})
+		process, _ := startProcess(t, network, &fakeControl{row: messenger.ShardRow{Service: "findings"}})
+		network.SetRate("r1", 100_000)
+		hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleRouter, Name: "r2"}
+		pool := linker.NewPool(network.Node("r2"), linker.Options{Hello: hello})
+		defer pool.Close()
+		stream, err := pool.Open(t.Context(), process.PeerAddress(), messenger.KindForward)
+		qt.Assert(t, err, qt.IsNil)
+		request := &messenger.Request{Number: "n1", Service: "findings", Key: "door", Route: "large", Method: http.MethodGet, Length: 0, Timeout: 5 * time.Second}
+		qt.Assert(t, stream.Send(request), qt.IsNil)
+		qt.Assert(t, stream.CloseWrite(), qt.IsNil)
+		received := make(chan int64, 1)
+		go func() {
+			var response messenger.Response
+			_ = stream.Receive(&response)
+			read, err := io.Copy(io.Discard, stream)
+			if err != nil {
+				read = -1
+			}
+			received <- read
+		}()
+		time.Sleep(50 * time.Millisecond)
+		qt.Assert(t, process.Stop(t.Context()), qt.IsNil)
+		qt.Assert(t, <-received, qt.Equals, int64(size))
+	})
+}
+
 // TestDrainWithRequestInFlight stops a router while a request is in flight. The caller
 // must receive the complete response, the shard must be released only after it, and the
 // session must be closed.
@@ -78,16 +150,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		simulatedNetwork := disrupter.New(time.Millisecond)
 		group := &fakeControl{row: messenger.ShardRow{Service: "findings"}}
-		hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleControl, Name: "c1"}
-		server, err := linker.Listen(simulatedNetwork.Node("c1"), "c1:1", linker.Options{
-			Hello: hello,
-			Handler: func(_ context.Context, _ *linker.Link, stream *linker.Stream) {
-				_ = linker.Respond(stream, group.respond)
-			},
-		})
-		qt.Assert(t, err, qt.IsNil)
-		defer func() { _ = server.Close() }()
-
 		var mu sync.Mutex
 		var calls []string
 		startServer(t, simulatedNetwork, "r1:9", func(w http.ResponseWriter, r *http.Request) {
@@ -102,26 +164,7 @@
 			_, _ = io.WriteString(w, `{"state":"ready"}`)
 		})
 
-		settings := assembler.Settings{
-			Version: parser.Version, Cluster: "test", Name: "r1", Domain: "d1", Region: "tas",
-			Listen: "r1:1", Peer: "r1:2", Backend: "r1:3", Operator: "r1:4", Control: []string{"c1:1"},
-		}
-		field, reason := settings.Check()
-		qt.Assert(t, field+reason, qt.Equals, "")
-		process, err := assembler.New(settings, assembler.Options{Network: simulatedNetwork.Node("r1"), Log: logger.Discard(), Metrics: metrics.NewSet()})
-		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, process.Start(t.Context()), qt.IsNil)
-
-		transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return simulatedNetwork.Node("r1").Dial(ctx, address)
-		}}
-		client := &http.Client{Transport: transport}
-		row, _ := json.Marshal(messenger.ServerRow{Name: "d1", Service: "findings", URL: "http://r1:9", Slots: 2, Fences: true})
-		response, err := client.Post(process.BackendURL()+messenger.PathAnnounce, "application/json", bytes.NewReader(row))
-		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK)
-		_ = response.Body.Close()
-		time.Sleep(time.Second)
+		process, client := startProcess(t, simulatedNetwork, group)
 
 		responses := make(chan string, 1)
 		go func() {
@@ -173,6 +216,7 @@
 		{"peer", func(s *assembler.Settings) { s.Peer = "0.0.0.0:2" }},
 		{"control", func(s *assembler.Settings) { s.Control = nil }},
 		{"control[0]", func(s *assembler.Settings) { s.Control = []string{"c1"} }},
+		{"grace", func(s *assembler.Settings) { s.Grace = 2 * time.Hour }},
 		{"log", func(s *assembler.Settings) { s.Log = "xml" }},
 	}
 	for _, test := range tests {
--- a/router/assembler/services.go
+++ b/router/assembler/services.go
@@ -57,7 +57,8 @@
 	return nil
 }
 
-func (p *Process) stopLink(context.Context) error {
+func (p *Process) stopLink(ctx context.Context) error {
+	drainPeers(ctx, p.peer, p.options.Log)
 	p.pool.Close()
 	p.dispatcher.Close()
 	if err := p.peer.Close(); err != nil {
