--- a/control/assembler/journal.go
+++ b/control/assembler/journal.go
@@ -41,12 +41,9 @@
 
 // Start implements [registrar.Service].
 func (s *journalService) Start(ctx context.Context, _ *registrar.Registrar) error {
-	if err := s.waitForWritableDisk(ctx); err != nil {
-		return Error.New("waiting for a writable disk: %w", err)
-	}
-	journal, stored, err := journaler.Open(s.options.Disk, s.settings.Data, s.identity())
+	journal, stored, err := s.openWhenWritable(ctx)
 	if err != nil {
-		return Error.New("opening the data directory: %w", err)
+		return err
 	}
 	if stored.TruncatedBytes > 0 {
 		s.options.Log.Emit(logger.TornRecordRemoved, "bytes", stored.TruncatedBytes)
@@ -56,6 +53,28 @@
 	return nil
 }
 
+// openWhenWritable opens the data directory once the disk has room. The disk may fill up
+// between the test write and the end of Open.
+func (s *journalService) openWhenWritable(ctx context.Context) (*journaler.Journal, *journaler.Stored, error) {
+	for {
+		if err := s.waitForWritableDisk(ctx); err != nil {
+			return nil, nil, Error.New("waiting for a writable disk: %w", err)
+		}
+		journal, stored, err := journaler.Open(s.options.Disk, s.settings.Data, s.identity())
+		switch {
+		case err == nil:
+			return journal, stored, nil
+		case !journaler.IsFull(err) || ctx.Err() != nil:
+			return nil, nil, Error.New("opening the data directory: %w", err)
+		}
+		s.options.Log.Emit(logger.DiskUnwritable, "folder", s.settings.Data, "error", err)
+		select {
+		case <-time.After(diskProbeInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
 // diskProbeInterval is the interval of test writes to a disk that is not writable.
 const diskProbeInterval = 500 * time.Millisecond
 
--- a/control/journaler/files.go
+++ b/control/journaler/files.go
@@ -186,7 +186,7 @@
 	return nil
 }
 
-// rotate stores a snapshot, starts a new log file and removes the older files.
+// rotate stores a snapshot and starts a new log file.
 func (j *Journal) rotate(write Write) error {
 	if err := j.writeFile(numberedName(snapshotPrefix, write.Snapshot.Index), write.Snapshot); err != nil {
 		return err
@@ -199,6 +199,11 @@
 	if err := old.Close(); err != nil {
 		return writeError(j.directory, err)
 	}
+	return nil
+}
+
+// removeObsolete removes the files that the newest snapshot and log file replace.
+func (j *Journal) removeObsolete() error {
 	names, err := j.disk.List(j.directory)
 	if err != nil {
 		return Error.New("listing %s: %w", j.directory, err)
--- a/control/journaler/journaler.go
+++ b/control/journaler/journaler.go
@@ -13,8 +13,8 @@
 // one. A torn record was never acknowledged and is removed; a complete one whose
 // sync is in doubt is synced when the directory is opened. A bad record that is
 // followed by a good one, or a failed sync, is an error after which the directory
-// is no longer used; no attempt is made to repair it. A write that a full disk refuses
-// is taken back, so it can be made again; see [Journal.OnFull].
+// is no longer used; no attempt is made to repair it. What a full disk refuses, at any
+// step, is taken back and made again when there is room; see [Journal.OnFull].
 //
 // Each snapshot starts a new log file. The snapshot and this file together hold
 // the complete state; older files are removed once it is synced.
@@ -83,8 +83,11 @@
 	number   uint64
 	sequence uint64
 	size     int64
-	failure  error
-	onFull   func(err error) bool
+	// torn is set while the log file may have bytes after size, of a record that a full
+	// disk refused.
+	torn    bool
+	failure error
+	onFull  func(err error) bool
 }
 
 // Open locks and reads the data directory at path. An empty directory is initialized
@@ -174,6 +177,9 @@
 			if err := j.retryWhenFull(func() error { return j.rotate(write) }); err != nil {
 				return err
 			}
+			if err := j.retryWhenFull(j.removeObsolete); err != nil {
+				return err
+			}
 		}
 		if write.Save != nil {
 			record.Save = write.Save
@@ -198,9 +204,6 @@
 	if err := j.retryWhenFull(func() error { return j.appendLog(data) }); err != nil {
 		return err
 	}
-	if err := j.file.Sync(); err != nil {
-		return writeError(j.logPath, err)
-	}
 	j.sequence++
 	j.size += int64(len(data))
 	*record = Record{}
--- a/control/journaler/journaler_test.go
+++ b/control/journaler/journaler_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -188,6 +189,37 @@
 	return -1
 }
 
+// Guards against replicas that end, or write no more, once a disk that was full has room again.
+func TestWritesGoOnWhenAFullDiskHasRoomAgain(t *testing.T) {
+	for _, failure := range []error{syscall.ENOSPC, syscall.EDQUOT} {
+		for attempts := 1; attempts <= 3; attempts++ {
+			for failFrom := 1; ; failFrom++ {
+				note := fmt.Sprintf("%v from operation %d on, room at attempt %d", failure, failFrom, attempts)
+				disk := newMemoryDisk()
+				journal, _ := open(t, disk)
+				first := disk.operations
+				disk.failFrom, disk.failure = first+failFrom, failure
+				refused := 0
+				journal.OnFull(func(error) bool {
+					if refused++; refused == attempts {
+						disk.failFrom = 0
+					}
+					return true
+				})
+				for i, s := range writeSequence {
+					qt.Assert(t, journal.Write(s.write), qt.IsNil, qt.Commentf("%s, write %d", note, i))
+				}
+				if refused == 0 {
+					break
+				}
+				disk.crash(0)
+				_, stored := open(t, disk)
+				checkStored(t, stored, len(writeSequence)-1, note)
+			}
+		}
+	}
+}
+
 func TestFailedSyncClosesJournal(t *testing.T) {
 	disk := newMemoryDisk()
 	journal, _ := open(t, disk)
--- a/control/journaler/memory_disk_test.go
+++ b/control/journaler/memory_disk_test.go
@@ -23,7 +23,7 @@
 }
 
 // memoryDisk is a disk in memory that keeps only synced data when it crashes.
-// Starting with the operation number failFrom all changes fail; 0 disables
+// Starting with the operation number failFrom all changes fail with failure; 0 disables
 // failures.
 type memoryDisk struct {
 	// names are the current directory entries, durable those that survive a
@@ -33,12 +33,13 @@
 	locked     bool
 	operations int
 	failFrom   int
+	failure    error
 }
 
 var _ journaler.Disk = (*memoryDisk)(nil)
 
 func newMemoryDisk() *memoryDisk {
-	return &memoryDisk{names: make(map[string]*memoryFile), durable: make(map[string]*memoryFile)}
+	return &memoryDisk{names: make(map[string]*memoryFile), durable: make(map[string]*memoryFile), failure: errFull}
 }
 
 // crash discards unsynced data, except for the first torn bytes of it in each
@@ -58,7 +59,7 @@
 func (d *memoryDisk) countOperation() error {
 	d.operations++
 	if d.failFrom > 0 && d.operations >= d.failFrom {
-		return errFull
+		return d.failure
 	}
 	return nil
 }
@@ -92,10 +93,13 @@
 }
 
 func (d *memoryDisk) Truncate(path string, size int64) error {
+	if err := d.countOperation(); err != nil {
+		return err
+	}
 	file := d.names[path]
 	file.data = file.data[:size]
 	file.synced = int(size)
-	return d.countOperation()
+	return nil
 }
 
 func (d *memoryDisk) Rename(from, to string) error {
--- a/control/journaler/space.go
+++ b/control/journaler/space.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"syscall"
 )
 
@@ -13,29 +12,40 @@
 	j.onFull = wait
 }
 
+// IsFull reports whether an error means that the disk has no room, at present, for what was
+// to be written.
+func IsFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
 // retryWhenFull repeats a step while the disk is full. The step must leave nothing behind
 // that its repetition does not replace.
 func (j *Journal) retryWhenFull(step func() error) error {
 	for {
 		err := step()
-		if err == nil || !errors.Is(err, syscall.ENOSPC) || j.onFull == nil || !j.onFull(err) {
+		if err == nil || !IsFull(err) || j.onFull == nil || !j.onFull(err) {
 			return err
 		}
 	}
 }
 
-// appendLog appends data to the log. If the disk is full, it removes what was written.
+// appendLog appends data to the log and syncs it. A full disk may refuse it at each step: a
+// file system that assigns blocks late does so at the sync. What an earlier attempt left is
+// removed first, so that the torn record stays the last one.
 func (j *Journal) appendLog(data []byte) error {
-	written, err := j.file.Write(data)
-	if err == nil {
-		return nil
-	}
-	if errors.Is(err, syscall.ENOSPC) && written > 0 {
-		if failure := j.disk.Truncate(j.logPath, j.size); failure != nil {
-			// The torn record must stay the last one. The cause is not wrapped, so that
-			// there is no second attempt.
-			return writeError(j.logPath, fmt.Errorf("%v, and removing the part that was written: %v", err, failure))
+	if j.torn {
+		if err := j.disk.Truncate(j.logPath, j.size); err != nil {
+			return writeError(j.logPath, err)
 		}
+		j.torn = false
+	}
+	if written, err := j.file.Write(data); err != nil {
+		j.torn = written > 0
+		return writeError(j.logPath, err)
+	}
+	if err := j.file.Sync(); err != nil {
+		j.torn = true
+		return writeError(j.logPath, err)
 	}
-	return writeError(j.logPath, err)
+	return nil
 }
