--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -76,6 +76,9 @@
 	// and with them the requests of other routers, must move to other routers too.
 	leaving     atomic.Bool
 	handingOver atomic.Bool
+	// lastCall is when the last request of a caller came since leaving was set, in Unix
+	// nanoseconds.
+	lastCall atomic.Int64
 	// cancelKeeper stops the keeper without closing the session.
 	cancelKeeper context.CancelFunc
 
--- a/router/assembler/routed_listeners.go
+++ b/router/assembler/routed_listeners.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"marigoldhill/kernel/logger"
 	"marigoldhill/router/listener"
@@ -46,6 +47,7 @@
 func (p *Routed) closeWhenLeaving(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if p.leaving.Load() {
+			p.lastCall.Store(time.Now().UnixNano())
 			w.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(w, r)
--- a/router/assembler/routed_stop.go
+++ b/router/assembler/routed_stop.go
@@ -30,7 +30,7 @@
 			p.ownerWindow.Close()
 			return nil
 		case elapsed < stopper.CallerSwitchTime:
-		case !p.holder.IsEmpty() && elapsed < timing.move:
+		case elapsed < timing.switched && !(p.holder.IsEmpty() && p.isQuiet()):
 		case p.ownerWindow.CloseIfIdle():
 			return nil
 		}
@@ -42,6 +42,12 @@
 	}
 }
 
+// isQuiet reports whether callers have sent nothing for a while, so that they have probably
+// switched to other routers.
+func (p *Routed) isQuiet() bool {
+	return time.Since(time.Unix(0, p.lastCall.Load())) >= callerQuietTime
+}
+
 // longestRangedTimeout returns the longest timeout of the requests for the keys of the own
 // server, or 0 if it has none. While the router stops, nobody serves those that no longer
 // fit until the keys have another owner.
--- a/router/assembler/stop.go
+++ b/router/assembler/stop.go
@@ -31,17 +31,21 @@
 	// linkDrainTimeout limits the wait for other routers to receive all responses. A
 	// router that is down never acknowledges them.
 	linkDrainTimeout = 1500 * time.Millisecond
-	// moveFraction is the fraction of the grace period for which a router waits for its
-	// keys to be handed over.
-	moveFraction = 0.65
+	// callerQuietTime is how long callers must have sent nothing before their connections
+	// are closed.
+	callerQuietTime = 400 * time.Millisecond
+	// switchFraction is the fraction of the grace period for which a router waits for its
+	// keys to be handed over, and for callers that go on to send requests.
+	switchFraction = 0.65
 )
 
 // stopTiming are the steps of a stop, as times since its beginning.
 type stopTiming struct {
 	// handOver is when the keys are handed over at the latest.
 	handOver time.Duration
-	// move is when the router no longer waits for its keys to be handed over.
-	move time.Duration
+	// switched is when the router no longer waits for its keys to be handed over and for callers
+	// to switch.
+	switched time.Duration
 	// owner is when all requests at the own server must have ended, and entry when all
 	// requests of callers must have.
 	owner, entry time.Duration
@@ -55,7 +59,7 @@
 	entry := callers - writeReserve
 	return stopTiming{
 		handOver: time.Duration(handOverFraction * float64(grace)),
-		move:     time.Duration(moveFraction * float64(grace)),
+		switched: time.Duration(switchFraction * float64(grace)),
 		owner:    entry - callerCloseTime,
 		entry:    entry,
 		callers:  callers,
