--- a/control/assembler/assembler_test.go
+++ b/control/assembler/assembler_test.go
@@ -171,6 +171,26 @@
 	})
 }
 
+// Guards against a process that is killed at the end of its grace period because a client has
+// opened a connection and sent nothing.
+func TestStopDoesNotWaitForCallsThatNeverCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := disrupter.New(time.Millisecond)
+		settings := newSettings(t.TempDir(), "a")
+		qt.Assert(t, os.Mkdir(settings.Data, 0o700), qt.IsNil)
+		process, err := assembler.New(settings, assembler.Options{Network: network.Node("a")})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, process.Start(t.Context()), qt.IsNil)
+		conn, err := network.Node("client").Dial(t.Context(), settings.Operator)
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		time.Sleep(100 * time.Millisecond)
+		started := time.Now()
+		qt.Assert(t, process.Stop(t.Context()), qt.IsNil)
+		qt.Check(t, time.Since(started) < 4*time.Second, qt.IsTrue, qt.Commentf("took %v", time.Since(started)))
+	})
+}
+
 // A start that is canceled while the disk is full must return the write error.
 func TestStartOnFullDiskTimesOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/control/assembler/operator.go
+++ b/control/assembler/operator.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -22,6 +21,9 @@
 	// idleTimeout limits how long an idle keep-alive connection stays open.
 	idleTimeout    = time.Minute
 	maxHeaderBytes = 64 << 10
+	// callTimeout is how long a stop waits for calls. Shutdown also waits for connections on
+	// which none has come.
+	callTimeout = 2 * time.Second
 )
 
 // operatorService is the HTTP server of the operator interface, the metrics and the
@@ -112,12 +114,14 @@
 	})
 }
 
-// Stop implements [registrar.Service]. It waits for calls in flight until ctx ends,
-// then closes their connections.
+// Stop implements [registrar.Service]. It waits for calls in flight until callTimeout has
+// passed, then closes the connections that are left.
 func (s *operatorService) Stop(ctx context.Context) error {
-	err := s.server.Shutdown(ctx)
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := s.server.Shutdown(callCtx)
 	if err != nil {
-		err = errors.Join(err, s.server.Close())
+		err = s.server.Close()
 	}
 	<-s.done
 	if err != nil {
