--- a/bench/launcher/build.go
+++ b/bench/launcher/build.go
@@ -122,6 +122,7 @@
 		Peer:     s.routerAddress(i, routerPeer),
 		Operator: s.routerAddress(i, routerOperator),
 		Backend:  s.routerAddress(i, routerBackend),
+		Grace:    s.Grace,
 	}
 	for _, member := range s.members() {
 		settings.Control = append(settings.Control, member.Address)
--- a/bench/launcher/launcher.go
+++ b/bench/launcher/launcher.go
@@ -20,6 +20,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/zeebo/errs"
 
@@ -56,6 +57,8 @@
 	// Server is the template for the settings of the stand-in servers. Name,
 	// Service, Listen and Router are set for each server.
 	Server responder.Settings
+	// Grace is the grace period of the routers; 0 means their default.
+	Grace time.Duration
 	// AdjustServer, unless nil, changes the settings of the stand-in server on the VM
 	// of router i, counted from 0.
 	AdjustServer func(i int, server *responder.Settings)
