--- a/router/assembler/stop.go
+++ b/router/assembler/stop.go
@@ -43,8 +43,8 @@
 type stopTiming struct {
 	// handOver is when the keys are handed over at the latest.
 	handOver time.Duration
-	// switched is when the router no longer waits for its keys to be handed over and for callers
-	// to switch.
+	// switched is when the router no longer waits for its keys to be handed over, and for
+	// callers to switch.
 	switched time.Duration
 	// owner is when all requests at the own server must have ended, and entry when all
 	// requests of callers must have.
--- a/router/relayer/routed_call.go
+++ b/router/relayer/routed_call.go
@@ -74,19 +74,21 @@
 	return c.timeout - time.Since(c.started)
 }
 
-// maxLeft returns how long the call may take at most from now on.
-func (c *routedCall) maxLeft() time.Duration {
+// maxDuration returns how long the call may take at most from now on.
+func (c *routedCall) maxDuration() time.Duration {
 	return c.left() + answerGrace
 }
 
 // run sends the request until it is answered, or until no further attempt is allowed.
 func (c *routedCall) run(ctx context.Context) Answer {
-	waiting, cancel := c.entry.options.Stop.Context(ctx, c.maxLeft())
+	waiting, cancel := c.entry.options.Stop.Context(ctx, c.maxDuration())
 	defer cancel()
 	if c.body.isInline() {
 		if _, err := c.body.bytesWithin(waiting); err != nil {
-			reason := contextReason(waiting)
-			return c.refuse(reason, c.retryAfter(reason, 0))
+			if reason := contextReason(waiting); reason != messenger.ReasonStopping {
+				return c.refuse(reason, 0)
+			}
+			return c.refuseStopping()
 		}
 	}
 	// An inline body was read before.
@@ -96,8 +98,8 @@
 		if c.left() <= 0 {
 			return c.giveUp(contextReason(ctx))
 		}
-		if !c.entry.options.Stop.Fits(c.maxLeft()) {
-			return c.refuse(messenger.ReasonStopping, c.retryAfter(messenger.ReasonStopping, 0))
+		if !c.entry.options.Stop.Fits(c.maxDuration()) {
+			return c.refuseStopping()
 		}
 		c.version = routes.Configuration.Version
 		if routes.IsQuarantined(c.fingerprint) {
@@ -283,14 +285,17 @@
 	return Answer{Outcome: messenger.OutcomeRefused, Reason: reason, RetryAfter: retryAfter}
 }
 
+// refuseStopping returns the answer to a call that may not end before the process does.
+func (c *routedCall) refuseStopping() Answer {
+	return c.refuse(messenger.ReasonStopping, c.entry.options.Stop.RetryAfter()+jitter(defaultRetryAfter))
+}
+
 // retryAfter returns the delay after which a refused caller should retry. requested is
 // the delay that the owner's router asked for, or 0.
 func (c *routedCall) retryAfter(reason messenger.Reason, requested time.Duration) time.Duration {
 	switch {
 	case requested > 0:
 		return jitter(requested)
-	case reason == messenger.ReasonStopping:
-		return c.entry.options.Stop.RetryAfter() + jitter(defaultRetryAfter)
 	case reason == messenger.ReasonQuarantine:
 		return quarantineRetryAfter
 	case reason == messenger.ReasonUnreachable || reason == messenger.ReasonDown || reason == messenger.ReasonUnowned:
--- a/router/stopper/stopper.go
+++ b/router/stopper/stopper.go
@@ -110,9 +110,12 @@
 }
 
 // RetryAfter returns the delay after which a caller that is refused for the stop should
-// retry: by then it has switched to another router.
+// retry: by then it has switched to another router. It returns 0 if the stop has not begun.
 func (w *Window) RetryAfter() time.Duration {
-	elapsed, _ := w.Elapsed()
+	elapsed, stopping := w.Elapsed()
+	if !stopping {
+		return 0
+	}
 	return max(CallerSwitchTime-elapsed, 0)
 }
 
@@ -150,10 +153,9 @@
 	return w.closed
 }
 
-// Close closes the window and returns the number of requests that are running.
-func (w *Window) Close() (running int) {
+// Close closes the window, also if requests are running.
+func (w *Window) Close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.closed = true
-	return w.running
 }
