--- a/bench/launcher/launcher_test.go
+++ b/bench/launcher/launcher_test.go
@@ -24,6 +24,11 @@
 // runPlayground starts a playground over an in-memory network in a synctest bubble,
 // calls test and shuts the playground down gracefully.
 func runPlayground(t *testing.T, test func(t *testing.T, cluster *launcher.Cluster)) {
+	runPlaygroundWith(t, func(*launcher.Settings) {}, test)
+}
+
+// runPlaygroundWith is runPlayground with settings that adjust has changed.
+func runPlaygroundWith(t *testing.T, adjust func(settings *launcher.Settings), test func(t *testing.T, cluster *launcher.Cluster)) {
 	data := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
 		plan, err := launcher.Playground()
@@ -32,6 +37,7 @@
 		settings := launcher.DefaultSettings(plan, data)
 		settings.Host = func(node string) string { return node }
 		settings.Network = func(node string) networker.Network { return simulatedNetwork.Node(node) }
+		adjust(&settings)
 		cluster, err := launcher.New(settings)
 		qt.Assert(t, err, qt.IsNil)
 
--- a/bench/launcher/stop_test.go
+++ b/bench/launcher/stop_test.go
@@ -9,15 +9,12 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"marigoldhill/bench/launcher"
-	"marigoldhill/kernel/disrupter"
 	"marigoldhill/kernel/messenger"
-	"marigoldhill/kernel/networker"
 	"marigoldhill/router/forwarder"
 )
 
@@ -36,23 +33,11 @@
 	for _, test := range tests {
 		for seed := range uint64(2) {
 			t.Run(fmt.Sprintf("%s/seed=%d", test.name, seed), func(t *testing.T) {
-				data := t.TempDir()
-				synctest.Test(t, func(t *testing.T) {
-					plan, err := launcher.Playground()
-					qt.Assert(t, err, qt.IsNil)
-					network := disrupter.New(networkDelay)
-					settings := launcher.DefaultSettings(plan, data)
-					settings.Host = func(node string) string { return node }
-					settings.Network = func(node string) networker.Network { return network.Node(node) }
-					settings.Grace = grace
-					settings.Server.Slots = 50
-					cluster, err := launcher.New(settings)
-					qt.Assert(t, err, qt.IsNil)
-					ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-					defer cancel()
-					qt.Assert(t, cluster.Start(ctx), qt.IsNil)
-					defer func() { qt.Check(t, cluster.Stop(ctx), qt.IsNil) }()
-					qt.Assert(t, cluster.AwaitAssigned(ctx), qt.IsNil)
+				adjust := func(settings *launcher.Settings) {
+					settings.Grace, settings.Server.Slots = grace, 50
+				}
+				runPlaygroundWith(t, adjust, func(t *testing.T, cluster *launcher.Cluster) {
+					qt.Assert(t, cluster.AwaitAssigned(t.Context()), qt.IsNil)
 					playShardedStop(t, cluster, rand.New(rand.NewPCG(seed, 41)), test.stops, test.gap, grace)
 				})
 			})
