--- a/router/requester/late_copy_test.go
+++ b/router/requester/late_copy_test.go
@@ -128,7 +128,9 @@
 	server := startLateServer(t, requests, 0, false)
 	client := newClient()
 	for n := range requests {
-		result := client.Send(t.Context(), server.address, newServerRequest(fmt.Sprint(n)), nil)
+		request := newServerRequest(fmt.Sprint(n))
+		request.Deadline = time.Now().Add(time.Hour) // no refusal may be forgotten for its age
+		result := client.Send(t.Context(), server.address, request, nil)
 		qt.Assert(t, result.Outcome, qt.Equals, messenger.OutcomeRefused, qt.Commentf("%v", result.Err))
 	}
 	qt.Check(t, server.conns.Load(), qt.Equals, int32(2))
