--- a/review/stand-2/backend.go
+++ b/review/stand-2/backend.go
@@ -9,11 +9,16 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
 
-const keyCount = 65536
+const (
+	keyCount = 65536
+	// defaultWork is how long a request takes.
+	defaultWork = 40 * time.Millisecond
+)
 
 // hold is what a backend knows of one key.
 type hold struct {
@@ -29,9 +34,10 @@
 	service string
 	zone    string
 	born    int64
-	work    time.Duration
-	server  *http.Server
-	cancel  context.CancelFunc
+	// work is how long a request takes, by the first part of its path.
+	work   map[string]time.Duration
+	server *http.Server
+	cancel context.CancelFunc
 
 	mu       sync.Mutex
 	up       bool
@@ -44,7 +50,7 @@
 }
 
 func newBackend(s *stage, router *node, id, service, zone string) *backend {
-	b := &backend{stage: s, router: router, id: id, service: service, zone: zone, work: 40 * time.Millisecond, running: make(map[int]int), runs: make(map[string]int)}
+	b := &backend{stage: s, router: router, id: id, service: service, zone: zone, work: map[string]time.Duration{}, running: make(map[int]int), runs: make(map[string]int)}
 	b.changed = sync.NewCond(&b.mu)
 	return b
 }
@@ -239,11 +245,35 @@
 			b.changed.Broadcast()
 		}()
 	}
+	part, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	b.mu.Lock()
 	b.runs[id]++
+	work, known := b.work[part]
+	if !known {
+		work = defaultWork
+	}
 	b.mu.Unlock()
-	time.Sleep(b.work)
+	left := work
+	if millis, err := strconv.Atoi(r.Header.Get("Marigoldhill-Deadline-Ms")); err == nil {
+		left = min(left, time.Duration(millis)*time.Millisecond)
+	}
+	select {
+	case <-time.After(left):
+	case <-r.Context().Done():
+		return
+	}
 	w.Header().Set("Marigoldhill-Server-Stamp", b.id+"."+id)
+	if left < work {
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
 	w.Header().Set("Content-Length", "2")
 	_, _ = io.WriteString(w, "ok")
 }
+
+// count returns how many requests the backend has run.
+func (b *backend) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.runs)
+}
--- a/review/stand-2/cluster.go
+++ b/review/stand-2/cluster.go
@@ -15,6 +15,8 @@
 	keyStep = 512
 	// watchInterval is the time between two looks at who holds the keys.
 	watchInterval = 20 * time.Millisecond
+	// readDeadline is how long a client waits for a read.
+	readDeadline = 1500 * time.Millisecond
 )
 
 // cluster is a small deployment: three control processes, and routers with a backend each.
@@ -27,8 +29,9 @@
 
 var zones = []string{"hobart-a", "hobart-b", "launceston"}
 
-// startCluster starts a deployment and waits until all keys are held.
-func startCluster(ctx context.Context, s *stage, routers int) (*cluster, error) {
+// startCluster starts a deployment with a router for each of services, and waits until all keys
+// of the service desk are held.
+func startCluster(ctx context.Context, s *stage, services ...string) (*cluster, error) {
 	c := &cluster{stage: s}
 	var seeds []string
 	for n := range zones {
@@ -37,8 +40,8 @@
 	for n, zone := range zones {
 		c.controls = append(c.controls, s.addControl(n+1, zone, seeds, 1))
 	}
-	for n := range routers {
-		c.routers = append(c.routers, s.addRouter(n+11, zones[n%len(zones)], "desk", seeds))
+	for n, service := range services {
+		c.routers = append(c.routers, s.addRouter(n+11, zones[n%len(zones)], service, seeds))
 	}
 	for _, n := range s.nodes {
 		if err := n.start(); err != nil {
@@ -46,7 +49,7 @@
 		}
 	}
 	for n, router := range c.routers {
-		b := newBackend(s, router, fmt.Sprintf("i-%d", n+1), "desk", zones[n%len(zones)])
+		b := newBackend(s, router, fmt.Sprintf("i-%d", n+1), services[n], zones[n%len(zones)])
 		if err := b.start(); err != nil {
 			return nil, err
 		}
@@ -58,8 +61,8 @@
 	return c, c.awaitKeys(ctx)
 }
 
-// configuration returns a configuration of one divided service with a route for reads and
-// one for orders.
+// configuration returns a configuration of a divided service desk, with a route for reads and
+// one for orders, and a service records.
 func configuration(version int, more map[string]any) map[string]any {
 	route := func(prefix, kind string) map[string]any {
 		return map[string]any{"host": "desk.example", "path_prefix": prefix, "kind": kind, "timeout_s": 2, "target_latency_s": 0.5,
@@ -71,8 +74,11 @@
 	}
 	return map[string]any{
 		"version": fmt.Sprintf("%08x", version), "routes": routes,
-		"services": map[string]any{"desk": map[string]any{"health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false, "sharded": true, "warm_s": 2.0, "grants": "request"}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3, "idle_timeout_s": 15},
+		"services": map[string]any{
+			"desk":    map[string]any{"health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false, "sharded": true, "warm_s": 2.0, "grants": "request"},
+			"records": map[string]any{"health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false},
+		},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3, "idle_timeout_s": 15},
 	}
 }
 
@@ -132,18 +138,21 @@
 
 var clientTransport = &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
 
-// get sends a read for a key to a router and returns the status, 0 without an answer.
-func (c *cluster) get(ctx context.Context, router *node, id string, key int) int {
-	ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+// get sends a request to a router and returns the status, 0 without an answer. part is the first
+// part of the path; a key below 0 means none.
+func (c *cluster) get(ctx context.Context, router *node, id, part string, key int, deadline time.Duration) int {
+	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/read/%d", at(router.ip, c.stage.ports.outbound), key), nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/%s/%d", at(router.ip, c.stage.ports.outbound), part, key), nil)
 	if err != nil {
 		return 0
 	}
 	request.Host = "desk.example"
 	request.Header.Set("Marigoldhill-Request-Id", id)
-	request.Header.Set("Marigoldhill-Deadline-Ms", "1500")
-	request.Header.Set("Marigoldhill-Shard-Key", strconv.Itoa(key))
+	request.Header.Set("Marigoldhill-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	if key >= 0 {
+		request.Header.Set("Marigoldhill-Shard-Key", strconv.Itoa(key))
+	}
 	response, err := clientTransport.RoundTrip(request)
 	if err != nil {
 		return 0
@@ -171,7 +180,7 @@
 			mu.Unlock()
 		case <-ticker.C:
 			go func() {
-				status := c.get(ctx, c.routers[n%len(c.routers)], fmt.Sprintf("q%d", n), (n*keyStep*7)%keyCount)
+				status := c.get(ctx, c.routers[n%len(c.routers)], fmt.Sprintf("q%d", n), "read", (n*keyStep*7)%keyCount, readDeadline)
 				mu.Lock()
 				counts[status]++
 				mu.Unlock()
--- a/review/stand-2/foreign.go
+++ b/review/stand-2/foreign.go
@@ -17,7 +17,7 @@
 // playForeign sends one heartbeat of another writer to a router. It lacks fields, so it names
 // no backend to use.
 func playForeign(ctx context.Context, s *stage, trouble bool) (bool, error) {
-	c, err := startCluster(ctx, s, 3)
+	c, err := startCluster(ctx, s, "desk", "desk", "desk")
 	if err != nil {
 		return false, err
 	}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -25,7 +25,9 @@
 type play func(ctx context.Context, s *stage, trouble bool) (broken bool, err error)
 
 var plays = map[string]play{
-	"foreign": playForeign,
+	"foreign":  playForeign,
+	"founding": playFounding,
+	"frozen":   playFrozen,
 }
 
 func main() {
