--- a/review/stand-2/frozen.go
+++ b/review/stand-2/loss.go
@@ -19,6 +19,10 @@
 	// freezeTime is the dose of `node_freeze`; two machines of 19 are within its share of 0.11.
 	freezeTime   = 3500 * time.Millisecond
 	deskMachines = 17
+	// killTime is within the dose of `node_kill`.
+	killTime = 2 * time.Second
+	// killedTime passes after the start that follows.
+	killedTime = time.Second
 	// thawedTime passes after the freeze.
 	thawedTime = 8 * time.Second
 	// stableWindow is `stable_window_s`; steadyTime is how long requests are counted after it.
@@ -95,9 +99,47 @@
 	}
 }
 
-// playFrozen adds a route to a service with two backends, and freezes the machines of both at
-// once.
+// playFrozen freezes the machines of both backends of a service at once.
 func playFrozen(ctx context.Context, s *stage, trouble bool) (bool, error) {
+	return playLoss(ctx, s, thawedTime, func(routers []*node) error {
+		if !trouble {
+			time.Sleep(freezeTime)
+			return nil
+		}
+		for _, router := range routers {
+			router.signal(syscall.SIGSTOP)
+		}
+		time.Sleep(freezeTime)
+		for _, router := range routers {
+			router.signal(syscall.SIGCONT)
+		}
+		return nil
+	})
+}
+
+// playKilled kills the routers of both backends of a service at once.
+func playKilled(ctx context.Context, s *stage, trouble bool) (bool, error) {
+	return playLoss(ctx, s, killedTime, func(routers []*node) error {
+		if !trouble {
+			time.Sleep(killTime)
+			return nil
+		}
+		for _, router := range routers {
+			router.kill()
+		}
+		time.Sleep(killTime)
+		for _, router := range routers {
+			if err := router.start(); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// playLoss adds a route to a service with two backends, and disturbs the machines of both. It
+// compares what is served on that route and on the first one, in steady state.
+func playLoss(ctx context.Context, s *stage, calm time.Duration, disturb func(routers []*node) error) (bool, error) {
 	services := make([]string, deskMachines, deskMachines+2)
 	for n := range services {
 		services[n] = "desk"
@@ -123,18 +165,10 @@
 	go c.sendPart(traffic, counts, "check", false, checkInterval, checkDeadline)
 	time.Sleep(2 * calmTime)
 	counts.take(s, "before")
-	for _, router := range c.routers[deskMachines:] {
-		if trouble {
-			router.signal(syscall.SIGSTOP)
-		}
-	}
-	time.Sleep(freezeTime)
-	for _, router := range c.routers[deskMachines:] {
-		if trouble {
-			router.signal(syscall.SIGCONT)
-		}
+	if err := disturb(c.routers[deskMachines:]); err != nil {
+		return false, err
 	}
-	time.Sleep(thawedTime)
+	time.Sleep(calm)
 	time.Sleep(stableWindow)
 	counts.take(s, "meanwhile")
 	time.Sleep(steadyTime)
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -28,6 +28,7 @@
 	"foreign":  playForeign,
 	"founding": playFounding,
 	"frozen":   playFrozen,
+	"killed":   playKilled,
 }
 
 func main() {
