review: record each request in the scripts

Cause: the records held sums only. Change: stand-2 notes what clients send and get and what backends run.

--- a/review/stand-2/backend.go
+++ b/review/stand-2/backend.go
@@ -253,6 +253,7 @@
 		work = defaultWork
 	}
 	b.mu.Unlock()
+	b.stage.note("%s: runs %s", b.id, id)
 	left := work
 	if millis, err := strconv.Atoi(r.Header.Get("Marigoldhill-Deadline-Ms")); err == nil {
 		left = min(left, time.Duration(millis)*time.Millisecond)
--- a/review/stand-2/cluster.go
+++ b/review/stand-2/cluster.go
@@ -153,12 +153,18 @@
 	if key >= 0 {
 		request.Header.Set("Marigoldhill-Shard-Key", strconv.Itoa(key))
 	}
+	c.stage.note("client sends %s to %s", id, router.name)
 	response, err := clientTransport.RoundTrip(request)
 	if err != nil {
+		c.stage.note("client gets no answer to %s", id)
 		return 0
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, _ = io.Copy(io.Discard, response.Body)
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		c.stage.note("client gets a part of the answer to %s", id)
+		return 0
+	}
+	c.stage.note("client gets %d for %s", response.StatusCode, id)
 	return response.StatusCode
 }
 
