requester: recognize a reset during an upload

Callers got a part of an answer as a whole one: the backend server answered an upload early, with a 200 without a length, and reset the connection while the upload was being written.

Cause: the kernel reports the error of a reset once. The write of the request body got it, so the read got the end of the stream, which ends a body without a length. Change: at the end of such a body the state of the connection decides. It must be CLOSE_WAIT, the server closed its side; if the state is not known, the request must have been sent whole. An early answer that ends in order during an upload is still delivered.

--- a/router/requester/body.go
+++ b/router/requester/body.go
@@ -8,17 +8,22 @@
 // responseBody is the body of a response. At its end, or when it is closed, the
 // connection is returned to the pool or closed.
 type responseBody struct {
-	client     *Client
-	conn       *conn
-	source     io.ReadCloser
-	stop       func() bool
-	complete   bool
-	finishOnce sync.Once
+	client   *Client
+	conn     *conn
+	source   io.ReadCloser
+	stop     func() bool
+	complete bool
+	// endsWithConnection is set if nothing but the end of the connection ends the body.
+	endsWithConnection bool
+	finishOnce         sync.Once
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(data []byte) (int, error) {
 	n, err := b.source.Read(data)
+	if err == io.EOF && b.endsWithConnection && !b.conn.endedInOrder() {
+		err = errReset
+	}
 	if err == io.EOF {
 		b.complete = true
 		b.finish()
--- a/router/requester/conn.go
+++ b/router/requester/conn.go
@@ -190,6 +190,8 @@
 		Header:       response.Header,
 		Length:       response.ContentLength,
 		Body:         response.Body,
+
+		endsWithConnection: !isFramed(response) && response.Body != http.NoBody,
 	}
 	c.readKeepAlive(response)
 	c.reusable = !response.Close && isFramed(response) && c.isSent()
--- a/router/requester/requester.go
+++ b/router/requester/requester.go
@@ -110,6 +110,8 @@
 	Body io.ReadCloser
 	// Err is the cause of a result without a response.
 	Err error
+	// endsWithConnection is set if nothing but the end of the connection ends Body.
+	endsWithConnection bool
 }
 
 // Options are the dependencies of a Client.
@@ -182,7 +184,7 @@
 		c.reportBroken()
 	}
 	if result.Outcome == messenger.OutcomeDone {
-		result.Body = &responseBody{client: c, conn: conn, source: result.Body, stop: stop}
+		result.Body = &responseBody{client: c, conn: conn, source: result.Body, stop: stop, endsWithConnection: result.endsWithConnection}
 		return result
 	}
 	if !stop() || result.Outcome != messenger.OutcomeRefused || !conn.reusable {
