router: refuse answers that HTTP does not allow

Callers got answers with status 000 or above 599, with a blank in the name of a field, or with the body of an invalid answer in place of the real one.

Cause: net/http reads answers leniently, and a status below 200 counted as an informational answer, whose body was then read as the next answer. Change: package sanitizer checks version, status and fields of each answer of a backend server, in both modes, in health checks, range calls and grants, and of answers that other routers pass on. Such an answer leaves the outcome of the request unknown and closes the connection. The fakes of two forwarder tests now state a status.

--- a/router/dispatcher/cut_test.go
+++ b/router/dispatcher/cut_test.go
@@ -54,3 +54,22 @@
 	}()
 	return listener.Addr().String()
 }
+
+// Guards against responses that are no valid HTTP and reach the caller as an answer.
+func TestInvalidResponsesAreNoAnswers(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 000 None\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 +20 None\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 600 None\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 101 Switching Protocols\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\nMy Server: a\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\nServer\x01: a\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 503 Busy\r\nMy Server: a\r\nMarigold-Refused: shed\r\nContent-Length: 0\r\n\r\n",
+	} {
+		result := dispatcher.New(networker.TCP{}).Send(t.Context(), serverRequest("http://"+serveOnce(t, response)))
+		qt.Check(t, result.Outcome, qt.Equals, messenger.OutcomeUnknown, qt.Commentf("%q", response))
+		if result.Body != nil {
+			_ = result.Body.Close()
+		}
+	}
+}
--- a/router/dispatcher/dispatcher.go
+++ b/router/dispatcher/dispatcher.go
@@ -36,6 +36,7 @@
 
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
+	"marigoldhill/router/sanitizer"
 )
 
 // Error is the class of all errors of this package.
@@ -134,7 +135,7 @@
 	if err != nil {
 		return d.failedResult(ctx, &conns, err)
 	}
-	if !d.belongsTo(response, attemptNumber(serverRequest.Request), request.Close) {
+	if sanitizer.CheckResponse(response) != nil || !d.belongsTo(response, attemptNumber(serverRequest.Request), request.Close) {
 		conns.close()
 		return Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonTruncated, Cause: CauseNone}
 	}
--- a/router/forwarder/network_fault_test.go
+++ b/router/forwarder/network_fault_test.go
@@ -207,7 +207,7 @@
 		r := newRouterPair(t, forwarder.Settings{})
 		r.remote.execute = func(_ context.Context, request *messenger.Request, _ io.Reader) executor.Answer {
 			body := io.MultiReader(strings.NewReader("part"), iotest.ErrReader(io.ErrUnexpectedEOF))
-			return executor.Answer{Response: messenger.Response{Number: request.Number, Outcome: messenger.OutcomeDone, Length: -1}, Body: io.NopCloser(body)}
+			return executor.Answer{Response: messenger.Response{Number: request.Number, Outcome: messenger.OutcomeDone, Status: 200, Length: -1}, Body: io.NopCloser(body)}
 		}
 		got := r.forward(t.Context(), request("n1"), messenger.Profile{}, "")
 		qt.Assert(t, got.body, qt.Equals, "part")
@@ -265,7 +265,7 @@
 				blackhole(r.simulatedNetwork)
 				_ = writer.Close()
 			}()
-			return executor.Answer{Response: messenger.Response{Number: request.Number, Outcome: messenger.OutcomeDone, Length: -1}, Body: reader}
+			return executor.Answer{Response: messenger.Response{Number: request.Number, Outcome: messenger.OutcomeDone, Status: 200, Length: -1}, Body: reader}
 		}
 		got := r.forward(t.Context(), request("n1"), messenger.Profile{Idempotent: true, Retries: 3}, "")
 		qt.Assert(t, got.body, qt.Equals, "part")
--- a/router/forwarder/send.go
+++ b/router/forwarder/send.go
@@ -10,6 +10,7 @@
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/executor"
 	"marigoldhill/router/locator"
+	"marigoldhill/router/sanitizer"
 )
 
 // errNumberMismatch is returned for an answer with the number of another request.
@@ -78,6 +79,9 @@
 		return executor.Answer{}, errNumberMismatch
 	}
 	if response.Outcome == messenger.OutcomeDone {
+		if err := sanitizer.CheckRelayed(response.Status, response.Header); err != nil {
+			return executor.Answer{}, Error.New("receiving the answer: %w", err)
+		}
 		return executor.Answer{Response: response, Body: e.answerBody()}, nil
 	}
 	if err := e.expectEnd(); err != nil {
--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -28,6 +28,7 @@
 
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
+	"marigoldhill/router/sanitizer"
 )
 
 // Error is the class of all errors of this package.
@@ -181,6 +182,11 @@
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes))
 	_ = response.Body.Close()
+	if err := sanitizer.CheckResponse(response); err != nil {
+		g.client.CloseIdleConnections()
+		g.metrics.GetOrCreateCounter(`marigold_grant_calls_total{reason="invalid"}`).Inc()
+		return false
+	}
 	g.metrics.GetOrCreateCounter(`marigold_grant_calls_total{reason="answered"}`).Inc()
 	return response.StatusCode < http.StatusInternalServerError
 }
--- a/router/granter/ranges.go
+++ b/router/granter/ranges.go
@@ -17,6 +17,7 @@
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
 	"marigoldhill/router/holder"
+	"marigoldhill/router/sanitizer"
 )
 
 const (
@@ -180,6 +181,9 @@
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes)); err != nil {
 		return holder.Unanswered, "", Error.New("reading the backend server's response to a range call: %w", err)
 	}
+	if err := sanitizer.CheckResponse(response); err != nil {
+		return holder.Unanswered, "", Error.New("reading the backend server's response to a range call: %w", err)
+	}
 	switch response.StatusCode {
 	case http.StatusOK:
 		return holder.Accepted, r.protocol.Handover(response.Header), nil
--- a/router/prober/check.go
+++ b/router/prober/check.go
@@ -11,6 +11,7 @@
 
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
+	"marigoldhill/router/sanitizer"
 )
 
 const (
@@ -47,6 +48,9 @@
 		return classifyFailure(ctx, isDialFailure.Load())
 	}
 	defer func() { _ = response.Body.Close() }()
+	if sanitizer.CheckResponse(response) != nil {
+		return classifyFailure(ctx, false)
+	}
 	return classifyResponse(response)
 }
 
--- a/router/relayer/exchange.go
+++ b/router/relayer/exchange.go
@@ -7,6 +7,7 @@
 
 	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/router/sanitizer"
 )
 
 var (
@@ -82,6 +83,11 @@
 	if response.ID != relay.ID {
 		return nil, Error.New("answer to %s: %w", response.ID, errIDMismatch)
 	}
+	if response.Outcome == messenger.OutcomeDone {
+		if err := sanitizer.CheckRelayed(response.Status, response.Header); err != nil {
+			return nil, Error.New("receiving the answer: %w", err)
+		}
+	}
 	return response, nil
 }
 
--- a/router/relayer/upload_test.go
+++ b/router/relayer/upload_test.go
@@ -33,6 +33,8 @@
 type bodyBackend struct {
 	received atomic.Pointer[[]byte]
 	sent     atomic.Int32
+	// answer replaces the result of a request that was received.
+	answer func() requester.Result
 }
 
 func (b *bodyBackend) Send(_ context.Context, _ string, _ *requester.ServerRequest, body io.Reader) requester.Result {
@@ -42,6 +44,9 @@
 		return requester.Result{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonCrashed, Sent: true, Err: err}
 	}
 	b.received.Store(&data)
+	if b.answer != nil {
+		return b.answer()
+	}
 	return doneResult(http.StatusOK, strings.NewReader("ok"), 2)
 }
 
--- a/router/requester/conn.go
+++ b/router/requester/conn.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/router/sanitizer"
 )
 
 // conn is a connection to the backend server.
@@ -144,6 +145,9 @@
 func (c *conn) failedResult(client *Client, reason messenger.Reason, err error) Result {
 	var exceeded excess
 	switch {
+	case errors.Is(err, sanitizer.ErrInvalid):
+		reason = messenger.ReasonTruncated
+		client.count("invalid")
 	case errors.As(err, &exceeded):
 		reason = messenger.ReasonTruncated
 		client.countExcess(exceeded.part)
@@ -156,6 +160,7 @@
 // readResponse reads the header of the next response and skips informational ones.
 func (c *conn) readResponse(serverRequest *ServerRequest) (*http.Response, error) {
 	for range maxInformational + 1 {
+		legacy := c.hasLegacyEncoding()
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: serverRequest.Relay.Method})
 		if err != nil && c.head.left <= 0 {
 			// The parser may replace the error of the reader.
@@ -167,6 +172,12 @@
 		if fieldCount(response.Header) > maxFields {
 			return nil, excess{part: "fields"}
 		}
+		if err := sanitizer.CheckResponse(response); err != nil {
+			return nil, Error.New("reading the response: %w", err)
+		}
+		if legacy {
+			return nil, Error.New("Transfer-Encoding in HTTP/1.0: %w", sanitizer.ErrInvalid)
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
