kernel: move package listener here from router

Cause: listeners of control processes need what those of routers have, and the package uses nothing of the router. Change: a move; import paths. Result: tests of listener and acceptor pass; no other change.

--- a/router/listener/guard_test.go
+++ b/kernel/listener/guard_test.go
@@ -12,8 +12,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"marigoldhill/kernel/listener"
 	"marigoldhill/kernel/networker"
-	"marigoldhill/router/listener"
 )
 
 // startGuarded starts a server on a Guard and returns its address and a function that
--- a/router/acceptor/abort_test.go
+++ b/router/acceptor/abort_test.go
@@ -14,11 +14,11 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"marigoldhill/kernel/listener"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
 	"marigoldhill/router/acceptor"
 	"marigoldhill/router/executor"
-	"marigoldhill/router/listener"
 	"marigoldhill/router/relayer"
 )
 
--- a/router/acceptor/acceptor.go
+++ b/router/acceptor/acceptor.go
@@ -27,13 +27,13 @@
 	"github.com/labstack/echo/v4"
 	"github.com/zeebo/errs"
 
+	"marigoldhill/kernel/listener"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
 	"marigoldhill/kernel/registrar"
 	"marigoldhill/router/executor"
 	"marigoldhill/router/forwarder"
-	"marigoldhill/router/listener"
 	"marigoldhill/router/locator"
 )
 
--- a/router/assembler/assembler.go
+++ b/router/assembler/assembler.go
@@ -26,6 +26,7 @@
 	"github.com/zeebo/errs"
 
 	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/listener"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
@@ -43,7 +44,6 @@
 	"marigoldhill/router/granter"
 	"marigoldhill/router/isolator"
 	"marigoldhill/router/keeper"
-	"marigoldhill/router/listener"
 	"marigoldhill/router/locator"
 	"marigoldhill/router/prober"
 	"marigoldhill/router/recorder"
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/listener"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
@@ -23,7 +24,6 @@
 	"marigoldhill/router/inviter"
 	"marigoldhill/router/isolator"
 	"marigoldhill/router/keeper"
-	"marigoldhill/router/listener"
 	"marigoldhill/router/mapper"
 	"marigoldhill/router/monitor"
 	"marigoldhill/router/queuer"
--- a/router/assembler/routed_listeners.go
+++ b/router/assembler/routed_listeners.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
+	"marigoldhill/kernel/listener"
 	"marigoldhill/kernel/logger"
-	"marigoldhill/router/listener"
 )
 
 func (p *Routed) startAnnounce(context.Context) error {
--- a/router/assembler/routed_stop.go
+++ b/router/assembler/routed_stop.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
+	"marigoldhill/kernel/listener"
 	"marigoldhill/kernel/logger"
-	"marigoldhill/router/listener"
 	"marigoldhill/router/stopper"
 )
 
--- a/router/assembler/services.go
+++ b/router/assembler/services.go
@@ -5,11 +5,11 @@
 	"time"
 
 	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/listener"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/registrar"
 	"marigoldhill/router/acceptor"
 	"marigoldhill/router/keeper"
-	"marigoldhill/router/listener"
 )
 
 const (
