linker: go on accepting links after a failure

Routers refused links of all others for good, and replicas those of routers, once the process had been out of descriptors for a moment: callers of other routers got 503 for its keys until it was restarted.

Cause: the loop that accepts connections ended at the first error of Accept, whatever it was. Change: it ends when the listener is closed; after other errors it waits 20 ms and goes on, and counts them in marigold_link_accept_failures_total.

--- a/kernel/linker/server.go
+++ b/kernel/linker/server.go
@@ -6,10 +6,14 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"marigoldhill/kernel/networker"
 )
 
+// acceptRetryDelay is the time between two attempts to accept a connection after a failure.
+const acceptRetryDelay = 20 * time.Millisecond
+
 // Server accepts links on one address.
 type Server struct {
 	listener net.Listener
@@ -78,13 +82,29 @@
 func (s *Server) acceptLoop() {
 	for {
 		conn, err := s.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// The process has no descriptor left, or the peer is gone already.
+			s.options.count("accept_failures", "network")
+			if s.isClosedAfter(acceptRetryDelay) {
+				return
+			}
+			continue
+		}
 		s.tasks.Go(func() { s.serve(conn) })
 	}
 }
 
+// isClosedAfter waits, and reports whether the server was closed.
+func (s *Server) isClosedAfter(delay time.Duration) bool {
+	time.Sleep(delay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 func (s *Server) serve(conn net.Conn) {
 	link := newLink(conn, s.options, false)
 	if err := link.handshake(); err != nil {
