router: bound what is kept of callers' identifiers

A request that is refused leaves its identifier behind, as long as a header may be: routers kept up to 8,192 of them for the time in which the caller may come back, and wrote each into the log.

Cause: refusals were remembered by the identifier itself, and log lines had no bound on a value. Change: refusals are remembered by a hash with a seed of the process; two identifiers with one hash only cost a new connection. Texts in log lines are cut at 1 KiB. TestLongValuesAreShortened failed before by reading, a line was as long as its values.

--- a/kernel/logger/logger.go
+++ b/kernel/logger/logger.go
@@ -88,7 +88,28 @@
 }
 
 func (l *Log) write(event Event, pairs ...any) {
-	l.out.Log(event.Level, event.Message, append([]any{"event", event.Number}, pairs...)...)
+	l.out.Log(event.Level, event.Message, append([]any{"event", event.Number}, boundValues(pairs)...)...)
+}
+
+// maxValueBytes is the maximum size of a text in a line. Identifiers are as long as their
+// senders make them.
+const maxValueBytes = 1 << 10
+
+// boundValues shortens the texts among pairs that are too long.
+func boundValues(pairs []any) []any {
+	for n, value := range pairs {
+		text := ""
+		switch typed := value.(type) {
+		case string:
+			text = typed
+		case error:
+			text = typed.Error()
+		}
+		if len(text) > maxValueBytes {
+			pairs[n] = strings.ToValidUTF8(text[:maxValueBytes], "") + "..."
+		}
+	}
+	return pairs
 }
 
 // Catalog returns all events, sorted by number.
--- a/kernel/logger/output_test.go
+++ b/kernel/logger/output_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"errors"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -65,3 +67,17 @@
 		qt.Check(t, out.String(), qt.Contains, `"session":2`)
 	})
 }
+
+// Guards against lines as long as the identifiers that senders choose.
+func TestLongValuesAreShortened(t *testing.T) {
+	var output bytes.Buffer
+	log := logger.New(&output, logger.FormatJSON, "router", "r1")
+	long := strings.Repeat("é", 20_000)
+	log.Emit(logger.RequestFailed, "id", long, "error", errors.New(long), "key", "k1")
+	log.Close()
+	qt.Check(t, output.Len() < 8<<10, qt.IsTrue, qt.Commentf("%d bytes", output.Len()))
+	var line map[string]any
+	qt.Assert(t, json.Unmarshal(output.Bytes(), &line), qt.IsNil)
+	qt.Check(t, line["key"], qt.Equals, "k1")
+	qt.Check(t, strings.HasPrefix(line["id"].(string), "ééé"), qt.IsTrue)
+}
--- a/router/requester/requester.go
+++ b/router/requester/requester.go
@@ -262,7 +262,7 @@
 
 // addRefusal records that the server refused a request on a connection.
 func (c *Client) addRefusal(conn *conn, serverRequest *ServerRequest) {
-	refused := refusal{id: serverRequest.Relay.ID, conn: conn}
+	refused := refusal{hash: c.refusals.hash(serverRequest.Relay.ID), conn: conn}
 	if !serverRequest.Deadline.IsZero() {
 		refused.expiresAt = serverRequest.Deadline.Add(refusalMargin)
 	}
