kernel: bound what all clients of a listener take together

A crowd of 300 clients with odd heads took a router to 6 GB; ordinary callers got no answer once the process had ended for memory, or while connections on which nothing was sent held all descriptors.

Cause: each bound was one on a request, and its memory was spent before it was checked. A head of short lines takes up to 30 times its size as it is parsed, up to 1 MiB of them was read in routed mode, and nothing bounded how many there were, nor the connections. Change: package limiter. Memory is reserved before it is spent, for connections, heads as they arrive, kept bodies, answers that wait, heads from other routers before they are decoded, and bodies of operators' calls. When a budget is short, connections on which nothing whole has arrived are closed first, then those whose client does not read, idle ones, and later requests that are arriving; what is served is not. Each listener of routers and replicas has a fixed part of what the setting vm allows (docs/design/clients.md). A head above four times the limit of the configuration gets 431 while it arrives; a client that receives nothing for 10 s is cut. A single legal head of 16 KiB is served whatever its lines look like (TestCrowdOfOneIsServed). TestHeadCostCoversItsMemory measures the reservation, FuzzHeads that no head is missed.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -4,8 +4,9 @@
 PROGRAMS := marigold-control marigold-router marigold marigold-bench
 BIN := bin
 FUZZTIME ?= 30s
+CROWDS := ^TestCrowd
 
-.PHONY: all build test race matrix vet lint format-check format gopls run bench fuzz ci clean
+.PHONY: all build test crowds race matrix vet lint format-check format gopls run bench fuzz ci clean
 
 all: build
 
@@ -16,7 +17,13 @@
 	go build -o $(BIN)/marigold-bench ./bench
 
 test:
-	go test $(addprefix ./,$(addsuffix /...,$(MODULES)))
+	go test -skip '$(CROWDS)' $(addprefix ./,$(addsuffix /...,$(MODULES)))
+	$(MAKE) crowds
+
+# Crowds of clients at each address of real processes. They measure memory, so they run one
+# at a time, apart from other tests and without the race detector.
+crowds:
+	go test -count 1 -timeout 20m -run '$(CROWDS)' ./platform
 
 # The race detector of arm64 can end itself in long tests ("CHECK failed: tsan_rtl.cpp").
 # These packages run without it there, as part of "make test".
@@ -25,7 +32,7 @@
 endif
 
 race:
-	go test -race $(filter-out $(RACE_EXCLUDED),$(shell go list $(addprefix ./,$(addsuffix /...,$(MODULES)))))
+	go test -race -skip '$(CROWDS)' $(filter-out $(RACE_EXCLUDED),$(shell go list $(addprefix ./,$(addsuffix /...,$(MODULES)))))
 
 # Every fault at every step; "make test" runs a fixed part of them.
 matrix:
@@ -68,6 +75,8 @@
 	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) ./kernel/framer
 	go test -run '^$$' -fuzz FuzzBytes -fuzztime $(FUZZTIME) ./kernel/parser
 	go test -run '^$$' -fuzz FuzzReceive -fuzztime $(FUZZTIME) ./kernel/linker
+	go test -run '^$$' -fuzz FuzzHeads -fuzztime $(FUZZTIME) ./kernel/listener
+	go test -run '^$$' -fuzz FuzzAnswers -fuzztime $(FUZZTIME) ./router/requester
 	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) ./control/journaler
 
 ci: lint test race matrix
--- a/control/assembler/link.go
+++ b/control/assembler/link.go
@@ -43,6 +43,7 @@
 		Hello:   s.hello(),
 		Handler: s.handle,
 		Metrics: s.options.Metrics,
+		Budget:  s.budget("links", linksShare),
 	})
 	if err != nil {
 		return Error.New("field listen: cannot listen on %s (another process may be using it): %w", s.settings.Listen, err)
--- a/control/assembler/operator.go
+++ b/control/assembler/operator.go
@@ -13,6 +13,8 @@
 	"marigoldhill/control/configurer"
 	"marigoldhill/control/proposer"
 	"marigoldhill/control/replicator"
+	"marigoldhill/kernel/limiter"
+	"marigoldhill/kernel/listener"
 	"marigoldhill/kernel/registrar"
 )
 
@@ -26,6 +28,21 @@
 	callTimeout = 2 * time.Second
 )
 
+const (
+	// operatorShare and linksShare are the parts of what is for clients. They are fixed, so
+	// that a crowd at one address leaves the other its part.
+	operatorShare = 0.95
+	linksShare    = 0.05
+	// bodyCost is the memory that a byte of an operator's call takes: as it was sent, and
+	// decoded.
+	bodyCost = 2
+)
+
+// budget returns a new budget for the listener called name.
+func (b *base) budget(name string, share float64) *limiter.Budget {
+	return limiter.New(name, b.settings.VM.Share(share), limiter.Options{Log: b.options.Log, Metrics: b.options.Metrics})
+}
+
 // operatorService is the HTTP server of the operator interface, the metrics and the
 // health check.
 type operatorService struct {
@@ -49,12 +66,16 @@
 		return err
 	}
 	s.replica = service.replica
-	s.listener, err = s.options.Network.Listen(s.settings.Operator)
+	socket, err := s.options.Network.Listen(s.settings.Operator)
 	if err != nil {
 		return Error.New("field operator: cannot listen on %s (another process may be using it): %w", s.settings.Operator, err)
 	}
+	guard := listener.NewGuard(socket, listener.Options{Budget: s.budget("operator", operatorShare), BodyCost: bodyCost})
+	s.listener = guard
 	s.server = &http.Server{
-		Handler:           s.handler(),
+		Handler:           guard.Handler(s.handler()),
+		ConnState:         guard.ConnState,
+		ConnContext:       guard.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/control/assembler/settings.go
+++ b/control/assembler/settings.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 
+	"marigoldhill/kernel/limiter"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/parser"
@@ -47,6 +48,8 @@
 	// Timing overrides the default lease times. Fields that are 0 keep their
 	// default.
 	Timing messenger.Timing `yaml:"timing"`
+	// VM is what the process may take of its VM.
+	VM limiter.Settings `yaml:"vm"`
 	// Log is the format of log lines, text or json.
 	Log logger.Format `yaml:"log"`
 }
@@ -74,6 +77,9 @@
 	if reason := checkAddress(s.Operator); reason != "" {
 		return "operator", reason
 	}
+	if field, reason := s.VM.Check(); reason != "" {
+		return "vm." + field, reason
+	}
 	if s.Log != "" && s.Log != logger.FormatText && s.Log != logger.FormatJSON {
 		return "log", "must be text or json"
 	}
--- a/control/commander/commander.go
+++ b/control/commander/commander.go
@@ -49,5 +49,6 @@
 		Name:    settings.Name,
 		Cluster: settings.Cluster,
 		Log:     settings.Log,
+		VM:      settings.VM,
 	}
 }
--- a/kernel/commander/cmd_run.go
+++ b/kernel/commander/cmd_run.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"marigoldhill/kernel/logger"
@@ -23,6 +24,9 @@
 		return err
 	}
 	description := program.Describe(settings)
+	if limit := description.VM.HeapLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	log := logger.New(streams.out, description.Log, description.Role, description.Name)
 	defer log.Close()
 	process, err := program.New(settings, log)
--- a/kernel/commander/commander.go
+++ b/kernel/commander/commander.go
@@ -20,6 +20,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/zeebo/errs"
 
+	"marigoldhill/kernel/limiter"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/parser"
 )
@@ -58,6 +59,8 @@
 	Name    string
 	Cluster string
 	Log     logger.Format
+	// VM is what the process may take of its VM.
+	VM limiter.Settings
 }
 
 // Program is a program with settings of type S.
--- a/kernel/linker/accept_test.go
+++ b/kernel/linker/accept_test.go
@@ -8,8 +8,10 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 
+	"marigoldhill/kernel/limiter"
 	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
@@ -60,3 +62,25 @@
 	qt.Assert(t, err, qt.IsNil)
 	link.Close()
 }
+
+// Guards against connections without a handshake that keep links of other processes out.
+func TestLinkIsAcceptedBesideConnectionsWithoutHandshake(t *testing.T) {
+	options := linkOptions()
+	options.Handler = func(context.Context, *linker.Link, *linker.Stream) {}
+	options.Budget = limiter.New("links", limiter.Limits{Bytes: 1 << 20, Connections: 4}, limiter.Options{Metrics: metrics.NewSet()})
+	server, err := linker.Listen(networker.TCP{}, "127.0.0.1:0", options)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = server.Close() }()
+	for range 20 {
+		conn, err := net.Dial("tcp", server.Address())
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+	}
+	for range 6 {
+		link, err := linker.Dial(t.Context(), networker.TCP{}, server.Address(), linkOptions())
+		qt.Assert(t, err, qt.IsNil)
+		defer link.Close()
+	}
+	_, open := options.Budget.Used()
+	qt.Check(t, open <= 4, qt.IsTrue)
+}
--- a/kernel/linker/linker.go
+++ b/kernel/linker/linker.go
@@ -35,6 +35,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/zeebo/errs"
 
+	"marigoldhill/kernel/limiter"
 	"marigoldhill/kernel/messenger"
 )
 
@@ -72,6 +73,8 @@
 	HandshakeTimeout = time.Second
 	// MaxMessageBytes is the maximum size of a message in bytes.
 	MaxMessageBytes = 64 << 20
+	// MaxRequestBytes is the maximum size of a message with the head of a request.
+	MaxRequestBytes = 4 << 20
 	// StreamWindowBytes is the flow-control window of a stream: how many bytes may be
 	// sent that the receiver has not read yet.
 	StreamWindowBytes = 256 << 10
@@ -100,6 +103,9 @@
 	Handler Handler
 	// Metrics is where the counters are registered; nil disables them.
 	Metrics *metrics.Set
+	// Budget bounds the connections that peers open until their handshake is complete; nil
+	// means no bound.
+	Budget *limiter.Budget
 }
 
 // count increments the counter called name with the given reason label.
--- a/kernel/linker/message.go
+++ b/kernel/linker/message.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"io"
 	"sync"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/zeebo/errs"
 
 	"marigoldhill/kernel/decoder"
 )
@@ -63,22 +65,53 @@
 
 // Receive reads one message and decodes it into message, which must be a pointer.
 func (s *Stream) Receive(message any) error {
+	data, err := s.receiveData(message, MaxMessageBytes)
+	if err != nil {
+		return err
+	}
+	if err := decoder.Unmarshal(data, message); err != nil {
+		return Error.New("decoding a %T: %w", message, err)
+	}
+	return nil
+}
+
+// ErrNoRoom is returned by [Stream.ReceiveWithin] for a message that must not be decoded.
+var ErrNoRoom = errs.New("no memory for the message")
+
+// ReceiveWithin is like Receive for a message of at most MaxRequestBytes that may have many
+// small parts. It calls take with the size of the message and the number of its elements
+// before it decodes it. If take returns false, it returns ErrNoRoom and only the first field,
+// which must be a string.
+func (s *Stream) ReceiveWithin(message any, take func(size, elements int) bool) (first string, err error) {
+	data, err := s.receiveData(message, MaxRequestBytes)
+	if err != nil {
+		return "", err
+	}
+	if !take(len(data), decoder.Elements(data)) {
+		first, err := decoder.FirstString(data)
+		return first, errors.Join(ErrNoRoom, err)
+	}
+	if err := decoder.Unmarshal(data, message); err != nil {
+		return "", Error.New("decoding a %T: %w", message, err)
+	}
+	return "", nil
+}
+
+// receiveData reads one message of at most limit bytes. message is named in errors.
+func (s *Stream) receiveData(message any, limit uint32) ([]byte, error) {
 	prefix := make([]byte, lengthPrefixSize)
 	if _, err := io.ReadFull(s, prefix); err != nil {
-		return Error.New("receiving a %T: %w", message, err)
+		return nil, Error.New("receiving a %T: %w", message, err)
 	}
 	length := binary.BigEndian.Uint32(prefix)
-	if length > MaxMessageBytes {
-		return Error.New("message of %d bytes exceeds the maximum size: %w", length, ErrProtocolViolation)
+	if length > limit {
+		return nil, Error.New("message of %d bytes exceeds the maximum size: %w", length, ErrProtocolViolation)
 	}
 	data, err := s.readMessage(int(length))
 	if err != nil {
-		return Error.New("receiving a %T: %w", message, err)
+		return nil, Error.New("receiving a %T: %w", message, err)
 	}
-	if err := decoder.Unmarshal(data, message); err != nil {
-		return Error.New("decoding a %T: %w", message, err)
-	}
-	return nil
+	return data, nil
 }
 
 func (s *Stream) readMessage(length int) ([]byte, error) {
--- a/kernel/linker/server.go
+++ b/kernel/linker/server.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"marigoldhill/kernel/framer"
+	"marigoldhill/kernel/limiter"
 	"marigoldhill/kernel/networker"
 )
 
@@ -93,7 +95,12 @@
 			}
 			continue
 		}
-		s.tasks.Go(func() { s.serve(conn) })
+		account, err := s.options.open(conn)
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		s.tasks.Go(func() { s.serve(conn, account) })
 	}
 }
 
@@ -105,9 +112,30 @@
 	return s.closed
 }
 
-func (s *Server) serve(conn net.Conn) {
+// handshakeWithin performs the handshake of a connection that a peer opened. account is that
+// of the connection until then, nil without a budget.
+func (l *Link) handshakeWithin(account *limiter.Account) error {
+	if account == nil {
+		return l.handshake()
+	}
+	defer account.Close()
+	if err := account.Reserve(framer.MaxPayloadBytes); err != nil {
+		return Error.New("before the handshake: %w", err)
+	}
+	return l.handshake()
+}
+
+// open returns the account of a new connection, nil without a budget.
+func (o *Options) open(conn net.Conn) (*limiter.Account, error) {
+	if o.Budget == nil {
+		return nil, nil
+	}
+	return o.Budget.Open(func() { _ = conn.Close() })
+}
+
+func (s *Server) serve(conn net.Conn, account *limiter.Account) {
 	link := newLink(conn, s.options, false)
-	if err := link.handshake(); err != nil {
+	if err := link.handshakeWithin(account); err != nil {
 		_ = conn.Close()
 		return
 	}
--- a/kernel/listener/guard.go
+++ b/kernel/listener/guard.go
@@ -42,15 +42,18 @@
 // wait in the backlog. [Guard.Stop] accepts these, lets every request that has begun to
 // arrive get its response, and ends connections without one.
 //
+// A Guard also keeps what its clients take within a [limiter.Budget]; see [Options].
+//
 // # Usage
 //
-//	guard := listener.NewGuard(socket)
+//	guard := listener.NewGuard(socket, listener.Options{Budget: budget})
 //	server := &http.Server{Handler: guard.Handler(handler), ConnState: guard.ConnState, ConnContext: guard.ConnContext}
 //	go server.Serve(guard)
 //	...
 //	err := guard.Stop(ctx, server)
 type Guard struct {
 	net.Listener
+	options Options
 	leaving atomic.Bool
 	// drained is closed when no more connections are accepted.
 	drained   chan struct{}
@@ -66,6 +69,8 @@
 // GuardNetwork is a network whose listeners are Guards.
 type GuardNetwork struct {
 	networker.Network
+	// Options are those of the Guards.
+	Options Options
 	// Guard is the Guard of the last call of Listen.
 	Guard *Guard
 }
@@ -76,13 +81,13 @@
 	if err != nil {
 		return nil, Error.New("listening: %w", err)
 	}
-	n.Guard = NewGuard(socket)
+	n.Guard = NewGuard(socket, n.Options)
 	return n.Guard, nil
 }
 
 // NewGuard returns a Guard of socket.
-func NewGuard(socket net.Listener) *Guard {
-	return &Guard{Listener: socket, drained: make(chan struct{}), conns: make(map[*guardedConn]struct{})}
+func NewGuard(socket net.Listener, options Options) *Guard {
+	return &Guard{Listener: socket, options: options, drained: make(chan struct{}), conns: make(map[*guardedConn]struct{})}
 }
 
 // Handler returns a handler whose responses end their connection during a stop.
@@ -91,8 +96,11 @@
 		if g.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		if conn, ok := r.Context().Value(connKey{}).(*guardedConn); ok {
-			_ = conn.beginRequest(time.Time{})
+		conn, _ := r.Context().Value(connKey{}).(*guardedConn)
+		_ = conn.beginRequest(time.Time{})
+		if err := conn.serve(r); err != nil {
+			refuse(w, err)
+			return
 		}
 		handler.ServeHTTP(w, r)
 	})
@@ -239,6 +247,37 @@
 
 // Accept implements [net.Listener].
 func (g *Guard) Accept() (net.Conn, error) {
+	for {
+		conn, err := g.acceptAny()
+		if err != nil {
+			return nil, err
+		}
+		guarded, err := g.guard(conn)
+		if err == nil {
+			return guarded, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+// guard returns the guardedConn of a new connection, or an error if there is no room for it.
+func (g *Guard) guard(conn net.Conn) (*guardedConn, error) {
+	guarded := &guardedConn{Conn: conn, guard: g, acceptedAt: time.Now(), isNew: true, waiting: true}
+	if g.options.Budget != nil {
+		account, err := g.options.Budget.Open(func() { _ = conn.Close() })
+		if err != nil {
+			return nil, Error.New("accepting a connection: %w", err)
+		}
+		guarded.account = account
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.conns[guarded] = struct{}{}
+	return guarded, nil
+}
+
+// acceptAny accepts the next connection, one of the backlog during a stop.
+func (g *Guard) acceptAny() (net.Conn, error) {
 	var conn net.Conn
 	err := os.ErrDeadlineExceeded
 	if !g.leaving.Load() {
@@ -247,14 +286,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		conn, err = g.acceptBacklog()
 	}
-	if err != nil {
-		return nil, err
-	}
-	guarded := &guardedConn{Conn: conn, guard: g, acceptedAt: time.Now(), isNew: true, waiting: true}
-	g.mu.Lock()
-	g.conns[guarded] = struct{}{}
-	g.mu.Unlock()
-	return guarded, nil
+	return conn, err
 }
 
 // Close implements [net.Listener]. Closing again has no effect.
--- a/kernel/listener/guard_test.go
+++ b/kernel/listener/guard_test.go
@@ -123,7 +123,7 @@
 func TestBacklogIsAcceptedHoweverLongItTakes(t *testing.T) {
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	guard := listener.NewGuard(slowSocket{TCPListener: socket.(*net.TCPListener), delay: 30 * time.Millisecond})
+	guard := listener.NewGuard(slowSocket{TCPListener: socket.(*net.TCPListener), delay: 30 * time.Millisecond}, listener.Options{})
 	server := &http.Server{Handler: guard.Handler(okHandler), ConnState: guard.ConnState, ConnContext: guard.ConnContext}
 	go func() { _ = server.Serve(guard) }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -197,7 +197,7 @@
 // Guards against stops that run out of time because a listener waits for connections on
 // which nothing is asked.
 func TestListenerDoesNotWaitForRequestsThatNeverCome(t *testing.T) {
-	server, err := listener.Listen(networker.TCP{}, "127.0.0.1:0", okHandler)
+	server, err := listener.Listen(networker.TCP{}, "127.0.0.1:0", okHandler, listener.Options{})
 	qt.Assert(t, err, qt.IsNil)
 	dial(t, strings.TrimPrefix(server.URL(), "http://"))
 	time.Sleep(30 * time.Millisecond)
--- a/kernel/listener/guarded_conn.go
+++ b/kernel/listener/guarded_conn.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"marigoldhill/kernel/limiter"
 )
 
 // guardedConn is a connection that knows whether a request has begun to arrive on it.
@@ -13,6 +15,8 @@
 	net.Conn
 	guard      *Guard
 	acceptedAt time.Time
+	// account is what the connection takes of the budget; nil if there is none.
+	account *limiter.Account
 
 	mu sync.Mutex
 	// isNew is set until the first byte arrives.
@@ -23,6 +27,15 @@
 	begunAt time.Time
 	// expired is set while a read is made to fail.
 	expired bool
+	// writeDeadline is the one that the server or a handler has set.
+	writeDeadline time.Time
+
+	// head accounts for the bytes that arrive. net/http goes on to read, one byte at a time,
+	// while a handler runs.
+	head headMeter
+	// failure is the error of all further reads: net/http ignores that of some reads. Only
+	// the goroutine that reads uses it.
+	failure error
 }
 
 func (c *guardedConn) setState(state http.ConnState) {
@@ -31,11 +44,17 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.account != nil {
+		c.account.Idle(c.head.nextRequest())
+	}
 	c.waiting = true
 }
 
 // Read implements [net.Conn].
 func (c *guardedConn) Read(data []byte) (int, error) {
+	if c.failure != nil {
+		return 0, c.failure
+	}
 	n, err := c.Conn.Read(data)
 	if n == 0 {
 		return n, err
@@ -43,6 +62,9 @@
 	if err := c.beginRequest(time.Now().Add(readHeaderTimeout)); err != nil {
 		return n, err
 	}
+	if c.failure = c.receive(data[:n], len(data)); c.failure != nil {
+		return 0, c.failure
+	}
 	return n, err
 }
 
@@ -98,6 +120,9 @@
 
 // Close implements [net.Conn].
 func (c *guardedConn) Close() error {
+	if c.account != nil {
+		defer c.account.Close()
+	}
 	c.guard.mu.Lock()
 	delete(c.guard.conns, c)
 	c.guard.mu.Unlock()
--- a/kernel/listener/listener.go
+++ b/kernel/listener/listener.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	server, err := listener.Listen(network, "127.0.0.1:7101", handler)
+//	server, err := listener.Listen(network, "127.0.0.1:7101", handler, listener.Options{Budget: budget})
 //	url := server.URL()
 //	err = server.Stop(ctx)
 package listener
@@ -23,6 +23,8 @@
 const (
 	// readHeaderTimeout limits the time to read a request header.
 	readHeaderTimeout = 5 * time.Second
+	// idleTimeout limits the time between two requests on a connection.
+	idleTimeout = time.Minute
 	// maxHeaderBytes is the maximum size of a request header.
 	maxHeaderBytes = 32 << 10
 )
@@ -36,18 +38,19 @@
 }
 
 // Listen listens on address and starts to serve handler.
-func Listen(network networker.Network, address string, handler http.Handler) (*Listener, error) {
+func Listen(network networker.Network, address string, handler http.Handler, options Options) (*Listener, error) {
 	socket, err := network.Listen(address)
 	if err != nil {
 		return nil, Error.New("opening the listener: %w", err)
 	}
-	guard := NewGuard(socket)
+	guard := NewGuard(socket, options)
 	listener := &Listener{
 		server: http.Server{
 			Handler:           guard.Handler(handler),
 			ConnState:         guard.ConnState,
 			ConnContext:       guard.ConnContext,
 			ReadHeaderTimeout: readHeaderTimeout,
+			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
 		guard:   guard,
--- a/kernel/logger/limiter.go
+++ b/kernel/logger/limiter.go
@@ -57,7 +57,7 @@
 func (e Event) isRateLimited() bool {
 	switch e.Number {
 	case RequestUnanswered.Number, RequestFailed.Number, RangeCallCompleted.Number, AnnouncementIgnored.Number, ConfigurationRejected.Number,
-		JoinFailed.Number, ResponseOversized.Number:
+		JoinFailed.Number, ResponseOversized.Number, ClientClosed.Number:
 		return true
 	}
 	return false
--- a/kernel/logger/process.go
+++ b/kernel/logger/process.go
@@ -10,9 +10,10 @@
 	ProcessFailed        = Event{103, hclog.Error, "process failed"}
 	SettingsReloaded     = Event{104, hclog.Info, "settings reload signal handled"}
 	LinesDropped         = Event{106, hclog.Info, "log lines dropped"}
+	ClientClosed         = Event{107, hclog.Warn, "connection of a client closed or refused"}
 	SettingsReloadFailed = Event{105, hclog.Warn, "settings could not be reloaded"}
 )
 
 func processEvents() []Event {
-	return []Event{ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed, SettingsReloaded, SettingsReloadFailed, LinesDropped}
+	return []Event{ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed, SettingsReloaded, SettingsReloadFailed, LinesDropped, ClientClosed}
 }
--- a/router/acceptor/acceptor.go
+++ b/router/acceptor/acceptor.go
@@ -82,7 +82,9 @@
 	Locator   *locator.Locator
 	Forwarder Forwarder
 	Lease     forwarder.Lease
-	Log       *logger.Log
+	// Clients are the limits of the listener.
+	Clients listener.Options
+	Log     *logger.Log
 	// Metrics is the set that the counters are registered in.
 	Metrics *metrics.Set
 }
@@ -149,7 +151,7 @@
 	if err != nil {
 		return Error.New("listening for callers: %w", err)
 	}
-	a.guard = listener.NewGuard(socket)
+	a.guard = listener.NewGuard(socket, a.options.Clients)
 	a.server.Handler = a.guard.Handler(a.server.Handler)
 	a.server.ConnState = a.guard.ConnState
 	a.server.ConnContext = a.guard.ConnContext
--- a/router/acceptor/handle.go
+++ b/router/acceptor/handle.go
@@ -9,6 +9,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"marigoldhill/kernel/listener"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/executor"
@@ -165,6 +166,7 @@
 		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
 	w.WriteHeader(response.Status)
+	listener.Grow(r.Context(), answerCost(response.Length))
 	if err := copyBody(w, answer); err != nil {
 		// Abort the connection, so that the caller cannot take a partial body for a
 		// complete one.
--- a/router/acceptor/routed.go
+++ b/router/acceptor/routed.go
@@ -10,6 +10,8 @@
 
 	"github.com/zeebo/errs"
 
+	"marigoldhill/kernel/linker"
+	"marigoldhill/kernel/listener"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/router/relayer"
 )
@@ -84,6 +86,15 @@
 	return kept
 }
 
+// answerCost returns the memory that an answer takes until the caller has read it. Longer
+// ones, and those of unknown length, wait in the window of a link.
+func answerCost(length int64) int64 {
+	if length < 0 {
+		return linker.StreamWindowBytes
+	}
+	return min(length, linker.StreamWindowBytes)
+}
+
 // WriteResponse writes the response of a backend server and closes its body. When the
 // body is truncated, the connection is aborted, so that the caller does not take it for
 // complete.
@@ -103,6 +114,7 @@
 	if r.Method == http.MethodHead {
 		return
 	}
+	listener.Grow(r.Context(), answerCost(answer.Length))
 	if _, err := io.Copy(w, answer.Body); err != nil {
 		abortResponse(w, r)
 	}
--- a/router/assembler/assembler.go
+++ b/router/assembler/assembler.go
@@ -66,6 +66,7 @@
 	settings Settings
 	options  Options
 	registry *registrar.Registrar
+	clients  clients
 
 	pool             *linker.Pool
 	peer             *linker.Server
@@ -100,6 +101,7 @@
 		locator:  locator.New(options.Metrics),
 		tracker:  drainer.NewTracker(),
 	}
+	p.clients = clients{vm: settings.VM, log: options.Log, metrics: options.Metrics}
 	timing := newStopTiming(settings.grace())
 	p.entryWindow, p.ownerWindow = stopper.New(timing.entry), stopper.New(timing.owner)
 	p.assembleOwner()
@@ -192,6 +194,7 @@
 		Lease:         keeperLease{p},
 		RequestUpdate: func() { p.keeper.RequestUpdate() },
 		Stop:          p.entryWindow,
+		Heads:         p.clients.heads(),
 		Metrics:       options.Metrics,
 	})
 	p.acceptor = acceptor.New(acceptor.Settings{Listen: p.settings.Listen, Name: p.settings.Name}, acceptor.Options{
@@ -199,6 +202,7 @@
 		Locator:   p.locator,
 		Forwarder: p.forwarder,
 		Lease:     keeperLease{p},
+		Clients:   p.clients.callers(nil),
 		Log:       options.Log,
 		Metrics:   options.Metrics,
 	})
--- a/router/assembler/routed.go
+++ b/router/assembler/routed.go
@@ -72,6 +72,7 @@
 	settings RoutedSettings
 	options  RoutedOptions
 	registry *registrar.Registrar
+	clients  clients
 	// leaving is set when callers must use other routers, handingOver when the keys,
 	// and with them the requests of other routers, must move to other routers too.
 	leaving     atomic.Bool
@@ -131,6 +132,7 @@
 		options.Metrics = metrics.NewSet()
 	}
 	p := &Routed{settings: settings, options: options, registry: registrar.New()}
+	p.clients = clients{vm: settings.VM, log: options.Log, metrics: options.Metrics}
 	timing := newStopTiming(settings.Grace)
 	p.entryWindow, p.ownerWindow = stopper.New(timing.entry), stopper.New(timing.owner)
 	p.setDefaultInterfaces()
@@ -221,6 +223,7 @@
 		Detector:      coldDetector{Detector: p.detector, cold: p.cold},
 		Evacuation:    p.evacuation,
 		IsQuarantined: func(fingerprint string) bool { return p.mapper.Load().IsQuarantined(fingerprint) },
+		Heads:         p.clients.heads(),
 		Inbound:       p.inbound,
 		Outbound:      p.outbound,
 		RequestUpdate: p.keeper.RequestUpdate,
@@ -287,6 +290,7 @@
 
 func (p *Routed) startLink(context.Context) error {
 	options := p.linkOptions()
+	options.Budget = p.clients.budget("links", linksShare)
 	options.Handler = func(ctx context.Context, link *linker.Link, stream *linker.Stream) {
 		if kind := stream.Kind(); kind == messenger.KindRelay || kind == messenger.KindInvitedRelay {
 			p.owner.Handle(ctx, link, stream)
--- a/router/assembler/routed_listeners.go
+++ b/router/assembler/routed_listeners.go
@@ -12,7 +12,7 @@
 
 func (p *Routed) startAnnounce(context.Context) error {
 	var err error
-	p.announceListener, err = listener.Listen(p.options.Network, p.settings.Backend, p.options.Backend(p.server))
+	p.announceListener, err = listener.Listen(p.options.Network, p.settings.Backend, p.options.Backend(p.server), listener.Options{Budget: p.clients.budget("backend", backendShare)})
 	if err != nil {
 		return Error.New("listening for the backend server: %w", err)
 	}
@@ -24,7 +24,7 @@
 }
 
 func (p *Routed) startCallers(context.Context) error {
-	guarded := &listener.GuardNetwork{Network: p.options.Network}
+	guarded := &listener.GuardNetwork{Network: p.options.Network, Options: p.clients.callers(p.headLimit)}
 	socket, err := p.paced(guarded).Listen(p.settings.Callers)
 	if err != nil {
 		return Error.New("listening for callers: %w", err)
@@ -63,7 +63,7 @@
 
 func (p *Routed) startReady(context.Context) error {
 	var err error
-	p.readyListener, err = listener.Listen(p.options.Network, p.settings.Ready, p.readyHandler())
+	p.readyListener, err = listener.Listen(p.options.Network, p.settings.Ready, p.readyHandler(), listener.Options{Budget: p.clients.budget("ready", readyShare)})
 	if err != nil {
 		return Error.New("listening for readiness checks: %w", err)
 	}
@@ -71,7 +71,7 @@
 		return nil
 	}
 	serve := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { p.options.Metrics.WritePrometheus(w) })
-	p.metricsListener, err = listener.Listen(p.options.Network, p.settings.Metrics, serve)
+	p.metricsListener, err = listener.Listen(p.options.Network, p.settings.Metrics, serve, listener.Options{Budget: p.clients.budget("operator", operatorShare)})
 	if err != nil {
 		return Error.New("listening for metrics: %w", err)
 	}
--- a/router/assembler/routed_settings.go
+++ b/router/assembler/routed_settings.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"marigoldhill/kernel/limiter"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/parser"
@@ -46,6 +47,8 @@
 	Budget budgeter.Settings `yaml:"budget"`
 	// Grace is the grace period: how long the process may take to stop.
 	Grace time.Duration `yaml:"grace"`
+	// VM is what the process may take of its VM.
+	VM limiter.Settings `yaml:"vm"`
 	// Evacuation is the time in which the evacuation of a failure domain must be in force.
 	// If it is 0, the default applies, and requests are not held while the control group
 	// does not answer; see package evacuator.
@@ -112,6 +115,9 @@
 	if field, reason := s.Cold.check(); reason != "" {
 		return field, reason
 	}
+	if field, reason := s.VM.Check(); reason != "" {
+		return "vm." + field, reason
+	}
 	switch logger.Format(s.Log) {
 	case "", logger.FormatText, logger.FormatJSON:
 		return "", ""
--- a/router/assembler/services.go
+++ b/router/assembler/services.go
@@ -36,6 +36,7 @@
 func (p *Process) startLink(context.Context) error {
 	options := p.linkOptions()
 	options.Handler = p.handleStream
+	options.Budget = p.clients.budget("links", linksShare)
 	peer, err := linker.Listen(p.options.Network, p.settings.Peer, options)
 	if err != nil {
 		return Error.New("listening for routers: %w", err)
@@ -90,7 +91,7 @@
 }
 
 func (p *Process) startBackend(context.Context) error {
-	server, err := listener.Listen(p.options.Network, p.settings.Backend, p.announcer().Handler())
+	server, err := listener.Listen(p.options.Network, p.settings.Backend, p.announcer().Handler(), listener.Options{Budget: p.clients.budget("backend", backendShare)})
 	if err != nil {
 		return Error.New("listening for the backend server: %w", err)
 	}
@@ -103,7 +104,7 @@
 }
 
 func (p *Process) startOperator(context.Context) error {
-	server, err := listener.Listen(p.options.Network, p.settings.Operator, p.operatorHandler())
+	server, err := listener.Listen(p.options.Network, p.settings.Operator, p.operatorHandler(), listener.Options{Budget: p.clients.budget("operator", operatorShare)})
 	if err != nil {
 		return Error.New("listening for operators: %w", err)
 	}
--- a/router/assembler/settings.go
+++ b/router/assembler/settings.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"time"
 
+	"marigoldhill/kernel/limiter"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/parser"
 )
@@ -35,6 +36,8 @@
 	// Evacuation is the time in which the evacuation of a failure domain must be in force;
 	// 0 means evacuator.DefaultBound.
 	Evacuation time.Duration `yaml:"evacuation"`
+	// VM is what the process may take of its VM.
+	VM limiter.Settings `yaml:"vm"`
 	// Grace is the grace period: how long the process may take to stop; 0 means
 	// DefaultGrace.
 	Grace time.Duration `yaml:"grace"`
@@ -80,6 +83,9 @@
 	if s.Grace < 0 || s.Grace > MaxGrace {
 		return "grace", "must be from 0 to 1h"
 	}
+	if field, reason := s.VM.Check(); reason != "" {
+		return "vm." + field, reason
+	}
 	switch logger.Format(s.Log) {
 	case "", logger.FormatText, logger.FormatJSON:
 		return "", ""
--- a/router/commander/commander.go
+++ b/router/commander/commander.go
@@ -61,5 +61,6 @@
 		Name:    settings.Name,
 		Cluster: settings.Cluster,
 		Log:     logger.Format(settings.Log),
+		VM:      settings.VM,
 	}
 }
--- a/router/commander/routed.go
+++ b/router/commander/routed.go
@@ -24,6 +24,7 @@
 				Name:    settings.Name,
 				Cluster: settings.Cluster,
 				Log:     logger.Format(settings.Log),
+				VM:      settings.VM,
 			}
 		},
 	}
--- a/router/forwarder/counters.go
+++ b/router/forwarder/counters.go
@@ -12,6 +12,7 @@
 	holdsRejected  *metrics.Counter
 	outcomeQueries *metrics.Counter
 	mismatched     *metrics.Counter
+	headRefusals   *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) counters {
@@ -24,5 +25,6 @@
 		holdsRejected:  set.GetOrCreateCounter(`marigold_holds_refused_total{reason="full"}`),
 		outcomeQueries: set.GetOrCreateCounter(`marigold_outcome_queries_total`),
 		mismatched:     set.GetOrCreateCounter(`marigold_answers_refused_total{reason="number"}`),
+		headRefusals:   set.GetOrCreateCounter(`marigold_head_refusals_total`),
 	}
 }
--- a/router/forwarder/forwarder.go
+++ b/router/forwarder/forwarder.go
@@ -36,6 +36,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/zeebo/errs"
 
+	"marigoldhill/kernel/limiter"
 	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
@@ -96,6 +97,9 @@
 	RequestUpdate func()
 	// Stop is the time in which requests may be passed on; nil if the process never stops.
 	Stop *stopper.Window
+	// Heads bounds the memory for the heads of requests from other routers; nil means no
+	// bound.
+	Heads *limiter.Pool
 	// Metrics is the set in which the counters are registered.
 	Metrics *metrics.Set
 }
--- a/router/forwarder/serve.go
+++ b/router/forwarder/serve.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 
+	"marigoldhill/kernel/limiter"
 	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
@@ -29,9 +31,19 @@
 // serve runs one request from another router.
 func (f *Forwarder) serve(ctx context.Context, stream *linker.Stream) error {
 	var request messenger.Request
-	if err := stream.Receive(&request); err != nil {
+	cost := int64(0)
+	number, err := stream.ReceiveWithin(&request, func(size, elements int) bool {
+		cost = limiter.MessageCost(size, elements)
+		return f.options.Heads.Take(cost)
+	})
+	if errors.Is(err, linker.ErrNoRoom) {
+		f.counters.headRefusals.Inc()
+		return sendAnswer(stream, refusedAnswer(&messenger.Request{Number: number}, messenger.ReasonQueue))
+	}
+	if err != nil {
 		return err
 	}
+	defer f.options.Heads.Give(cost)
 	if answer, ok := f.checkOwner(&request); !ok {
 		return sendAnswer(stream, answer)
 	}
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"marigoldhill/kernel/limiter"
 	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
@@ -84,6 +85,9 @@
 	Evacuation *evacuator.Guard
 	// IsQuarantined reports whether requests with a fingerprint must not run.
 	IsQuarantined func(fingerprint string) bool
+	// Heads bounds the memory for the heads of requests from other routers; nil means no
+	// bound.
+	Heads *limiter.Pool
 	// Inbound is the account of the link that bodies arrive on.
 	Inbound *inviter.Link
 	// Outbound is the account of the link that answers are sent on; nil or without a rate
@@ -118,9 +122,19 @@
 // [linker.Handler].
 func (o *Owner) Handle(ctx context.Context, _ *linker.Link, stream *linker.Stream) {
 	var relay messenger.Relay
-	if err := stream.Receive(&relay); err != nil {
+	cost := int64(0)
+	id, err := stream.ReceiveWithin(&relay, func(size, elements int) bool {
+		cost = limiter.MessageCost(size, elements)
+		return o.options.Heads.Take(cost)
+	})
+	if errors.Is(err, linker.ErrNoRoom) {
+		o.refuseHead(stream, id, cost)
 		return
 	}
+	if err != nil {
+		return
+	}
+	defer o.options.Heads.Give(cost)
 	body := &remoteBody{stream: stream, withheld: stream.Kind() == messenger.KindInvitedRelay}
 	response, responseBody := o.Run(ctx, &relay, body)
 	if responseBody != nil {
@@ -142,6 +156,24 @@
 	_ = stream.CloseWrite()
 }
 
+// refuseHead refuses a request for whose head there is no memory.
+func (o *Owner) refuseHead(stream *linker.Stream, id string, cost int64) {
+	o.options.Metrics.GetOrCreateCounter(`marigold_head_refusals_total`).Inc()
+	o.options.Log.Emit(logger.RequestFailed, "id", id, "outcome", messenger.OutcomeRefused, "reason", messenger.ReasonQueue,
+		"cause", "no memory for the head of a request from another router", "bytes", cost)
+	response := refusedResponse(messenger.ReasonQueue, defaultRetryAfter)
+	response.ID = id
+	response.Load = o.options.Admission.Work()
+	if stream.Kind() == messenger.KindInvitedRelay {
+		if err := stream.Send(&messenger.RelayInvitation{}); err != nil {
+			return
+		}
+	}
+	if err := sendReply(stream, response); err == nil {
+		_ = stream.CloseWrite()
+	}
+}
+
 // Run runs a request or refuses it. The returned body must be closed unless it is
 // nil.
 func (o *Owner) Run(ctx context.Context, relay *messenger.Relay, body io.Reader) (*messenger.RelayResponse, io.ReadCloser) {
