--- a/router/acceptor/fixture_test.go
+++ b/router/acceptor/fixture_test.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 
+	"marigoldhill/kernel/listener"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/networker"
@@ -76,6 +77,11 @@
 }
 
 func newFixture(t *testing.T, lease fakeLease) *fixture {
+	return newFixtureWith(t, lease, listener.Options{})
+}
+
+// newFixtureWith is newFixture with limits for the callers.
+func newFixtureWith(t *testing.T, lease fakeLease, clients listener.Options) *fixture {
 	f := &fixture{forwarder: &fakeForwarder{}, metrics: metrics.NewSet()}
 	table := locator.New(metrics.NewSet())
 	qt.Assert(t, table.Apply(&messenger.TableDelta{
@@ -85,7 +91,7 @@
 		Services: []messenger.Service{{Name: "findings", Shards: 16, Routes: []messenger.Route{{Profile: "any"}}}},
 	}), qt.IsNil)
 	f.acceptor = acceptor.New(acceptor.Settings{Listen: "127.0.0.1:0", MaxBodyBytes: 1 << 20, Name: "r1"}, acceptor.Options{
-		Network: networker.TCP{}, Locator: table, Forwarder: f.forwarder, Lease: lease,
+		Network: networker.TCP{}, Locator: table, Forwarder: f.forwarder, Lease: lease, Clients: clients,
 		Log: logger.Discard(), Metrics: f.metrics})
 	qt.Assert(t, f.acceptor.Start(t.Context(), nil), qt.IsNil)
 	t.Cleanup(func() { _ = f.acceptor.Stop(context.Background()) })
--- a/router/acceptor/inspector.go
+++ b/router/acceptor/inspector.go
@@ -11,6 +11,9 @@
 // request smuggling (RFC 9112, section 11.2). Its connection is closed.
 var errAmbiguousLength = errors.New("the length of the request is ambiguous")
 
+// maxKeptLine is the size of the largest line buffer that is used again.
+const maxKeptLine = 1 << 10
+
 // state is the part of a request that an inspector parses.
 type state uint8
 
@@ -87,6 +90,9 @@
 func (i *inspector) processLine() error {
 	line := strings.TrimSuffix(string(i.line), "\r")
 	i.line = i.line[:0]
+	if cap(i.line) > maxKeptLine {
+		i.line = nil // idle connections keep their inspector
+	}
 	switch i.state {
 	case stateRequestLine:
 		i.parseRequestLine(line)
--- a/router/acceptor/routed.go
+++ b/router/acceptor/routed.go
@@ -86,13 +86,14 @@
 	return kept
 }
 
-// answerCost returns the memory that an answer takes until the caller has read it. Longer
-// ones, and those of unknown length, wait in the window of a link.
+// answerCost returns the memory that an answer takes until the caller has read it: the answer
+// itself, and a buffer for copying it. Longer ones, and those of unknown length, wait in the
+// window of a link.
 func answerCost(length int64) int64 {
 	if length < 0 {
-		return linker.StreamWindowBytes
+		return linker.StreamWindowBytes + copyBufferBytes
 	}
-	return min(length, linker.StreamWindowBytes)
+	return min(length, linker.StreamWindowBytes) + min(length, copyBufferBytes)
 }
 
 // WriteResponse writes the response of a backend server and closes its body. When the
