--- a/kernel/listener/write.go
+++ b/kernel/listener/write.go
@@ -1,6 +1,8 @@
 package listener
 
 import (
+	"errors"
+	"os"
 	"time"
 )
 
@@ -9,6 +11,8 @@
 	// Until then it keeps its request, and with it a slot of the backend server.
 	stallTimeout = 10 * time.Second
 	stallBytes   = 64 << 10
+	// reasonStalled is the reason for closing a connection whose client does not read.
+	reasonStalled = "stalled"
 )
 
 // SetDeadline implements [net.Conn].
@@ -42,6 +46,9 @@
 		}
 		n, err := c.Conn.Write(part)
 		written += n
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.account.Report(reasonStalled)
+		}
 		if err != nil || written == len(data) {
 			return written, err
 		}
