mapper: search no more of a path than the longest prefix

One request whose path consists of slashes kept the processor for up to minutes and left gigabytes of garbage; other callers waited.

Cause: each slash may end the prefix of a route, and for each a text as long as the path before it was built and looked up. Change: the search begins at the length of the longest prefix of the configuration.

--- a/router/mapper/mapper.go
+++ b/router/mapper/mapper.go
@@ -71,6 +71,9 @@
 	Revision      uint64
 	Configuration *messenger.Configuration
 	routes        map[string]*Route
+	// longestPrefix is the length of the longest prefix of a route. No more of a path is
+	// searched: it may consist of slashes, each of which may end a prefix.
+	longestPrefix int
 	sessions      map[uint64]messenger.SessionRow
 	servers       map[string][]*Server
 	owners        map[uint64]*Server
@@ -100,7 +103,7 @@
 // none.
 func (m *Map) Match(host, path string) *Route {
 	host = strings.ToLower(host)
-	for end := len(path); end > 0; {
+	for end := min(len(path), m.longestPrefix); end > 0; {
 		slash := strings.LastIndexByte(path[:end], '/')
 		if slash < 0 {
 			return nil
@@ -236,7 +239,7 @@
 	}
 	updated := newMap()
 	updated.Revision = delta.To
-	updated.Configuration, updated.routes = previous.Configuration, previous.routes
+	updated.Configuration, updated.routes, updated.longestPrefix = previous.Configuration, previous.routes, previous.longestPrefix
 	if !delta.Full {
 		updated.sessions = previous.sessions
 		updated.ranges = previous.ranges
@@ -267,10 +270,11 @@
 	}
 	previous := m.routes
 	m.Configuration = configuration
-	m.routes = make(map[string]*Route, len(configuration.Routes))
+	m.routes, m.longestPrefix = make(map[string]*Route, len(configuration.Routes)), 0
 	for _, route := range configuration.Routes {
 		key := strings.ToLower(route.Host) + route.Prefix
 		m.routes[key] = newRoute(route, previous[key])
+		m.longestPrefix = max(m.longestPrefix, len(route.Prefix))
 	}
 }
 
--- a/router/mapper/mapper_test.go
+++ b/router/mapper/mapper_test.go
@@ -1,6 +1,7 @@
 package mapper_test
 
 import (
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -43,6 +44,18 @@
 	}
 }
 
+// Guards against a path of many slashes that keeps the processor and the collector busy for
+// seconds.
+func TestPathOfSlashesIsMatchedInFewSteps(t *testing.T) {
+	routes := mapper.New()
+	configure(t, routes, 1, &messenger.Configuration{Version: 1, Routes: []messenger.PathRoute{route("a", "desk.example", "/a/b/")}})
+	path := strings.Repeat("/", 16<<10)
+	allocations := testing.AllocsPerRun(1, func() {
+		qt.Check(t, routes.Load().Match("desk.example", path), qt.IsNil)
+	})
+	qt.Check(t, allocations < 100, qt.IsTrue, qt.Commentf("%v allocations", allocations))
+}
+
 func TestConfigurationVersionNeverDecreases(t *testing.T) {
 	routes := mapper.New()
 	for n, version := range []uint64{4, 9, 7, 9, 10} {
