relayer: give back the memory of a head that cannot be decoded

A message of another router that was admitted and then could not be decoded kept its part of the memory for heads for good; in the end the owner would have refused all heads.

Cause: the reservation was given back only once a request had been served. Change: a Reservation holds what was taken and is released on each way out, in both modes.

--- a/router/forwarder/serve.go
+++ b/router/forwarder/serve.go
@@ -31,11 +31,9 @@
 // serve runs one request from another router.
 func (f *Forwarder) serve(ctx context.Context, stream *linker.Stream) error {
 	var request messenger.Request
-	cost := int64(0)
-	number, err := stream.ReceiveWithin(&request, func(size, elements int) bool {
-		cost = limiter.MessageCost(size, elements)
-		return f.options.Heads.Take(cost)
-	})
+	reservation := limiter.Reservation{Pool: f.options.Heads}
+	defer reservation.Release()
+	number, err := stream.ReceiveWithin(&request, reservation.TakeMessage)
 	if errors.Is(err, linker.ErrNoRoom) {
 		f.counters.headRefusals.Inc()
 		return sendAnswer(stream, refusedAnswer(&messenger.Request{Number: number}, messenger.ReasonQueue))
@@ -43,7 +41,6 @@
 	if err != nil {
 		return err
 	}
-	defer f.options.Heads.Give(cost)
 	if answer, ok := f.checkOwner(&request); !ok {
 		return sendAnswer(stream, answer)
 	}
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -122,19 +122,16 @@
 // [linker.Handler].
 func (o *Owner) Handle(ctx context.Context, _ *linker.Link, stream *linker.Stream) {
 	var relay messenger.Relay
-	cost := int64(0)
-	id, err := stream.ReceiveWithin(&relay, func(size, elements int) bool {
-		cost = limiter.MessageCost(size, elements)
-		return o.options.Heads.Take(cost)
-	})
+	reservation := limiter.Reservation{Pool: o.options.Heads}
+	defer reservation.Release()
+	id, err := stream.ReceiveWithin(&relay, reservation.TakeMessage)
 	if errors.Is(err, linker.ErrNoRoom) {
-		o.refuseHead(stream, id, cost)
+		o.refuseHead(stream, id, reservation.Asked)
 		return
 	}
 	if err != nil {
 		return
 	}
-	defer o.options.Heads.Give(cost)
 	body := &remoteBody{stream: stream, withheld: stream.Kind() == messenger.KindInvitedRelay}
 	response, responseBody := o.Run(ctx, &relay, body)
 	if responseBody != nil {
--- a/router/relayer/owner_test.go
+++ b/router/relayer/owner_test.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 
+	"marigoldhill/kernel/limiter"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
 	"marigoldhill/kernel/timer"
@@ -98,6 +99,7 @@
 	server    *monitor.Monitor
 	admission *queuer.Admission
 	isolation *isolator.Isolator
+	heads     *limiter.Pool
 	// quarantined is OwnerOptions.IsQuarantined, if it is set.
 	quarantined func(fingerprint string) bool
 	// updatesRequested counts the calls of OwnerOptions.RequestUpdate.
@@ -106,6 +108,9 @@
 
 const serverAddress = "10.0.0.1:8080"
 
+// maxTestHeads is the memory for heads from other routers.
+const maxTestHeads = 1 << 20
+
 func newTestOwner(run func(ctx context.Context) requester.Result) *testOwner {
 	backend := &fakeBackend{run: run}
 	o := newTestOwnerWith(backend)
@@ -115,7 +120,7 @@
 
 // newTestOwnerWith returns a testOwner with a backend of another kind.
 func newTestOwnerWith(backend relayer.Backend) *testOwner {
-	o := &testOwner{keys: &fakeKeys{}, sampler: &fakeSampler{}, admission: queuer.NewAdmission(1), isolation: isolator.New()}
+	o := &testOwner{keys: &fakeKeys{}, sampler: &fakeSampler{}, admission: queuer.NewAdmission(1), isolation: isolator.New(), heads: limiter.NewPool(maxTestHeads)}
 	o.server = monitor.New(monitor.Options{Address: serverAddress, OnChange: func(*monitor.View) {}, IsConnected: func() bool { return false }, Log: logger.Discard()})
 	o.server.Announce(timer.Now(), monitor.Announcement{Row: messenger.ServerRow{Name: "s1", Service: "findings", URL: serverAddress, Slots: 1, Born: 1}})
 	o.Owner = relayer.NewOwner(relayer.OwnerOptions{
@@ -123,6 +128,7 @@
 		Isolator: o.isolation, Detector: fakeDetector{},
 		IsQuarantined: func(fingerprint string) bool { return o.quarantined != nil && o.quarantined(fingerprint) },
 		Inbound:       inviter.New(0),
+		Heads:         o.heads,
 		RequestUpdate: func() { o.updatesRequested++ },
 		Log:           logger.Discard(), Metrics: metrics.NewSet(),
 	})
