listener: do not read bodies that a handler leaves unread

Operators whose call announced its body with Expect: 100-continue waited for the answer of a call that is answered without it, such as a redirect, until they sent the body all the same.

Cause: the body that accounts for what is read replaced that of the request of net/http, which decides by its type whether to read the rest. Change: the handler gets a copy of the request. Result: TestMeteredBodyIsNotReadForTheHandler failed before (no response in 5 s), and passes.

--- a/kernel/listener/clients_test.go
+++ b/kernel/listener/clients_test.go
@@ -191,6 +191,16 @@
 	qt.Check(t, s.closures("serving") > 0, qt.IsTrue)
 }
 
+// Guards against a response that waits for a body which its client sends only when asked.
+func TestMeteredBodyIsNotReadForTheHandler(t *testing.T) {
+	s := startBounded(t, limiter.Limits{Bytes: 1 << 20, Connections: 10}, listener.Options{BodyCost: 2}, okHandler)
+	conn := dial(t, s.address)
+	write(t, conn, "PUT / HTTP/1.1\r\nHost: desk\r\nExpect: 100-continue\r\nContent-Length: 10\r\n\r\n")
+	body, err := readBody(bufio.NewReader(conn))
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, body, qt.Equals, "ok")
+}
+
 // Guards against bodies that a handler reads into memory beyond the budget.
 func TestBodiesAreAccountedFor(t *testing.T) {
 	failures := make(chan error, 1)
--- a/kernel/listener/guard.go
+++ b/kernel/listener/guard.go
@@ -102,7 +102,7 @@
 			refuse(w, err)
 			return
 		}
-		handler.ServeHTTP(w, r)
+		handler.ServeHTTP(w, conn.metered(r))
 	})
 }
 
--- a/kernel/listener/head_meter.go
+++ b/kernel/listener/head_meter.go
@@ -172,24 +172,35 @@
 	if c == nil || c.account == nil {
 		return nil
 	}
-	hasBody := r.Body != nil && r.Body != http.NoBody
 	c.mu.Lock()
-	c.head.serve(hasBody)
+	c.head.serve(hasBody(r))
 	cost := headCost(r) + c.head.tail.cost()
 	c.mu.Unlock()
 	options := &c.guard.options
 	if options.RequestCost != nil {
 		cost += options.RequestCost(r)
 	}
-	if hasBody && options.BodyCost > 0 {
-		r.Body = &meteredBody{ReadCloser: r.Body, account: c.account, cost: options.BodyCost}
-	}
 	if err := c.account.Serve(cost); err != nil {
 		return Error.New("serving a request: %w", err)
 	}
 	return nil
 }
 
+// metered returns a request whose body is accounted for as it is read. It is a copy, as
+// net/http decides by the type of the body whether to read the rest of it.
+func (c *guardedConn) metered(r *http.Request) *http.Request {
+	if c == nil || c.account == nil || c.guard.options.BodyCost == 0 || !hasBody(r) {
+		return r
+	}
+	copied := r.WithContext(r.Context())
+	copied.Body = &meteredBody{ReadCloser: r.Body, account: c.account, cost: c.guard.options.BodyCost}
+	return copied
+}
+
+func hasBody(r *http.Request) bool {
+	return r.Body != nil && r.Body != http.NoBody
+}
+
 // headCost returns the memory that the head of a request takes while it is served.
 func headCost(r *http.Request) int64 {
 	size, lines := len(r.Method)+len(r.RequestURI)+len(r.Host), 1
