review: show that a request that crashes backends is counted for each service

Cause: the fingerprint of a request contains the service that the route selects for the attempt, so the count of crashes starts again for each part of a split route.

--- a/review/stand-3/backend.go
+++ b/review/stand-3/backend.go
@@ -35,8 +35,11 @@
 	held     [65536]hold
 	fences   [65536]uint64
 	silent   bool
-	server   *http.Server
-	cancel   context.CancelFunc
+	ended    bool
+	// lives counts the crashes.
+	lives  int
+	server *http.Server
+	cancel context.CancelFunc
 }
 
 // hold is the grant of one key.
@@ -63,8 +66,17 @@
 	return nil
 }
 
+// first returns the name of the first life of the server.
+func (b *backend) first() string {
+	name, _, _ := strings.Cut(b.id[2:], "-")
+	return "i-" + name
+}
+
 // stop ends the server at once, as a crash does.
 func (b *backend) stop() {
+	b.mu.Lock()
+	b.ended = true
+	b.mu.Unlock()
 	b.cancel()
 	_ = b.server.Close()
 }
--- a/review/stand-3/cluster.go
+++ b/review/stand-3/cluster.go
@@ -292,3 +292,8 @@
 	c.note("routers are ready")
 	return nil
 }
+
+// replaceFound returns control settings with bootstrap set to false.
+func replaceFound(text string) string {
+	return strings.Replace(text, "found: true", "found: false", 1)
+}
