review: show that uploads run though their callers have left

Cause: nothing reads from the connection of a caller while its request waits for a slot with more than 256 KiB of body, so the close is not noticed.

--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -25,6 +25,7 @@
 	"early":  runEarly,
 	"poison": runPoison,
 	"stall":  runStall,
+	"leave":  runLeave,
 }
 
 func main() {
