review: show that a large configuration never reaches routers on narrow links

Cause: a router gets the whole configuration in the response to one heartbeat and gives up each response after at most 1 s.

--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -22,9 +22,10 @@
 func (e errBroken) Error() string { return string(e) }
 
 var cases = map[string]func(caseDir string, trouble bool) error{
-	"early": runEarly,
-	"stall": runStall,
-	"leave": runLeave,
+	"early":  runEarly,
+	"stall":  runStall,
+	"poison": runPoison,
+	"leave":  runLeave,
 }
 
 func main() {
