--- a/review/stand-3/early.go
+++ b/review/stand-3/early.go
@@ -16,13 +16,13 @@
 const (
 	// earlyUploads is how many uploads are sent, one after the other.
 	earlyUploads = 6
-	// uploadBytes is the size of an upload, uploadPiece what the client sends at a time and
-	// uploadPause the time between two pieces.
-	uploadBytes = 400 << 10
-	uploadPiece = 8 << 10
+	// uploadBytes is the size of an upload, the largest of plate-upload. uploadPiece is what the
+	// client sends at a time, uploadPause the time between two pieces.
+	uploadBytes = 360_000
+	uploadPiece = 8_000
 	uploadPause = 5 * time.Millisecond
-	// reportBytes is the size of an answer, within those of handover-pack.
-	reportBytes = 200 << 10
+	// reportBytes is the size of an answer, which comes in chunks.
+	reportBytes = 9_000
 )
 
 // upload is what a backend server has received of a body.
@@ -62,7 +62,7 @@
 		b := &backend{c: c, router: p, id: fmt.Sprintf("i-%d", i), service: []string{"records-vault", "inspect-desk"}[i]}
 		b.run = func(w http.ResponseWriter, r *http.Request) {
 			_ = http.NewResponseController(w).EnableFullDuplex()
-			w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
+			w.Header().Set("Transfer-Encoding", "chunked")
 			rest := answer
 			if trouble {
 				// The answer begins before the body has been read.
