--- a/review/stand-3/early.go
+++ b/review/stand-3/early.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// earlyUploads is how many uploads are sent, one after the other.
-	earlyUploads = 6
+	// earlyUploads is how many uploads are sent, one after the other, in less than 6 s. One of
+	// the two backend servers begins its answer to each earlyEvery-th early.
+	earlyUploads = 16
+	earlyEvery   = 3
 	// uploadBytes is the size of an upload, the largest of plate-upload. uploadPiece is what the
 	// client sends at a time, uploadPause the time between two pieces.
 	uploadBytes = 360_000
@@ -49,7 +51,7 @@
 	}
 	var routers []*process
 	for i := range 2 {
-		p, err := c.router(i, []string{"records-vault", "inspect-desk"}[i])
+		p, err := c.router(i, plain)
 		if err != nil {
 			return err
 		}
@@ -59,13 +61,19 @@
 	received := make(map[string]upload)
 	answer := bytes.Repeat([]byte("report. "), reportBytes/8)
 	for i, p := range routers {
-		b := &backend{c: c, router: p, id: fmt.Sprintf("i-%d", i), service: []string{"records-vault", "inspect-desk"}[i]}
+		b := &backend{c: c, router: p, id: fmt.Sprintf("i-%d", i), service: plain}
+		begun := 0
 		b.run = func(w http.ResponseWriter, r *http.Request) {
 			_ = http.NewResponseController(w).EnableFullDuplex()
 			w.Header().Set("Transfer-Encoding", "chunked")
 			rest := answer
-			if trouble {
+			mu.Lock()
+			begun++
+			isEarly := trouble && i == 0 && begun%earlyEvery == 0
+			mu.Unlock()
+			if isEarly {
 				// The answer begins before the body has been read.
+				c.note("%s begins its answer to %s early", b.id, r.Header.Get("Marigoldhill-Request-Id"))
 				_, _ = w.Write(answer[:len(answer)/2])
 				_ = http.NewResponseController(w).Flush()
 				rest = answer[len(answer)/2:]
@@ -89,7 +97,7 @@
 		return err
 	}
 	time.Sleep(3 * time.Second)
-	broken, served := "", 0
+	broken, served, breaks := "", 0, 0
 	for n := range earlyUploads {
 		id := fmt.Sprintf("upload-%d", n)
 		entry := routers[n%len(routers)]
@@ -98,7 +106,7 @@
 		_, _ = seeded.Read(body)
 		status, size, err := sendChunked(entry.outbound(), id, body)
 		c.note("client at %s sent %s, %d bytes in chunks: status %d, %d bytes of the answer, error %v", entry.name, id, len(body), status, size, err)
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
 		mu.Lock()
 		got, ok := received[id]
 		mu.Unlock()
@@ -118,11 +126,12 @@
 		default:
 			continue
 		}
+		breaks++
 		c.note("%s", broken)
 	}
 	switch {
 	case broken != "":
-		return errBroken(broken)
+		return errBroken(fmt.Sprintf("%s (%d of %d uploads)", broken, breaks, earlyUploads))
 	case served == 0:
 		return fmt.Errorf("no upload was served")
 	}
--- a/review/stand-3/poison.go
+++ b/review/stand-3/poison.go
@@ -14,9 +14,12 @@
 	// stableWindow is stable_window_s.
 	stableWindow = 3 * time.Second
 	// poisonInterval is the time between two attempts of the client, poisonAttempts their
-	// number.
-	poisonInterval = 4500 * time.Millisecond
-	poisonAttempts = 18
+	// number: all come within 20 s.
+	poisonInterval = 1600 * time.Millisecond
+	poisonAttempts = 12
+	// otherInterval is the time between two other requests, of which there are 40 for each
+	// attempt.
+	otherInterval = 40 * time.Millisecond
 	// maxLateRetries is how many retries the rule BUDGET leaves to such a request.
 	maxLateRetries = 3
 )
@@ -27,6 +30,9 @@
 	at time.Time
 }
 
+// poisonPath is the path of the request that crashes backend servers.
+const poisonPath = "/claims/7"
+
 // runPoison sends a request that crashes the backend servers on a route over three services.
 func runPoison(caseDir string, trouble bool) error {
 	services := []string{"tarifas", "garantias", "repuestos", "tarifas", "garantias", "repuestos"}
@@ -34,6 +40,10 @@
 	var runs []poisonRun
 	var f *fleet
 	run := func(b *backend, w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != poisonPath {
+			_, _ = w.Write([]byte("done"))
+			return
+		}
 		mu.Lock()
 		runs = append(runs, poisonRun{id: r.Header.Get("Marigoldhill-Request-Id"), at: time.Now()})
 		mu.Unlock()
@@ -66,10 +76,13 @@
 		return err
 	}
 	time.Sleep(4 * time.Second)
+	stop := make(chan struct{})
+	defer close(stop)
+	go sendOthers(f, stop)
 	for n := range poisonAttempts {
 		entry := f.routers[n%len(f.routers)]
 		id := fmt.Sprintf("claim-%d", n)
-		status, err := send(entry.outbound(), http.MethodPost, "/claims/7", id, 2500, 4711, "")
+		status, err := send(entry.outbound(), http.MethodPost, poisonPath, id, 2500, 4711, "")
 		f.note("client at %s sent %s: status %d, error %v", entry.name, id, status, err)
 		time.Sleep(poisonInterval)
 	}
@@ -98,6 +111,24 @@
 	return nil
 }
 
+// sendOthers sends requests that crash nothing, each with a path of its own.
+func sendOthers(f *fleet, stop chan struct{}) {
+	ticker := time.NewTicker(otherInterval)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ticker.C:
+		case <-stop:
+			return
+		}
+		go func() {
+			entry, id := f.routers[n%len(f.routers)], fmt.Sprintf("other-%d", n)
+			status, err := send(entry.outbound(), http.MethodPost, "/claims/"+id, id, 2500, 4711, "")
+			f.note("client at %s sent %s: status %d, error %v", entry.name, id, status, err)
+		}()
+	}
+}
+
 // crash ends a backend server at once and starts another one after crashDown.
 func (b *backend) crash() {
 	b.mu.Lock()
