listener: give the body of a request one reader

Callers that uploaded to a server which began its answer early got a 200 though a part of the body was missing at the server (bodies in chunks), or no whole answer (bodies with a length).

Cause: before the first byte of an answer, net/http discards up to 256 KiB of the body unless the handler has asked for full duplex. In routed mode the router was sending that body in the background, so each of two readers got a part. Refusals waited for the same bytes. Change: Guard.Handler owns the body of each request. Full duplex is on; the handler and its goroutines are the only readers, and their reads fail once it has returned. The rest of the body is then drained, within 256 KiB and 500 ms, or the connection serves no further request and is closed with a delay, so that the answer is not lost to a reset.

--- a/kernel/listener/guard.go
+++ b/kernel/listener/guard.go
@@ -42,7 +42,8 @@
 // wait in the backlog. [Guard.Stop] accepts these, lets every request that has begun to
 // arrive get its response, and ends connections without one.
 //
-// A Guard also keeps what its clients take within a [limiter.Budget]; see [Options].
+// A Guard also keeps what its clients take within a [limiter.Budget]; see [Options]. A response
+// may begin, or end, before the body of its request was read.
 //
 // # Usage
 //
@@ -55,6 +56,8 @@
 	net.Listener
 	options Options
 	leaving atomic.Bool
+	// cutting is set when connections are closed whatever is on them.
+	cutting atomic.Bool
 	// drained is closed when no more connections are accepted.
 	drained   chan struct{}
 	closeOnce sync.Once
@@ -90,7 +93,8 @@
 	return &Guard{Listener: socket, options: options, drained: make(chan struct{}), conns: make(map[*guardedConn]struct{})}
 }
 
-// Handler returns a handler whose responses end their connection during a stop.
+// Handler returns a handler whose responses end their connection during a stop. It is the only
+// reader of the body of its request until it returns; see requestBody.
 func (g *Guard) Handler(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if g.leaving.Load() {
@@ -98,11 +102,14 @@
 		}
 		conn, _ := r.Context().Value(connKey{}).(*guardedConn)
 		_ = conn.beginRequest(time.Time{})
+		r, body := conn.takeBody(w, r)
+		defer body.release()
 		if err := conn.serve(r); err != nil {
 			refuse(w, err)
-			return
+		} else {
+			handler.ServeHTTP(w, r)
 		}
-		handler.ServeHTTP(w, conn.metered(r))
+		body.drain(w.Header())
 	})
 }
 
@@ -138,11 +145,13 @@
 		case <-ticker.C:
 		case <-ctx.Done():
 			cut := g.countOpen()
+			g.cutting.Store(true)
 			_ = server.Close()
 			return Error.New("waiting for connections: %w: %w", cut, ctx.Err())
 		}
 	}
 	if err := server.Shutdown(ctx); err != nil {
+		g.cutting.Store(true)
 		_ = server.Close()
 		return Error.New("shutting the server down: %w", err)
 	}
--- a/kernel/listener/guarded_conn.go
+++ b/kernel/listener/guarded_conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,6 +37,9 @@
 	// failure is the error of all further reads: net/http ignores that of some reads. Only
 	// the goroutine that reads uses it.
 	failure error
+	// ended is set when the connection serves no further request, lingers while the rest of
+	// its last one is discarded.
+	ended, lingers atomic.Bool
 }
 
 func (c *guardedConn) setState(state http.ConnState) {
@@ -55,6 +59,9 @@
 	if c.failure != nil {
 		return 0, c.failure
 	}
+	if c.ended.Load() {
+		return 0, closedError(errEnded)
+	}
 	n, err := c.Conn.Read(data)
 	if n == 0 {
 		return n, err
@@ -118,17 +125,6 @@
 	return c.Conn
 }
 
-// Close implements [net.Conn].
-func (c *guardedConn) Close() error {
-	if c.account != nil {
-		defer c.account.Close()
-	}
-	c.guard.mu.Lock()
-	delete(c.guard.conns, c)
-	c.guard.mu.Unlock()
-	return c.Conn.Close()
-}
-
 // hasArrived reports whether bytes wait to be read from a connection.
 func hasArrived(conn net.Conn) bool {
 	socket, ok := conn.(syscall.Conn)
--- a/kernel/listener/head_meter.go
+++ b/kernel/listener/head_meter.go
@@ -186,17 +186,6 @@
 	return nil
 }
 
-// metered returns a request whose body is accounted for as it is read. It is a copy, as
-// net/http decides by the type of the body whether to read the rest of it.
-func (c *guardedConn) metered(r *http.Request) *http.Request {
-	if c == nil || c.account == nil || c.guard.options.BodyCost == 0 || !hasBody(r) {
-		return r
-	}
-	copied := r.WithContext(r.Context())
-	copied.Body = &meteredBody{ReadCloser: r.Body, account: c.account, cost: c.guard.options.BodyCost}
-	return copied
-}
-
 func hasBody(r *http.Request) bool {
 	return r.Body != nil && r.Body != http.NoBody
 }
--- /dev/null
+++ b/kernel/listener/request_body.go
@@ -0,0 +1,143 @@
+package listener
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// maxDrainBytes is how much of a body is read after the response to keep its connection.
+	maxDrainBytes = 256 << 10
+	// drainTimeout limits the time for that. bufferedTimeout does so where the end of the
+	// response is written only after it; the part of the body that has arrived takes no longer.
+	drainTimeout    = 500 * time.Millisecond
+	bufferedTimeout = 5 * time.Millisecond
+)
+
+// errHandled is the error of reads from a body after its handler has returned.
+var errHandled = errors.New("read from a request body after its handler has returned")
+
+// requestBody is the body of a request until its handler returns. The handler, and goroutines
+// that it has started, are its only reader, also while the response is written. Afterwards
+// their reads fail, and the connection is used for another request only if the body was read
+// to its end.
+type requestBody struct {
+	io.ReadCloser
+	request *http.Request
+	conn    *guardedConn
+	control *http.ResponseController
+
+	mu      sync.Mutex
+	changed sync.Cond
+	// reading is set while a read waits for the client.
+	reading bool
+	// handled is set when the handler has returned.
+	handled bool
+	// complete is set at the end of the body.
+	complete bool
+}
+
+// takeBody returns a request whose body is the returned requestBody, or nil if it has none. It
+// is a copy, as net/http decides by the type of the body whether the connection can be used
+// again.
+func (c *guardedConn) takeBody(w http.ResponseWriter, r *http.Request) (*http.Request, *requestBody) {
+	if c == nil || !hasBody(r) {
+		return r, nil
+	}
+	body := &requestBody{ReadCloser: r.Body, request: r, conn: c, control: http.NewResponseController(w)}
+	body.changed.L = &body.mu
+	// Otherwise net/http reads and discards a part of the body before the response.
+	if err := body.control.EnableFullDuplex(); err != nil {
+		return r, nil
+	}
+	copied := r.WithContext(r.Context())
+	copied.Body = body
+	if c.account != nil && c.guard.options.BodyCost > 0 {
+		copied.Body = &meteredBody{ReadCloser: body, account: c.account, cost: c.guard.options.BodyCost}
+	}
+	return copied, body
+}
+
+// Read implements [io.Reader].
+func (b *requestBody) Read(data []byte) (int, error) {
+	b.mu.Lock()
+	for b.reading && !b.handled {
+		b.changed.Wait()
+	}
+	if b.handled {
+		b.mu.Unlock()
+		return 0, errHandled
+	}
+	b.reading = true
+	b.mu.Unlock()
+	n, err := b.ReadCloser.Read(data)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reading = false
+	b.complete = b.complete || err == io.EOF
+	b.changed.Broadcast()
+	if b.handled {
+		return 0, errHandled
+	}
+	return n, err
+}
+
+// Close implements [io.Closer]. It has no effect: the body ends with its handler.
+func (b *requestBody) Close() error {
+	return nil
+}
+
+// end makes further reads of the handler fail, and reports whether the body was read to its
+// end.
+func (b *requestBody) end() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.handled = true
+	b.changed.Broadcast()
+	return b.complete && !b.reading
+}
+
+// waitForRead waits until no read waits for the client.
+func (b *requestBody) waitForRead() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for b.reading {
+		b.changed.Wait()
+	}
+}
+
+// drain reads the rest of a body after its response, so that its connection can be used again.
+func (b *requestBody) drain(header http.Header) {
+	if b == nil || b.end() {
+		return
+	}
+	// The connection ends in any case, or the client may not send a body at all.
+	if b.request.Close || header.Get("Connection") == "close" || b.request.Header.Get("Expect") != "" {
+		return
+	}
+	timeout := bufferedTimeout
+	if header.Get("Content-Length") != "" && b.control.Flush() == nil {
+		timeout = drainTimeout
+	}
+	if b.control.SetReadDeadline(time.Now().Add(timeout)) != nil {
+		return
+	}
+	b.waitForRead()
+	_, err := io.CopyN(io.Discard, b.ReadCloser, maxDrainBytes)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.complete = b.complete || err == io.EOF
+}
+
+// release ends the connection unless the body was read to its end, and waits until nothing
+// reads the body. It must be called when the handler has returned.
+func (b *requestBody) release() {
+	if b == nil || b.end() {
+		return
+	}
+	b.conn.end()
+	b.waitForRead()
+}
