acceptor: never take the rest of a body for the next request

In sharded mode, bytes of a body whose request was answered early ran as a request of their own.

Cause: the reader of the body was stopped by a read deadline that had passed. net/http sets another one for the next request and reads that from where the body was left. Change: the acceptor leaves this to the listener, which ends such connections. Its own code for full duplex and for stopping the reader is gone.

--- a/router/acceptor/acceptor_test.go
+++ b/router/acceptor/acceptor_test.go
@@ -382,3 +382,31 @@
 type failingReader struct{}
 
 func (failingReader) Read([]byte) (int, error) { return 0, errors.New("cut") }
+
+// Guards against the rest of a body that is taken for the next request on the connection.
+func TestRestOfAnAnsweredBodyIsNoRequest(t *testing.T) {
+	const smuggled = "GET /v1/findings/smuggled/x HTTP/1.1\r\nHost: x\r\n\r\n"
+	for _, size := range []int{len(smuggled), 1 << 20} {
+		f := newFixture(t, true)
+		f.forwarder.ignoreBody = true
+		var keys []string
+		f.forwarder.answer = func(_ context.Context, request *messenger.Request) executor.Answer {
+			keys = append(keys, request.Key)
+			return doneAnswer("ok", nil)
+		}
+		conn, err := net.Dial("tcp", f.acceptor.Address())
+		qt.Assert(t, err, qt.IsNil)
+		reader := bufio.NewReader(conn)
+		fmt.Fprintf(conn, "POST /v1/findings/door-17/x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", size)
+		response, err := http.ReadResponse(reader, nil)
+		qt.Assert(t, err, qt.IsNil)
+		_, err = io.Copy(io.Discard, response.Body)
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(time.Second) // longer than the rest is awaited
+		_, _ = io.WriteString(conn, strings.Repeat(smuggled, size/len(smuggled)))
+		_, err = http.ReadResponse(reader, nil)
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%d bytes", size))
+		qt.Check(t, keys, qt.DeepEquals, []string{"door-17"})
+		_ = conn.Close()
+	}
+}
--- a/router/acceptor/handle.go
+++ b/router/acceptor/handle.go
@@ -106,15 +106,11 @@
 	ctx, cancel := context.WithTimeout(r.Context(), call.timeout)
 	defer cancel()
 	control := http.NewResponseController(w)
-	// The owner may respond before it has read the whole body. On a connection that
-	// does not support full duplex, net/http reads the body first.
-	_ = control.EnableFullDuplex()
 	setDeadlines(ctx, control)
 	// net/http resets the read deadline for the next request, but not the write deadline.
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	body := newLimitedBody(r, a.settings.MaxBodyBytes)
 	answer := a.options.Forwarder.Forward(ctx, call.request, call.profile, body)
-	defer a.stopReadingBody(control, body)
 	defer answer.Close()
 	if answer.Response.Outcome != messenger.OutcomeDone {
 		a.writeFailure(w, &answer.Response, body)
@@ -132,14 +128,6 @@
 	_ = control.SetWriteDeadline(deadline.Add(WriteGrace))
 }
 
-// stopReadingBody aborts reading the body when the response was sent before its end.
-func (a *Acceptor) stopReadingBody(control *http.ResponseController, body *limitedBody) {
-	if body.isComplete() {
-		return
-	}
-	_ = control.SetReadDeadline(time.Now())
-}
-
 // writeFailure writes the response to a request whose outcome is not done.
 func (a *Acceptor) writeFailure(w http.ResponseWriter, response *messenger.Response, body *limitedBody) {
 	if !body.isComplete() {
