requester: read an early response after the request body could not be sent

Callers got a part of a whole response: a server that rejects a long upload early closes the connection with unread bytes, which resets it.

Cause: when a write of the body failed, the connection was closed in the router as well, with the response that had arrived on it. Change: only a body that cannot be read from the caller interrupts the connection, since the server would wait for its rest. After a failed write the response is read to its end.

--- a/router/requester/request.go
+++ b/router/requester/request.go
@@ -69,19 +69,34 @@
 // sendBody sends a body that is large or of unknown length.
 func (c *conn) sendBody(length int64, body io.Reader) {
 	defer close(c.bodyDone)
+	source := &bodySource{Reader: body}
 	var err error
 	if length >= 0 {
-		_, err = io.CopyN(c.raw, body, length)
+		_, err = io.CopyN(c.raw, source, length)
 	} else {
-		err = writeChunkedBody(c.raw, body)
+		err = writeChunkedBody(c.raw, source)
 	}
 	c.sent = err == nil
-	if err != nil {
-		// The server must not treat a partial body as complete.
+	if source.failed || err == io.EOF {
+		// The server must not wait for the rest, or treat a partial body as complete. After a
+		// failed write it has closed the connection, and its response may still be read.
 		c.interrupt()
 	}
 }
 
+// bodySource is a body that records whether reading it has failed.
+type bodySource struct {
+	io.Reader
+	failed bool
+}
+
+// Read implements [io.Reader].
+func (s *bodySource) Read(data []byte) (int, error) {
+	n, err := s.Reader.Read(data)
+	s.failed = s.failed || err != nil && err != io.EOF
+	return n, err
+}
+
 func writeChunkedBody(w io.Writer, body io.Reader) error {
 	buffer := make([]byte, maxInlineBodyBytes)
 	for {
--- a/router/requester/unframed_reset_test.go
+++ b/router/requester/unframed_reset_test.go
@@ -1,6 +1,7 @@
 package requester_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -77,3 +78,24 @@
 	time.Sleep(10 * time.Millisecond)
 	return copy(data, "b"), nil
 }
+
+// Guards against a whole early response that is cut off because its request cannot be sent to its
+// end: a server that does not read a body closes the connection, which resets it.
+func TestWholeResponseIsReadAfterTheUploadFailed(t *testing.T) {
+	const size = 30_000
+	for _, length := range []int64{-1, uploadBytes} {
+		address, _ := startServer(t, func(conn net.Conn, _ *http.Request) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 413 Too Large\r\nId: 1\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("a", size))
+			time.Sleep(10 * time.Millisecond)
+			_ = conn.Close() // with unread bytes
+		})
+		request, body := newUpload(length)
+		result := newClient().Send(t.Context(), address, request, body)
+		qt.Assert(t, result.Outcome, qt.Equals, messenger.OutcomeDone)
+		time.Sleep(50 * time.Millisecond) // the upload has failed
+		content, err := io.ReadAll(result.Body)
+		qt.Check(t, err, qt.IsNil, qt.Commentf("length %d", length))
+		qt.Check(t, len(content), qt.Equals, size)
+		_ = result.Body.Close()
+	}
+}
