relayer: tell the two answers of a quarantine test apart

Cause: TestQuarantinedRequestDoesNotRun took the first of two answers for that of the running request. The waiting one, which is refused, can be delivered first. Change: a channel for each. The checks are the same.

--- a/router/relayer/entry_test.go
+++ b/router/relayer/entry_test.go
@@ -217,20 +217,20 @@
 		})
 		entry, routes := newEntry(t, o, true)
 		o.quarantined = func(print string) bool { return routes.Load().IsQuarantined(print) }
-		answers := make(chan relayer.Answer, 2)
-		serve := func(path string) {
-			answers <- entry.Serve(t.Context(), call(path, 7))
+		running, waiting := make(chan relayer.Answer, 1), make(chan relayer.Answer, 1)
+		serve := func(answer chan relayer.Answer) {
+			answer <- entry.Serve(t.Context(), call("/find/x", 7))
 		}
-		go serve("/find/x")
+		go serve(running)
 		synctest.Wait()
 		print := o.isolation.InFlight()[0].Fingerprint
-		go serve("/find/x")
+		go serve(waiting)
 		synctest.Wait()
 		qt.Assert(t, o.backend.sent, qt.Equals, 1)
 		qt.Assert(t, routes.Apply(&messenger.TableDelta{From: 1, To: 2, Quarantines: []messenger.QuarantineRow{{Fingerprint: print}}}), qt.IsNil)
 		close(run)
-		qt.Assert(t, (<-answers).Outcome, qt.Equals, messenger.OutcomeDone)
-		qt.Assert(t, (<-answers).Reason, qt.Equals, messenger.ReasonQuarantine)
+		qt.Assert(t, (<-running).Outcome, qt.Equals, messenger.OutcomeDone)
+		qt.Assert(t, (<-waiting).Reason, qt.Equals, messenger.ReasonQuarantine)
 		answer := entry.Serve(t.Context(), call("/find/x", 7))
 		qt.Assert(t, answer.Outcome, qt.Equals, messenger.OutcomeRefused)
 		qt.Assert(t, answer.Reason, qt.Equals, messenger.ReasonQuarantine)
