relayer: recognize a crashing request by what its caller sent

On a route split over three services, a request that crashes servers crashed up to three of each service before it was held back, and went on reaching servers long after its third crash.

Cause: the fingerprint by which crashes are counted included the service, which the router selects anew for each attempt, and the key only where that service has keys. A body in chunks had another one than the same body with a length, and all long ones of a length had the same one. Change: a fingerprint is a hash of method, host, target, key and the first 256 KiB of the body. The router beside the server extends it once it has received the start of a body that is not inline, and checks the quarantines again. The key that the caller named goes along in the header of a Relay where the service has no keys; the fields of messages stay the same. Quarantines by fingerprints of the previous version hold.

--- a/kernel/messenger/relay.go
+++ b/kernel/messenger/relay.go
@@ -10,6 +10,11 @@
 // NoKey is the key of requests without a key.
 const NoKey = -1
 
+// FieldCallerKey is the name of a field in [Relay.Header] with the numeric key that the caller
+// named, if the service has no keys. HTTP does not allow the name: no caller can send it, and a
+// router of the previous version does not pass it on to a server.
+const FieldCallerKey = ":key"
+
 // Relay is a caller's request for a service of a [Configuration], as the entry
 // router sends it to the router of the backend server. The body follows on the
 // stream.
@@ -22,7 +27,7 @@
 	Service string
 	// Route is the name of the route. Requests of one route have similar costs.
 	Route string
-	// Key is the numeric key, or NoKey.
+	// Key is the numeric key, or NoKey if there is none or the service has no keys.
 	Key int32
 	// Caller is the service of the VM where the request originated, or empty.
 	Caller string
@@ -42,7 +47,7 @@
 	Grace time.Duration
 	// Version is the version of the configuration that the entry router used.
 	Version uint64
-	// Fingerprint identifies requests for the same work, whoever sends them; see
+	// Fingerprint identifies requests for the same work, whoever sends them and runs them; see
 	// [hasher.Fingerprint]. It is not sent: the router of the server computes it again.
 	Fingerprint string `msgpack:"-"`
 }
--- a/router/mapper/mapper.go
+++ b/router/mapper/mapper.go
@@ -166,6 +166,11 @@
 	return m.owners[ownership.Owner], ownership
 }
 
+// HasQuarantines reports whether any fingerprint is quarantined.
+func (m *Map) HasQuarantines() bool {
+	return len(m.quarantines) > 0
+}
+
 // IsQuarantined reports whether a fingerprint of [hasher.Fingerprint] is quarantined.
 func (m *Map) IsQuarantined(fingerprint string) bool {
 	_, ok := m.quarantines[fingerprint]
--- a/router/relayer/entry_test.go
+++ b/router/relayer/entry_test.go
@@ -1,7 +1,9 @@
 package relayer_test
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -11,8 +13,11 @@
 	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 
+	"marigoldhill/kernel/hasher"
+	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
+	"marigoldhill/kernel/networker"
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/budgeter"
 	"marigoldhill/router/mapper"
@@ -243,6 +248,35 @@
 	})
 }
 
+// Guards against a request that is quarantined and runs again after an update of the routers.
+func TestQuarantineOfThePreviousVersionHolds(t *testing.T) {
+	o := newTestOwner(func(context.Context) requester.Result { return doneResult(200, strings.NewReader("ok"), 2) })
+	entry, routes := newEntry(t, o, true)
+	previous := hasher.Fingerprint("findings", "7", "POST desk/find/x", hasher.Sum([]byte("body")))
+	qt.Assert(t, routes.Apply(&messenger.TableDelta{From: 1, To: 2, Quarantines: []messenger.QuarantineRow{{Fingerprint: previous}}}), qt.IsNil)
+	qt.Check(t, entry.Serve(t.Context(), call("/find/x", 7)).Reason, qt.Equals, messenger.ReasonQuarantine)
+	qt.Check(t, entry.Serve(t.Context(), call("/find/x", 8)).Outcome, qt.Equals, messenger.OutcomeDone)
+}
+
+// Guards against a quarantine that does not hold for bodies that the entry router does not know.
+func TestQuarantinedUploadIsNotSent(t *testing.T) {
+	for _, length := range []int64{-1, 20_000} {
+		o := newTestOwner(func(context.Context) requester.Result { return doneResult(200, strings.NewReader("ok"), 2) })
+		request := func(body string) messenger.Reason {
+			relay := relay(messenger.NoKey)
+			relay.Length = length
+			response, _ := o.Run(t.Context(), relay, strings.NewReader(strings.Repeat(body, 20_000)))
+			return response.Reason
+		}
+		qt.Assert(t, request("a"), qt.Equals, messenger.ReasonNone)
+		quarantined := o.backend.lastFingerprint
+		o.quarantined = func(print string) bool { return print == quarantined }
+		qt.Check(t, request("a"), qt.Equals, messenger.ReasonQuarantine)
+		qt.Check(t, request("b"), qt.Equals, messenger.ReasonNone)
+		qt.Check(t, o.backend.sent, qt.Equals, 2)
+	}
+}
+
 // Copies of a request have one fingerprint whoever sends them, and other requests do not.
 func TestFingerprintsOfRequests(t *testing.T) {
 	o := newTestOwner(func(context.Context) requester.Result { return doneResult(200, strings.NewReader("ok"), 2) })
@@ -268,12 +302,92 @@
 		{name: "query", change: func(c *relayer.Call) { c.Target = "/find/x?page=2" }},
 		{name: "body", change: func(c *relayer.Call) { c.Body = strings.NewReader("BODY") }},
 		{name: "key", change: func(c *relayer.Call) { c.Key = 8 }},
+		{name: "body in chunks", same: true, change: func(c *relayer.Call) { c.Length = -1 }},
+		{name: "other body in chunks", change: func(c *relayer.Call) { c.Body, c.Length = strings.NewReader("BODY"), -1 }},
+		{name: "no body", change: func(c *relayer.Call) { c.Body, c.Length = strings.NewReader(""), 0 }},
 	}
 	for _, test := range tests {
 		qt.Check(t, fingerprint(test.change) == original, qt.Equals, test.same, qt.Commentf(test.name))
 	}
 }
 
+// Guards against a request that crashes servers and is counted anew for each service of its route,
+// or again after its route has moved: its fingerprint must not depend on what a router chose.
+func TestFingerprintIsIndependentOfTheRoute(t *testing.T) {
+	for _, remote := range []bool{false, true} {
+		for _, size := range []int{0, 4, 20_000, 100_000, 400_000} {
+			t.Run(fmt.Sprintf("remote=%t/%d", remote, size), func(t *testing.T) {
+				body := strings.Repeat("b", size)
+				want := claim{service: "findings", ranged: true, body: body, length: size}.fingerprint(t, remote)
+				tests := []struct {
+					name  string
+					claim claim
+					other bool
+				}{
+					{name: "other service", claim: claim{service: "archive", ranged: true, body: body, length: size}},
+					{name: "service without keys", claim: claim{service: "vault", body: body, length: size}},
+					{name: "in chunks", claim: claim{service: "vault", body: body, length: -1}},
+					{name: "other key", claim: claim{service: "vault", key: 8, body: body, length: size}, other: true},
+					{name: "other body", claim: claim{service: "vault", body: "B" + body, length: size + 1}, other: true},
+				}
+				for _, test := range tests {
+					qt.Check(t, test.claim.fingerprint(t, remote) != want, qt.Equals, test.other, qt.Commentf(test.name))
+				}
+			})
+		}
+	}
+}
+
+// claim is a request for a route to one service.
+type claim struct {
+	service string
+	ranged  bool
+	// key is 7 if it is not set.
+	key    int32
+	body   string
+	length int
+}
+
+// fingerprint returns the fingerprint with which the server gets a claim, beside the entry router
+// or another one.
+func (c claim) fingerprint(t *testing.T, remote bool) string {
+	o := newTestOwner(func(context.Context) requester.Result { return doneResult(200, strings.NewReader("ok"), 2) })
+	o.server.Announce(timer.Now(), monitor.Announcement{Row: messenger.ServerRow{Name: "s1", Service: c.service, URL: serverAddress, Slots: 1, Born: 2}})
+	hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleRouter, Name: "r1", Invites: true, Replies: true}
+	peer, err := linker.Listen(networker.TCP{}, "127.0.0.1:0", linker.Options{Hello: hello, Handler: o.Handle})
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = peer.Close() }()
+	pool := linker.NewPool(networker.TCP{}, linker.Options{Hello: hello})
+	defer pool.Close()
+	session := uint64(ownSession)
+	if remote {
+		session++
+	}
+	routes := mapper.New()
+	qt.Assert(t, routes.Apply(&messenger.TableDelta{
+		Full: true, To: 1,
+		Configuration: &messenger.Configuration{
+			Routes: []messenger.PathRoute{{Name: "claim" + c.service, Host: "desk", Prefix: "/find/", Parts: []messenger.RoutePart{{Service: c.service, Weight: 1}},
+				Treatment: messenger.Treatment{Timeout: time.Second, Aim: 400 * time.Millisecond, Attempts: 2}}},
+			Services: []messenger.RoutedService{{Name: c.service, Ranged: c.ranged}},
+		},
+		Sessions: []messenger.SessionRow{{Session: session, Router: "r1", Address: peer.Address(), Server: &messenger.ServerRow{Name: "s1", Service: c.service, Slots: 1}}},
+		Ranges:   []messenger.RangeRow{{Service: c.service, To: 99, Phase: messenger.PhaseOwned, Owner: session, Fence: 2}},
+	}), qt.IsNil)
+	entry := relayer.NewEntry(relayer.EntryOptions{
+		Mapper: routes, Owner: o.Owner, Opener: pool, Session: func() uint64 { return ownSession }, RequestUpdate: func() {},
+		ConfigurationAge: func() time.Duration { return 0 },
+		Budget:           budgeter.New(budgeter.Settings{Ratio: 1, Reserve: 10, Window: 10 * time.Second}),
+		Log:              logger.Discard(), Metrics: metrics.NewSet(),
+	})
+	request := call("/find/x", cmp.Or(c.key, 7))
+	request.Body, request.Length = strings.NewReader(c.body), int64(c.length)
+	answer := entry.Serve(t.Context(), request)
+	qt.Assert(t, answer.Outcome, qt.Equals, messenger.OutcomeDone, qt.Commentf("%s", answer.Reason))
+	_ = answer.Body.Close()
+	return o.backend.lastFingerprint
+}
+
 // The router beside a server that had said that it leaves forgot it when it was restarted,
 // and entries sent it requests again.
 func TestEntryRemembersServersThatLeave(t *testing.T) {
--- a/router/relayer/owner.go
+++ b/router/relayer/owner.go
@@ -246,15 +246,16 @@
 	job.Delay = link.arrive(job)
 	job.Final = relay.Left < finalTimeLeft && link.isBusy()
 	isRead := false
-	if isInline(relay.Length) && relay.Fingerprint == "" {
-		data, err := readInline(relay, body)
-		if err != nil {
-			return refusedResponse(messenger.ReasonCanceled, 0), nil
+	if callerKey := takeCallerKey(relay); relay.Fingerprint == "" {
+		relay.Fingerprint = headFingerprint(relay.Method, relay.Host, relay.Target, callerKey)
+		if isInline(relay.Length) {
+			data, err := readInline(relay, body)
+			if err != nil {
+				return refusedResponse(messenger.ReasonCanceled, 0), nil
+			}
+			body, isRead = bytes.NewReader(data), true
+			relay.Fingerprint = extendFingerprint(relay.Fingerprint, data)
 		}
-		body, isRead = bytes.NewReader(data), true
-		relay.Fingerprint = fingerprint(relay, data)
-	} else if relay.Fingerprint == "" {
-		relay.Fingerprint = fingerprint(relay, nil)
 	}
 	if _, reason := o.check(started, started, relay); reason != messenger.ReasonNone {
 		return refusedResponse(reason, 0), nil
--- a/router/relayer/received_body.go
+++ b/router/relayer/received_body.go
@@ -56,8 +56,8 @@
 	return nil
 }
 
-// receive invites a large body and receives its head, or refuses the request before any
-// of its body was sent. The result must be released.
+// receive invites a large body, receives its head and extends the fingerprint of the request
+// by it. Most refusals come before any of the body was sent. The result must be released.
 func (o *Owner) receive(ctx context.Context, relay *messenger.Relay, job queuer.Job, body io.Reader) (*receivedBody, *messenger.RelayResponse) {
 	if refused := o.options.Admission.Check(job); refused != nil {
 		o.link.countRefusal(refused)
@@ -78,10 +78,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, relay.Left)
 	defer cancel()
-	if err := received.readHead(ctx); err != nil {
+	content, err := received.readHead(ctx)
+	if err != nil {
 		received.release()
 		return nil, refusedResponse(contextReason(ctx), 0)
 	}
+	relay.Fingerprint = extendFingerprint(relay.Fingerprint, content)
+	if o.options.IsQuarantined(relay.Fingerprint) {
+		received.release()
+		return nil, refusedResponse(messenger.ReasonQuarantine, 0)
+	}
 	return received, nil
 }
 
@@ -134,8 +140,9 @@
 	reserved int64
 }
 
-// readHead reads up to maxHeadBytes. It stops waiting for the caller when ctx is done.
-func (b *receivedBody) readHead(ctx context.Context) error {
+// readHead reads up to maxHeadBytes and returns them. It stops waiting for the caller when ctx
+// is done.
+func (b *receivedBody) readHead(ctx context.Context) ([]byte, error) {
 	type result struct {
 		data []byte
 		err  error
@@ -149,13 +156,13 @@
 	select {
 	case read := <-done:
 		if read.err != nil {
-			return Error.New("receiving the body: %w", read.err)
+			return nil, Error.New("receiving the body: %w", read.err)
 		}
 		b.head.Reset(read.data)
 		b.unreserve(int64(len(read.data)))
-		return nil
+		return read.data, nil
 	case <-ctx.Done():
-		return Error.New("waiting for the body: %w", context.Cause(ctx))
+		return nil, Error.New("waiting for the body: %w", context.Cause(ctx))
 	}
 }
 
--- a/router/relayer/routed_call.go
+++ b/router/relayer/routed_call.go
@@ -66,7 +66,8 @@
 	waited time.Duration
 	// mayHaveRun is true once the outcome of an attempt is unknown.
 	mayHaveRun bool
-	// fingerprint identifies requests for the same work; see [hasher.Fingerprint].
+	// fingerprint identifies requests for the same work, as far as this router knows their
+	// bodies.
 	fingerprint string
 }
 
@@ -92,8 +93,10 @@
 			return c.refuseStopping()
 		}
 	}
-	// An inline body was read before.
-	c.fingerprint = fingerprint(c.relay(), c.body.data)
+	c.fingerprint = headFingerprint(c.call.Method, c.call.Host, c.call.Target, c.call.Key)
+	if c.body.isInline() {
+		c.fingerprint = extendFingerprint(c.fingerprint, c.body.data)
+	}
 	for {
 		routes := c.entry.options.Mapper.Load()
 		if c.left() <= 0 {
@@ -103,7 +106,7 @@
 			return c.refuseStopping()
 		}
 		c.version = routes.Configuration.Version
-		if routes.IsQuarantined(c.fingerprint) {
+		if c.isQuarantined(routes) {
 			return c.refuse(messenger.ReasonQuarantine, quarantineRetryAfter)
 		}
 		server, reason := c.choose(routes)
@@ -175,6 +178,10 @@
 // relay returns the message that carries the next attempt.
 func (c *routedCall) relay() *messenger.Relay {
 	treatment := &c.route.Treatment
+	header := c.call.Header
+	if c.keyless && c.call.Key != messenger.NoKey {
+		header = addCallerKey(header, c.call.Key)
+	}
 	return &messenger.Relay{
 		ID:      c.call.ID,
 		Service: c.service,
@@ -184,7 +191,7 @@
 		Method:  c.call.Method,
 		Target:  c.call.Target,
 		Host:    c.call.Host,
-		Header:  c.call.Header,
+		Header:  header,
 		Length:  c.call.Length,
 		Rank:    treatment.Rank,
 		Aim:     max(treatment.Aim-c.waited-time.Since(c.started), 0),
