listener: end a connection whose next request may not be seen

Cause: the deadline for draining a body can reach the read with which net/http waits for the next request, if the last bytes arrive at that moment. Its failure cancels the context of the connection, and a later request would be canceled. During a stop, a connection that discards the rest of its last request was taken for an idle one. Change: the deadline is taken back at the end of the body, a connection whose context is done serves no further request, and a stop leaves the delay before the close to the connection. Found by reading.

--- a/kernel/listener/guarded_conn.go
+++ b/kernel/listener/guarded_conn.go
@@ -102,7 +102,7 @@
 func (c *guardedConn) expire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.waiting || c.isNew && time.Since(c.acceptedAt) < firstRequestTimeout || hasArrived(c.Conn) {
+	if !c.waiting || c.ended.Load() || c.isNew && time.Since(c.acceptedAt) < firstRequestTimeout || hasArrived(c.Conn) {
 		return
 	}
 	c.expired = true
--- a/kernel/listener/request_body.go
+++ b/kernel/listener/request_body.go
@@ -127,17 +127,36 @@
 	}
 	b.waitForRead()
 	_, err := io.CopyN(io.Discard, b.ReadCloser, maxDrainBytes)
+	if err != io.EOF {
+		return
+	}
+	// At the end of the body net/http has begun to wait for the next request.
+	_ = b.control.SetReadDeadline(time.Time{})
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.complete = b.complete || err == io.EOF
+	b.complete = true
 }
 
 // release ends the connection unless the body was read to its end, and waits until nothing
 // reads the body. It must be called when the handler has returned.
 func (b *requestBody) release() {
-	if b == nil || b.end() {
+	// The context of the request ends when a read of its connection has failed.
+	if b == nil || b.end() && b.request.Context().Err() == nil {
 		return
 	}
 	b.conn.end()
 	b.waitForRead()
 }
+
+// isComplete reports whether the body was read to its end.
+func (b *requestBody) isComplete() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.complete
+}
+
+// IsArriving reports whether the body of a request has not been read to its end.
+func IsArriving(r *http.Request) bool {
+	body, ok := r.Body.(*requestBody)
+	return ok && !body.isComplete()
+}
