acceptor: deliver the start of an answer while the body is still arriving

A caller that awaits the start of an answer before it sends the rest of its body got it at the timeout.

Cause: in routed mode an answer of unknown length was copied through the buffers of net/http, up to 6 KiB, without a flush. Change: such an answer is flushed after each read while the body of its request has not been read to its end. Other answers are copied as before. Result: TestEarlyAnswerIsDeliveredWhileTheBodyIsSent failed before and passes now.

--- a/router/acceptor/copy.go
+++ b/router/acceptor/copy.go
@@ -5,8 +5,6 @@
 	"io"
 	"net/http"
 	"sync"
-
-	"marigoldhill/router/executor"
 )
 
 // copyBufferBytes is the size of the buffers for copying response bodies.
@@ -15,20 +13,19 @@
 // copyBuffers holds buffers for reuse.
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
-// copyBody copies the body of a response to w. A body of unknown length is flushed
-// after each read, since the caller may be waiting for the part that has arrived.
-func copyBody(w http.ResponseWriter, answer executor.Answer) error {
-	if answer.Body == nil {
-		return nil
-	}
+// copyBody copies the body of a response to w. If flush is set, it is flushed after each read,
+// since the caller may be waiting for the part that has arrived.
+// copyBody copies the body of a response to w. If flush is set, each part is flushed once it has
+// been read, since the caller may be waiting for it.
+func copyBody(w http.ResponseWriter, body io.Reader, flush bool) error {
 	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buffer)
 	var flusher http.Flusher
-	if answer.Response.Length < 0 {
+	if flush {
 		flusher, _ = w.(http.Flusher)
 	}
 	for {
-		n, err := answer.Body.Read(buffer[:])
+		n, err := body.Read(buffer[:])
 		if err := writeAndFlush(w, flusher, buffer[:n]); err != nil {
 			return err
 		}
--- a/router/acceptor/handle.go
+++ b/router/acceptor/handle.go
@@ -155,7 +155,11 @@
 	}
 	w.WriteHeader(response.Status)
 	listener.Grow(r.Context(), answerCost(response.Length))
-	if err := copyBody(w, answer); err != nil {
+	if answer.Body == nil {
+		a.counters.count(messenger.OutcomeDone, messenger.ReasonNone)
+		return
+	}
+	if err := copyBody(w, answer.Body, response.Length < 0); err != nil {
 		// Abort the connection, so that the caller cannot take a partial body for a
 		// complete one.
 		a.counters.aborted.Inc()
--- a/router/acceptor/routed.go
+++ b/router/acceptor/routed.go
@@ -116,7 +116,14 @@
 		return
 	}
 	listener.Grow(r.Context(), answerCost(answer.Length))
-	if _, err := io.Copy(w, answer.Body); err != nil {
+	var err error
+	if answer.Length < 0 && listener.IsArriving(r) {
+		// The caller may wait for the start of the answer before it sends on.
+		err = copyBody(w, answer.Body, true)
+	} else {
+		_, err = io.Copy(w, answer.Body)
+	}
+	if err != nil {
 		abortResponse(w, r)
 	}
 }
--- a/router/relayer/early_answer_test.go
+++ b/router/relayer/early_answer_test.go
@@ -190,6 +190,29 @@
 	})
 }
 
+// Guards against an answer that waits in a buffer while its caller waits for it to send on.
+func TestEarlyAnswerIsDeliveredWhileTheBodyIsSent(t *testing.T) {
+	for _, remote := range []bool{false, true} {
+		address := newUploadRouter(t, remote, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, "go on")
+			_ = http.NewResponseController(w).Flush()
+			_, _ = io.Copy(w, io.LimitReader(r.Body, 10))
+			_, _ = io.Copy(io.Discard, r.Body)
+		})
+		caller := newUploader(t, address)
+		const first, rest = 300_000, 1000
+		_, _ = fmt.Fprintf(caller.conn, "POST /x HTTP/1.1\r\nHost: desk\r\nContent-Length: %d\r\n\r\n%s", first+rest, strings.Repeat("a", first))
+		response, err := http.ReadResponse(caller.reader, nil)
+		qt.Assert(t, err, qt.IsNil)
+		_, err = io.ReadFull(response.Body, make([]byte, len("go on")))
+		qt.Assert(t, err, qt.IsNil)
+		_, _ = io.WriteString(caller.conn, strings.Repeat("b", rest))
+		data, err := io.ReadAll(response.Body)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, string(data), qt.Equals, "aaaaaaaaaa")
+	}
+}
+
 // Guards against the rest of a body that is taken for the next request, and against readers that
 // outlive their request, when the answer ends before the body was sent.
 func TestAnswerThatEndsBeforeTheBodyLeavesNothingBehind(t *testing.T) {
