relayer: read the bytes of a body for the quarantine check only when they are known

Cause: the check for quarantines of the previous version looked at the bytes of a body that another goroutine may be reading. Found by reading the change. Change: it passes them for inline bodies only, which are read before. The copying of responses has one check for a missing body again; the bounds on bodies are in the docs.

--- a/kernel/listener/guard.go
+++ b/kernel/listener/guard.go
@@ -93,8 +93,8 @@
 	return &Guard{Listener: socket, options: options, drained: make(chan struct{}), conns: make(map[*guardedConn]struct{})}
 }
 
-// Handler returns a handler whose responses end their connection during a stop. It is the only
-// reader of the body of its request until it returns; see requestBody.
+// Handler returns a handler whose responses end their connection during a stop. Until handler
+// returns, it is the only reader of the body of its request; see requestBody.
 func (g *Guard) Handler(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if g.leaving.Load() {
--- a/kernel/listener/request_body.go
+++ b/kernel/listener/request_body.go
@@ -11,8 +11,8 @@
 const (
 	// maxDrainBytes is how much of a body is read after the response to keep its connection.
 	maxDrainBytes = 256 << 10
-	// drainTimeout limits the time for that. bufferedTimeout does so where the end of the
-	// response is written only after it; the part of the body that has arrived takes no longer.
+	// drainTimeout limits the time for that, bufferedTimeout where the end of the response can
+	// be written only afterwards. What has arrived of the body takes no longer.
 	drainTimeout    = 500 * time.Millisecond
 	bufferedTimeout = 5 * time.Millisecond
 )
@@ -49,10 +49,9 @@
 	}
 	body := &requestBody{ReadCloser: r.Body, request: r, conn: c, control: http.NewResponseController(w)}
 	body.changed.L = &body.mu
-	// Otherwise net/http reads and discards a part of the body before the response.
-	if err := body.control.EnableFullDuplex(); err != nil {
-		return r, nil
-	}
+	// Otherwise net/http reads and discards a part of the body before the response. HTTP/1
+	// supports it.
+	_ = body.control.EnableFullDuplex()
 	copied := r.WithContext(r.Context())
 	copied.Body = body
 	if c.account != nil && c.guard.options.BodyCost > 0 {
--- a/router/acceptor/copy.go
+++ b/router/acceptor/copy.go
@@ -13,11 +13,12 @@
 // copyBuffers holds buffers for reuse.
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
-// copyBody copies the body of a response to w. If flush is set, it is flushed after each read,
-// since the caller may be waiting for the part that has arrived.
 // copyBody copies the body of a response to w. If flush is set, each part is flushed once it has
 // been read, since the caller may be waiting for it.
 func copyBody(w http.ResponseWriter, body io.Reader, flush bool) error {
+	if body == nil {
+		return nil
+	}
 	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buffer)
 	var flusher http.Flusher
--- a/router/acceptor/handle.go
+++ b/router/acceptor/handle.go
@@ -155,10 +155,6 @@
 	}
 	w.WriteHeader(response.Status)
 	listener.Grow(r.Context(), answerCost(response.Length))
-	if answer.Body == nil {
-		a.counters.count(messenger.OutcomeDone, messenger.ReasonNone)
-		return
-	}
 	if err := copyBody(w, answer.Body, response.Length < 0); err != nil {
 		// Abort the connection, so that the caller cannot take a partial body for a
 		// complete one.
--- a/router/relayer/fingerprint.go
+++ b/router/relayer/fingerprint.go
@@ -73,5 +73,9 @@
 	if !routes.HasQuarantines() {
 		return false
 	}
-	return routes.IsQuarantined(c.fingerprint) || routes.IsQuarantined(previousFingerprint(c.relay(), c.body.data))
+	var content []byte
+	if c.body.isInline() {
+		content = c.body.data
+	}
+	return routes.IsQuarantined(c.fingerprint) || routes.IsQuarantined(previousFingerprint(c.relay(), content))
 }
