listener: tell callers early that a connection ends with a refused upload

A caller that went on with its connection after the refusal of a long upload waited 500 ms and got no answer to its next request.

Change: StopReading ends the reading of a body before a refusal is written and sets Connection: close if more is left than is drained. Once the response is written, the connection is half closed at once. The header map of a response is looked at for requests with a body only: net/http copies it.

--- a/kernel/listener/guard.go
+++ b/kernel/listener/guard.go
@@ -109,7 +109,7 @@
 		} else {
 			handler.ServeHTTP(w, r)
 		}
-		body.drain(w.Header())
+		body.drain(w)
 	})
 }
 
--- a/kernel/listener/linger.go
+++ b/kernel/listener/linger.go
@@ -22,29 +22,39 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
+// SetReadDeadline implements [net.Conn]. It has no effect after end.
+func (c *guardedConn) SetReadDeadline(t time.Time) error {
+	if c.ended.Load() {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Close implements [net.Conn]. A connection with the rest of a request on it is closed once its
 // client has closed it, or after lingerTimeout.
 func (c *guardedConn) Close() error {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || !c.ended.Load() || c.guard.cutting.Load() {
-		return c.closeNow()
-	}
-	if !c.lingers.CompareAndSwap(false, true) {
-		return nil
-	}
-	if half.CloseWrite() != nil {
+	if !c.ended.Load() || c.guard.cutting.Load() {
 		return c.closeNow()
 	}
-	go c.linger()
+	c.linger()
 	return nil
 }
 
+// linger half-closes a connection whose response was written, and discards what arrives until it
+// closes it. Calls after the first have no effect.
 func (c *guardedConn) linger() {
-	defer func() { _ = c.closeNow() }()
-	if err := c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
+	if !c.lingers.CompareAndSwap(false, true) {
+		return
+	}
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		_ = c.closeNow()
 		return
 	}
-	_, _ = io.Copy(io.Discard, c.Conn)
+	go func() {
+		_, _ = io.Copy(io.Discard, c.Conn)
+		_ = c.closeNow()
+	}()
 }
 
 func (c *guardedConn) closeNow() error {
--- a/kernel/listener/request_body.go
+++ b/kernel/listener/request_body.go
@@ -36,8 +36,11 @@
 	reading bool
 	// handled is set when the handler has returned.
 	handled bool
-	// complete is set at the end of the body.
+	// complete is set at the end of the body, after received bytes of it.
 	complete bool
+	received int64
+	// responded is set when the whole response has been written to the connection.
+	responded bool
 }
 
 // takeBody returns a request whose body is the returned requestBody, or nil if it has none. It
@@ -76,6 +79,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reading = false
+	b.received += int64(n)
 	b.complete = b.complete || err == io.EOF
 	b.changed.Broadcast()
 	if b.handled {
@@ -109,18 +113,20 @@
 }
 
 // drain reads the rest of a body after its response, so that its connection can be used again.
-func (b *requestBody) drain(header http.Header) {
+func (b *requestBody) drain(w http.ResponseWriter) {
 	if b == nil || b.end() {
 		return
 	}
-	// The connection ends in any case, or the client may not send a body at all.
-	if b.request.Close || header.Get("Connection") == "close" || b.request.Header.Get("Expect") != "" {
-		return
-	}
+	header := w.Header()
 	timeout := bufferedTimeout
 	if header.Get("Content-Length") != "" && b.control.Flush() == nil {
+		b.responded = true
 		timeout = drainTimeout
 	}
+	// The connection ends in any case, or the client may not send a body at all.
+	if b.request.Close || header.Get("Connection") == "close" || b.request.Header.Get("Expect") != "" {
+		return
+	}
 	if b.control.SetReadDeadline(time.Now().Add(timeout)) != nil {
 		return
 	}
@@ -145,6 +151,28 @@
 	}
 	b.conn.end()
 	b.waitForRead()
+	if b.responded {
+		b.conn.linger()
+	}
+}
+
+// StopReading makes reads of the body of a request fail. It must be called before the header of
+// a response is written that does not depend on the rest of the body, such as a refusal.
+func StopReading(w http.ResponseWriter, r *http.Request) {
+	body, ok := r.Body.(*requestBody)
+	if !ok || body.end() {
+		return
+	}
+	if r.ContentLength-body.receivedBytes() > maxDrainBytes {
+		// The client must not send another request on the connection.
+		w.Header().Set("Connection", "close")
+	}
+}
+
+func (b *requestBody) receivedBytes() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.received
 }
 
 // isComplete reports whether the body was read to its end.
--- a/router/acceptor/handle.go
+++ b/router/acceptor/handle.go
@@ -28,6 +28,7 @@
 	r := c.Request()
 	call, refusal := a.validate(r)
 	if refusal != nil {
+		listener.StopReading(w, r)
 		a.writeRefusal(w, refusal)
 		return nil
 	}
--- a/router/acceptor/routed.go
+++ b/router/acceptor/routed.go
@@ -30,6 +30,7 @@
 		call, err := parseRoutedCall(r, requestIDs)
 		if err != nil {
 			refusalResponse := &messenger.Response{Outcome: messenger.OutcomeRefused, Reason: messenger.ReasonMalformed}
+			listener.StopReading(w, r)
 			writeProblem(w, refusalResponse, http.StatusBadRequest, err.Error())
 			return
 		}
@@ -37,6 +38,7 @@
 		answer := relay.Serve(r.Context(), call)
 		if answer.Outcome != messenger.OutcomeDone {
 			response := &messenger.Response{Outcome: answer.Outcome, Reason: answer.Reason, RetryAfter: answer.RetryAfter}
+			listener.StopReading(w, r)
 			writeProblem(w, response, httpStatus(answer.Outcome, answer.Reason), "")
 			return
 		}
