relayer: share the routers of two tests

Cause: the tests of early answers and of fingerprints built the same two routers. Change: newLinkedEntry builds them for both.

--- a/router/relayer/early_answer_test.go
+++ b/router/relayer/early_answer_test.go
@@ -49,6 +49,20 @@
 	t.Cleanup(server.Close)
 	backend := requester.New(requester.Options{Network: networker.TCP{}, HeaderCodec: dispatcher.HeaderCodec{}})
 	o := newTestOwnerWith(redirect{backend, server.Listener.Addr().String()})
+	route := messenger.PathRoute{Name: "upload", Host: "desk", Prefix: "/", Treatment: messenger.Treatment{Timeout: 5 * time.Second, Aim: 4 * time.Second, Attempts: 1}}
+	entry := newLinkedEntry(t, o, remote, route, messenger.RoutedService{Name: "findings"})
+	network := &listener.GuardNetwork{Network: networker.TCP{}}
+	socket, err := network.Listen("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	callers := &http.Server{Handler: network.Guard.Handler(acceptor.Routed("r1", entry)), ConnState: network.Guard.ConnState, ConnContext: network.Guard.ConnContext}
+	go func() { _ = callers.Serve(socket) }()
+	t.Cleanup(func() { _ = callers.Close() })
+	return socket.Addr().String()
+}
+
+// newLinkedEntry returns an Entry with one route to one service. Its server is that of o, beside the
+// router of the Entry or beside another one.
+func newLinkedEntry(t *testing.T, o *testOwner, remote bool, route messenger.PathRoute, service messenger.RoutedService) *relayer.Entry {
 	hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleRouter, Name: "r2", Invites: true, Replies: true}
 	peer, err := linker.Listen(networker.TCP{}, "127.0.0.1:0", linker.Options{Hello: hello, Handler: o.Handle})
 	qt.Assert(t, err, qt.IsNil)
@@ -59,32 +73,23 @@
 	if remote {
 		session++
 	}
-	routes := mapper.New()
-	qt.Assert(t, routes.Apply(&messenger.TableDelta{
+	route.Parts = []messenger.RoutePart{{Service: service.Name, Weight: 1}}
+	delta := &messenger.TableDelta{
 		Full: true, To: 1,
-		Configuration: &messenger.Configuration{
-			Version: 1,
-			Routes: []messenger.PathRoute{{
-				Name: "upload", Host: "desk", Prefix: "/", Parts: []messenger.RoutePart{{Service: "findings", Weight: 1}},
-				Treatment: messenger.Treatment{Timeout: 5 * time.Second, Aim: 4 * time.Second, Attempts: 1},
-			}},
-			Services: []messenger.RoutedService{{Name: "findings"}},
-		},
-		Sessions: []messenger.SessionRow{{Session: session, Router: "r2", Address: peer.Address(), Server: &messenger.ServerRow{Name: "s1", Service: "findings", Slots: 1}}},
-	}), qt.IsNil)
-	entry := relayer.NewEntry(relayer.EntryOptions{
+		Configuration: &messenger.Configuration{Version: 1, Routes: []messenger.PathRoute{route}, Services: []messenger.RoutedService{service}},
+		Sessions:      []messenger.SessionRow{{Session: session, Router: "r2", Address: peer.Address(), Server: &messenger.ServerRow{Name: "s1", Service: service.Name, Slots: 1}}},
+	}
+	if service.Ranged {
+		delta.Ranges = []messenger.RangeRow{{Service: service.Name, To: 99, Phase: messenger.PhaseOwned, Owner: session, Fence: 2}}
+	}
+	routes := mapper.New()
+	qt.Assert(t, routes.Apply(delta), qt.IsNil)
+	return relayer.NewEntry(relayer.EntryOptions{
 		Mapper: routes, Owner: o.Owner, Opener: pool, Session: func() uint64 { return ownSession }, RequestUpdate: func() {},
 		ConfigurationAge: func() time.Duration { return 0 },
 		Budget:           budgeter.New(budgeter.Settings{Ratio: 1, Reserve: 10, Window: 10 * time.Second}),
 		Log:              logger.Discard(), Metrics: metrics.NewSet(),
 	})
-	network := &listener.GuardNetwork{Network: networker.TCP{}}
-	socket, err := network.Listen("127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	callers := &http.Server{Handler: network.Guard.Handler(acceptor.Routed("r1", entry)), ConnState: network.Guard.ConnState, ConnContext: network.Guard.ConnContext}
-	go func() { _ = callers.Serve(socket) }()
-	t.Cleanup(func() { _ = callers.Close() })
-	return socket.Addr().String()
 }
 
 // uploader is a caller with one connection.
--- a/router/relayer/entry_test.go
+++ b/router/relayer/entry_test.go
@@ -14,10 +14,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"marigoldhill/kernel/hasher"
-	"marigoldhill/kernel/linker"
 	"marigoldhill/kernel/logger"
 	"marigoldhill/kernel/messenger"
-	"marigoldhill/kernel/networker"
 	"marigoldhill/kernel/timer"
 	"marigoldhill/router/budgeter"
 	"marigoldhill/router/mapper"
@@ -353,33 +351,8 @@
 func (c claim) fingerprint(t *testing.T, remote bool) string {
 	o := newTestOwner(func(context.Context) requester.Result { return doneResult(200, strings.NewReader("ok"), 2) })
 	o.server.Announce(timer.Now(), monitor.Announcement{Row: messenger.ServerRow{Name: "s1", Service: c.service, URL: serverAddress, Slots: 1, Born: 2}})
-	hello := messenger.Hello{Cluster: "test", Version: messenger.Version, Role: messenger.RoleRouter, Name: "r1", Invites: true, Replies: true}
-	peer, err := linker.Listen(networker.TCP{}, "127.0.0.1:0", linker.Options{Hello: hello, Handler: o.Handle})
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = peer.Close() }()
-	pool := linker.NewPool(networker.TCP{}, linker.Options{Hello: hello})
-	defer pool.Close()
-	session := uint64(ownSession)
-	if remote {
-		session++
-	}
-	routes := mapper.New()
-	qt.Assert(t, routes.Apply(&messenger.TableDelta{
-		Full: true, To: 1,
-		Configuration: &messenger.Configuration{
-			Routes: []messenger.PathRoute{{Name: "claim" + c.service, Host: "desk", Prefix: "/find/", Parts: []messenger.RoutePart{{Service: c.service, Weight: 1}},
-				Treatment: messenger.Treatment{Timeout: time.Second, Aim: 400 * time.Millisecond, Attempts: 2}}},
-			Services: []messenger.RoutedService{{Name: c.service, Ranged: c.ranged}},
-		},
-		Sessions: []messenger.SessionRow{{Session: session, Router: "r1", Address: peer.Address(), Server: &messenger.ServerRow{Name: "s1", Service: c.service, Slots: 1}}},
-		Ranges:   []messenger.RangeRow{{Service: c.service, To: 99, Phase: messenger.PhaseOwned, Owner: session, Fence: 2}},
-	}), qt.IsNil)
-	entry := relayer.NewEntry(relayer.EntryOptions{
-		Mapper: routes, Owner: o.Owner, Opener: pool, Session: func() uint64 { return ownSession }, RequestUpdate: func() {},
-		ConfigurationAge: func() time.Duration { return 0 },
-		Budget:           budgeter.New(budgeter.Settings{Ratio: 1, Reserve: 10, Window: 10 * time.Second}),
-		Log:              logger.Discard(), Metrics: metrics.NewSet(),
-	})
+	route := messenger.PathRoute{Name: "claim" + c.service, Host: "desk", Prefix: "/find/", Treatment: messenger.Treatment{Timeout: time.Second, Aim: 400 * time.Millisecond, Attempts: 2}}
+	entry := newLinkedEntry(t, o, remote, route, messenger.RoutedService{Name: c.service, Ranged: c.ranged})
 	request := call("/find/x", cmp.Or(c.key, 7))
 	request.Body, request.Length = strings.NewReader(c.body), int64(c.length)
 	answer := entry.Serve(t.Context(), request)
